--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# test and demo are the two commands of the README.
+GO ?= go
+
+.PHONY: test demo bench faults build fmt lint
+test: fmt lint
+	$(GO) test -race -timeout 20m ./...
+
+fmt:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+build:
+	$(GO) build -o bin/ ./cmd/...
--- /dev/null
+++ b/internal/result/codes.go
@@ -0,0 +1,169 @@
+package result
+
+import (
+	"net/http"
+	"slices"
+)
+
+// Result codes. The first digit is the group: 1 wrong request, 2 refused and
+// not run, 3 outcome unknown, 4 ran and failed, 5 configuration, 6 protocol
+// between processes, 7 settings and process, 9 internal.
+const (
+	OK Code = 0
+
+	BadRequest       Code = 1001
+	BodyTooLarge     Code = 1002
+	UnknownRoute     Code = 1003
+	MethodNotAllowed Code = 1004
+	KeyInvalid       Code = 1005
+	CallerGone       Code = 1006
+
+	BudgetExceeded     Code = 2001
+	QueueFull          Code = 2002
+	NoTarget           Code = 2003
+	TargetLeaving      Code = 2004
+	AdapterLoadFailed  Code = 2005
+	DeadlinePassed     Code = 2006
+	StaleConfiguration Code = 2007
+	NotHome            Code = 2008
+	ReservationExpired Code = 2009
+	EngineUnavailable  Code = 2010
+	EntryLeaving       Code = 2011
+	NoConfiguration    Code = 2012
+	AuthorityLost      Code = 2013
+	SessionLost        Code = 2014
+	RecordsFull        Code = 2015
+	UnknownReservation Code = 2016
+	CancelledNotRun    Code = 2017
+
+	OutcomeUnknown Code = 3001
+	KeyUnknown     Code = 3002
+	KeyInProgress  Code = 3003
+
+	EngineFailed Code = 4001
+	AnswerCut    Code = 4002
+	Cancelled    Code = 4003
+	WrongAdapter Code = 4004
+	KeyReused    Code = 4005
+
+	DanglingName      Code = 5001
+	DuplicateName     Code = 5002
+	ValueTooLarge     Code = 5003
+	RevisionTooLow    Code = 5004
+	RevisionConflict  Code = 5005
+	MalformedTable    Code = 5006
+	PartMissing       Code = 5007
+	PlatformUnreached Code = 5008
+
+	FrameTooLarge    Code = 6001
+	VersionMismatch  Code = 6002
+	UnexpectedFrame  Code = 6003
+	MalformedMessage Code = 6004
+
+	SettingInvalid Code = 7001
+	AddressInUse   Code = 7002
+	UsageError     Code = 7003
+
+	Internal Code = 9001
+)
+
+// Info describes a code. CODES.md holds the same table.
+type Info struct {
+	Code      Code
+	Name      string
+	HTTP      int
+	Execution Execution
+	// CallerMayRepeat says whether the caller may send the request again
+	// without risk of a second execution.
+	CallerMayRepeat bool
+	// RetryElsewhere says whether the entry may try another target.
+	RetryElsewhere bool
+	Meaning        string
+}
+
+var table = []Info{
+	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, false, false, "The request is malformed. Correct it before sending it again."},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, false, false, "The body is larger than the entry's limit."},
+	{UnknownRoute, "unknown_route", http.StatusNotFound, NotRun, false, false, "No route matches the model name or path."},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, NotRun, false, false, "The path does not take this HTTP method."},
+	{KeyInvalid, "key_invalid", http.StatusBadRequest, NotRun, false, false, "The route needs an Idempotency-Key and the request has none, or a malformed one."},
+	{CallerGone, "caller_gone", 499, Unknown, false, false, "The caller closed its connection before the answer ended."},
+
+	{BudgetExceeded, "budget_exceeded", http.StatusServiceUnavailable, NotRun, true, true, "The predicted start is past the time budget of the class."},
+	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, true, true, "The target's queue is at its limit."},
+	{NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, true, false, "No target of the pool can take the request now."},
+	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, NotRun, true, true, "The target is stopping and takes no new work."},
+	{AdapterLoadFailed, "adapter_load_failed", http.StatusServiceUnavailable, NotRun, true, true, "The engine could not load the adapter."},
+	{DeadlinePassed, "deadline_passed", http.StatusServiceUnavailable, NotRun, true, false, "The time budget ended before the request started."},
+	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, NotRun, true, true, "The request was routed by a configuration older than the target's."},
+	{NotHome, "not_home", http.StatusServiceUnavailable, NotRun, true, false, "The target is not the home of the idempotency key."},
+	{ReservationExpired, "reservation_expired", http.StatusServiceUnavailable, NotRun, true, true, "The reservation ended before the entry used it."},
+	{EngineUnavailable, "engine_unavailable", http.StatusServiceUnavailable, NotRun, true, true, "The engine or service beside the target process does not answer."},
+	{EntryLeaving, "entry_leaving", http.StatusServiceUnavailable, NotRun, true, false, "The entry is stopping."},
+	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, NotRun, true, false, "The entry has no configuration in force yet."},
+	{AuthorityLost, "authority_lost", http.StatusServiceUnavailable, NotRun, true, true, "The target process was paused or fenced and re-checks its engine."},
+	{SessionLost, "session_lost", http.StatusServiceUnavailable, NotRun, true, true, "The session to the target ended before the request was sent."},
+	{RecordsFull, "records_full", http.StatusServiceUnavailable, NotRun, true, false, "The home of the key has no room for a further idempotency record."},
+	{UnknownReservation, "unknown_reservation", http.StatusServiceUnavailable, NotRun, true, true, "The target does not know the reservation."},
+	{CancelledNotRun, "cancelled_not_run", http.StatusServiceUnavailable, NotRun, true, true, "The request was cancelled before it started."},
+
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, false, "The request may have been executed. Check before sending it again under a new key."},
+	{KeyUnknown, "key_unknown", http.StatusConflict, Unknown, false, false, "The home of the key cannot know whether the key was executed before. It was not executed now."},
+	{KeyInProgress, "key_in_progress", http.StatusConflict, Unknown, true, false, "A request with the same key is being executed. Repeat it under the same key later."},
+
+	{EngineFailed, "engine_failed", http.StatusBadGateway, Ran, false, true, "The engine failed during execution."},
+	{AnswerCut, "answer_cut", http.StatusBadGateway, Ran, false, true, "The answer ended before it was whole."},
+	{Cancelled, "cancelled", http.StatusBadGateway, Ran, false, false, "The request was cancelled during execution."},
+	{WrongAdapter, "wrong_adapter", http.StatusBadGateway, Ran, false, true, "The engine answered with another adapter or version. The answer was dropped."},
+	{KeyReused, "key_reused", http.StatusUnprocessableEntity, NotRun, false, false, "The key was used before with a different request."},
+
+	{DanglingName, "dangling_name", 0, NotARequest, false, false, "A route names a pool or class that the pool table does not have."},
+	{DuplicateName, "duplicate_name", 0, NotARequest, false, false, "A name or match occurs twice."},
+	{ValueTooLarge, "value_too_large", 0, NotARequest, false, false, "A value is larger than its limit."},
+	{RevisionTooLow, "revision_too_low", 0, NotARequest, false, false, "The snapshot's revision is lower than one already in force."},
+	{RevisionConflict, "revision_conflict", 0, NotARequest, false, false, "Two snapshots with the same revision differ."},
+	{MalformedTable, "malformed_table", 0, NotARequest, false, false, "A table does not parse, or a field is out of range."},
+	{PartMissing, "part_missing", 0, NotARequest, false, false, "A part of the snapshot is missing or has the wrong digest."},
+	{PlatformUnreached, "platform_unreached", 0, NotARequest, false, false, "A platform service did not answer."},
+
+	{FrameTooLarge, "frame_too_large", 0, NotARequest, false, false, "A frame is larger than the limit. The connection is closed."},
+	{VersionMismatch, "version_mismatch", 0, NotARequest, false, false, "The peer speaks another protocol version."},
+	{UnexpectedFrame, "unexpected_frame", 0, NotARequest, false, false, "A frame arrived that is not allowed at this point."},
+	{MalformedMessage, "malformed_message", 0, NotARequest, false, false, "A message does not decode."},
+
+	{SettingInvalid, "setting_invalid", 0, NotARequest, false, false, "A settings file is wrong. The text names file, line and field."},
+	{AddressInUse, "address_in_use", 0, NotARequest, false, false, "A listen address is in use."},
+	{UsageError, "usage_error", 0, NotARequest, false, false, "The command line is wrong."},
+
+	{Internal, "internal", http.StatusInternalServerError, Unknown, false, false, "A fault in the process. Report it."},
+}
+
+var byCode = func() map[Code]Info {
+	m := make(map[Code]Info, len(table))
+	for _, info := range table {
+		m[info.Code] = info
+	}
+	return m
+}()
+
+// Info returns the description of the code. OK and undefined codes get a
+// description with status 200 and 500.
+func (c Code) Info() Info {
+	if info, ok := byCode[c]; ok {
+		return info
+	}
+	if c == OK {
+		return Info{Code: OK, Name: "ok", HTTP: http.StatusOK, Execution: Ran}
+	}
+	return Info{Code: c, Name: "undefined", HTTP: http.StatusInternalServerError, Execution: Unknown}
+}
+
+// String returns the name of the code.
+func (c Code) String() string { return c.Info().Name }
+
+// All returns the descriptions of all codes in ascending order.
+func All() []Info {
+	all := slices.Clone(table)
+	slices.SortFunc(all, func(a, b Info) int { return int(a.Code) - int(b.Code) })
+	return all
+}
--- /dev/null
+++ b/internal/tables/model.go
@@ -0,0 +1,148 @@
+// Package tables holds the two tables that operators write: routes, which say
+// which request goes to which adapter and version, and pools, which say which
+// targets serve them. It parses, validates, joins, digests and splits them.
+package tables
+
+import "time"
+
+// Kinds of pools.
+const (
+	// KindEngine marks a pool of model engines with adapter slots.
+	KindEngine = "engine"
+	// KindService marks a pool of plain services.
+	KindService = "service"
+)
+
+// Route says which requests go to which adapter and version. Exactly one of
+// Model and Path is set.
+type Route struct {
+	// Model matches the "model" field of a completion request exactly.
+	Model string `json:"model,omitempty"`
+	// Path matches the path of a call to a plain service, as a prefix that
+	// ends at a slash or at the end of the path.
+	Path string `json:"path,omitempty"`
+	// Adapter and Version name the adapter; both are empty for the base
+	// model and for plain services.
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Pool    string `json:"pool"`
+	// Class names a class of the pool.
+	Class string `json:"class"`
+	// Repeatable says whether the call is idempotent. A call that is not
+	// needs an Idempotency-Key and runs at most once.
+	Repeatable bool `json:"repeatable,omitempty"`
+}
+
+// Class is a class of requests with a time budget.
+type Class struct {
+	Name string `json:"name"`
+	// FirstTokenMS is the budget in milliseconds until the first token of
+	// an answer, or until the whole answer of a plain service.
+	FirstTokenMS int `json:"first_token_ms"`
+	// TotalMS is the limit in milliseconds for the whole answer.
+	TotalMS int `json:"total_ms"`
+	// Long marks work that runs many times longer than the rest. It has
+	// its own queue and at most LongShare of the running slots.
+	Long bool `json:"long,omitempty"`
+}
+
+// FirstTokenBudget returns FirstTokenMS as a duration.
+func (c Class) FirstTokenBudget() time.Duration {
+	return time.Duration(c.FirstTokenMS) * time.Millisecond
+}
+
+// TotalBudget returns TotalMS as a duration.
+func (c Class) TotalBudget() time.Duration {
+	return time.Duration(c.TotalMS) * time.Millisecond
+}
+
+// Target is one model engine or plain service.
+type Target struct {
+	Name string `json:"name"`
+	// Address is the IP address and port of the target process.
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	// Draining targets get no new work and stay homes of recorded keys.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// Pool is a set of targets that serve the same requests.
+type Pool struct {
+	Name string `json:"name"`
+	Kind string `json:"kind"`
+	// BaseModel is the model that the engines of the pool serve.
+	BaseModel string `json:"base_model,omitempty"`
+	// Slots is the number of adapter slots of one engine.
+	Slots int `json:"slots,omitempty"`
+	// MaxRunning is the most requests that one target runs at once.
+	MaxRunning int `json:"max_running"`
+	// QueueLimit is the most requests that wait at one target.
+	QueueLimit int `json:"queue_limit"`
+	// LongShare is the largest share of MaxRunning for long work, 0 to 1.
+	LongShare float64  `json:"long_share,omitempty"`
+	Classes   []Class  `json:"classes"`
+	Targets   []Target `json:"targets"`
+}
+
+// ClassByName returns the class with that name.
+func (p *Pool) ClassByName(name string) (Class, bool) {
+	for _, c := range p.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Class{}, false
+}
+
+// TargetByName returns the target with that name.
+func (p *Pool) TargetByName(name string) (Target, bool) {
+	for _, t := range p.Targets {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+// WeightStore holds the limits of the weight store that all engine pools share.
+type WeightStore struct {
+	// LoadsPerSecond is the fleet-wide rate of adapter loads.
+	LoadsPerSecond float64 `json:"loads_per_second"`
+	// MaxInFlight is the number of loads in flight beyond which each takes
+	// longer.
+	MaxInFlight int `json:"max_in_flight"`
+	// LoadMS is the duration of one load in milliseconds within the limits.
+	LoadMS int `json:"load_ms"`
+}
+
+// RouteTable is the table of routes.
+type RouteTable struct {
+	Routes []Route `json:"routes"`
+}
+
+// PoolTable is the table of pools.
+type PoolTable struct {
+	WeightStore WeightStore `json:"weight_store"`
+	Pools       []Pool      `json:"pools"`
+}
+
+// PoolRow is what a target process needs to know of its pool.
+type PoolRow struct {
+	Pool        Pool        `json:"pool"`
+	WeightStore WeightStore `json:"weight_store"`
+}
+
+// PartRef names a part of a table by content.
+type PartRef struct {
+	// Key is the key of the part in the configuration service. It ends in
+	// the SHA-256 of the part.
+	Key  string `json:"key"`
+	Size int    `json:"size"`
+}
+
+// Manifest lists the parts of one snapshot.
+type Manifest struct {
+	Revision uint64    `json:"revision"`
+	Routes   []PartRef `json:"routes"`
+	Pools    []PartRef `json:"pools"`
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+func kindOf(message any) (Kind, error) {
+	switch message.(type) {
+	case *Hello:
+		return KindHello, nil
+	case *Reserve:
+		return KindReserve, nil
+	case *Reserved:
+		return KindReserved, nil
+	case *Refused:
+		return KindRefused, nil
+	case *Run:
+		return KindRun, nil
+	case *Chunk:
+		return KindChunk, nil
+	case *End:
+		return KindEnd, nil
+	case *Cancel:
+		return KindCancel, nil
+	case *Resume:
+		return KindResume, nil
+	case *Leaving:
+		return KindLeaving, nil
+	case *PoolUpdate:
+		return KindPoolUpdate, nil
+	case *LoadGrant:
+		return KindLoadGrant, nil
+	case *RevisionQuery:
+		return KindRevisionQuery, nil
+	case *RevisionReply:
+		return KindRevisionReply, nil
+	case *PartQuery:
+		return KindPartQuery, nil
+	case *PartReply:
+		return KindPartReply, nil
+	case *Ping:
+		return KindPing, nil
+	case *Pong:
+		return KindPong, nil
+	}
+	return 0, result.New(result.MalformedMessage, fmt.Sprintf("no kind for %T", message))
+}
+
+func newMessage(kind Kind) any {
+	switch kind {
+	case KindHello:
+		return new(Hello)
+	case KindReserve:
+		return new(Reserve)
+	case KindReserved:
+		return new(Reserved)
+	case KindRefused:
+		return new(Refused)
+	case KindRun:
+		return new(Run)
+	case KindChunk:
+		return new(Chunk)
+	case KindEnd:
+		return new(End)
+	case KindCancel:
+		return new(Cancel)
+	case KindResume:
+		return new(Resume)
+	case KindLeaving:
+		return new(Leaving)
+	case KindPoolUpdate:
+		return new(PoolUpdate)
+	case KindLoadGrant:
+		return new(LoadGrant)
+	case KindRevisionQuery:
+		return new(RevisionQuery)
+	case KindRevisionReply:
+		return new(RevisionReply)
+	case KindPartQuery:
+		return new(PartQuery)
+	case KindPartReply:
+		return new(PartReply)
+	case KindPing:
+		return new(Ping)
+	case KindPong:
+		return new(Pong)
+	}
+	return nil
+}
+
+func decode(kind Kind, body []byte) (any, error) {
+	message := newMessage(kind)
+	if message == nil {
+		return nil, result.Newf(result.UnexpectedFrame, "unknown kind %d", kind)
+	}
+	if err := msgpack.Unmarshal(body, message); err != nil {
+		return nil, result.Wrap(result.MalformedMessage, err)
+	}
+	return message, nil
+}
--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,236 @@
+package wire
+
+import "agatelanding.example/agatelanding/internal/result"
+
+// ProtocolVersion is the version that Hello carries. Peers with another
+// version are refused.
+const ProtocolVersion = 1
+
+// Role is the role of a process.
+type Role uint8
+
+// Roles of processes.
+const (
+	RoleEntry Role = iota + 1
+	RoleTarget
+)
+
+// State is what a process says of itself.
+type State uint8
+
+// States of a process.
+const (
+	StateStarting State = iota + 1
+	StateServing
+	StateLeaving
+)
+
+// Kind identifies the message type of a frame.
+type Kind uint8
+
+// Kinds of messages. The numbers are part of the protocol.
+const (
+	KindHello Kind = iota + 1
+	KindReserve
+	KindReserved
+	KindRefused
+	KindRun
+	KindChunk
+	KindEnd
+	KindCancel
+	KindResume
+	KindLeaving
+	KindPoolUpdate
+	KindLoadGrant
+	KindRevisionQuery
+	KindRevisionReply
+	KindPartQuery
+	KindPartReply
+	KindPing
+	KindPong
+)
+
+// RequestID identifies one request of one entry incarnation.
+type RequestID struct {
+	Entry string `msgpack:"e"`
+	// Incarnation is the start time of the entry in Unix nanoseconds; it
+	// keeps requests of a restarted entry apart from those before.
+	Incarnation int64  `msgpack:"i"`
+	Number      uint64 `msgpack:"n"`
+}
+
+// AttemptID identifies one attempt at a request.
+type AttemptID struct {
+	Request RequestID `msgpack:"r"`
+	Attempt uint32    `msgpack:"a"`
+}
+
+// Hello opens a session in both directions.
+type Hello struct {
+	Protocol      uint32 `msgpack:"p"`
+	Process       string `msgpack:"n"`
+	Role          Role   `msgpack:"r"`
+	Incarnation   int64  `msgpack:"i"`
+	Revision      uint64 `msgpack:"v"`
+	FailureDomain string `msgpack:"f"`
+	State         State  `msgpack:"s"`
+}
+
+// LoadReport is the load of a target at the time of a reply.
+type LoadReport struct {
+	Running int `msgpack:"r"`
+	Queued  int `msgpack:"q"`
+	// Limit is the number of requests that the target runs at once.
+	Limit int `msgpack:"l"`
+	// StartDelayMS is the predicted delay in milliseconds before a short
+	// request with a resident adapter starts.
+	StartDelayMS int `msgpack:"d"`
+	// LoadsWaiting is the number of adapters that wait for a load token.
+	LoadsWaiting int `msgpack:"w"`
+	// LoadUrgency orders targets that want a load token; higher goes first.
+	LoadUrgency float64 `msgpack:"u"`
+	// Incarnation is the start of the engine in Unix nanoseconds; a new
+	// value means that its slots are empty.
+	Incarnation int64  `msgpack:"i"`
+	Revision    uint64 `msgpack:"v"`
+	State       State  `msgpack:"s"`
+}
+
+// Reserve asks a target for a queue place and an adapter pin.
+type Reserve struct {
+	ID      AttemptID `msgpack:"id"`
+	Pool    string    `msgpack:"po"`
+	Adapter string    `msgpack:"ad"`
+	Version string    `msgpack:"ve"`
+	Class   string    `msgpack:"cl"`
+	// BudgetMS is what is left of the class's budget until the first token.
+	BudgetMS int64 `msgpack:"bu"`
+	// Tokens is the estimate of the answer's length.
+	Tokens     int    `msgpack:"to"`
+	Repeatable bool   `msgpack:"re"`
+	Key        string `msgpack:"ke,omitempty"`
+	// KeyTimeMS is the creation time of the key in Unix milliseconds, 0 if
+	// the key carries none.
+	KeyTimeMS int64 `msgpack:"kt,omitempty"`
+	// BodyDigest tells a reused key from a repeated request.
+	BodyDigest uint64 `msgpack:"bd,omitempty"`
+	Revision   uint64 `msgpack:"rv"`
+	PoolDigest uint64 `msgpack:"pd"`
+	// PrefixHash identifies the start of the prompt.
+	PrefixHash uint64 `msgpack:"ph,omitempty"`
+}
+
+// Reserved accepts a reservation.
+type Reserved struct {
+	ID   AttemptID  `msgpack:"id"`
+	Load LoadReport `msgpack:"l"`
+}
+
+// Refused refuses a reservation; the request was not run.
+type Refused struct {
+	ID           AttemptID   `msgpack:"id"`
+	Code         result.Code `msgpack:"c"`
+	Detail       string      `msgpack:"t,omitempty"`
+	RetryAfterMS int64       `msgpack:"ra"`
+	Load         LoadReport  `msgpack:"l"`
+}
+
+// Run executes a reserved request.
+type Run struct {
+	ID     AttemptID `msgpack:"id"`
+	Method string    `msgpack:"m"`
+	Path   string    `msgpack:"p"`
+	Body   []byte    `msgpack:"b"`
+	Stream bool      `msgpack:"s"`
+}
+
+// Chunk carries a piece of an answer. Sequence starts at 0.
+type Chunk struct {
+	ID       AttemptID `msgpack:"id"`
+	Sequence uint32    `msgpack:"s"`
+	Data     []byte    `msgpack:"d"`
+}
+
+// End closes an answer. Code is OK for a whole answer.
+type End struct {
+	ID     AttemptID   `msgpack:"id"`
+	Code   result.Code `msgpack:"c"`
+	Detail string      `msgpack:"t,omitempty"`
+	// Status is the HTTP status that the target gave.
+	Status       int    `msgpack:"st"`
+	ContentType  string `msgpack:"ct,omitempty"`
+	RetryAfterMS int64  `msgpack:"ra,omitempty"`
+	Chunks       uint32 `msgpack:"n"`
+	// Checksum is the CRC-32C of all chunk data in order.
+	Checksum uint32     `msgpack:"k"`
+	Adapter  string     `msgpack:"ad,omitempty"`
+	Version  string     `msgpack:"ve,omitempty"`
+	Load     LoadReport `msgpack:"l"`
+}
+
+// Cancel ends an attempt; the target answers with End.
+type Cancel struct {
+	ID AttemptID `msgpack:"id"`
+}
+
+// Resume asks for an answer again, from a chunk on, on a new session.
+type Resume struct {
+	ID   AttemptID `msgpack:"id"`
+	From uint32    `msgpack:"f"`
+}
+
+// Leaving announces that the target takes no new work.
+type Leaving struct {
+	Process string `msgpack:"n"`
+}
+
+// PoolUpdate gives a target the row of its pool. Row is the pool row as JSON;
+// LoadMembers names every engine target that shares the weight store, sorted.
+type PoolUpdate struct {
+	Revision    uint64   `msgpack:"v"`
+	Digest      uint64   `msgpack:"d"`
+	Row         []byte   `msgpack:"r"`
+	LoadMembers []string `msgpack:"m"`
+}
+
+// LoadGrant passes one load token on. It is used at most once.
+type LoadGrant struct {
+	Minter string `msgpack:"m"`
+	// Period is the minting period of the token, which makes it unique.
+	Period int64 `msgpack:"p"`
+	// ExpiresMS is the end of the token's life in Unix milliseconds.
+	ExpiresMS int64 `msgpack:"x"`
+}
+
+// RevisionQuery asks a process for the highest revision that it holds.
+type RevisionQuery struct{}
+
+// RevisionReply answers RevisionQuery. Manifest is empty if the process does
+// not hold the snapshot itself.
+type RevisionReply struct {
+	Revision uint64 `msgpack:"v"`
+	Manifest []byte `msgpack:"m,omitempty"`
+}
+
+// PartQuery asks an entry for a part of its snapshot.
+type PartQuery struct {
+	Key string `msgpack:"k"`
+}
+
+// PartReply answers PartQuery. Data is empty if the part is unknown.
+type PartReply struct {
+	Key  string `msgpack:"k"`
+	Data []byte `msgpack:"d"`
+}
+
+// Ping keeps a session alive and asks for a load report.
+type Ping struct {
+	Sequence uint64 `msgpack:"s"`
+	Revision uint64 `msgpack:"v"`
+}
+
+// Pong answers Ping.
+type Pong struct {
+	Sequence uint64     `msgpack:"s"`
+	Load     LoadReport `msgpack:"l"`
+}
--- /dev/null
+++ b/internal/wire/wire_suite_test.go
@@ -0,0 +1,63 @@
+package wire_test
+
+import (
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+func TestWire(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wire")
+}
+
+var _ = Describe("Conn", func() {
+	var left, right net.Conn
+
+	BeforeEach(func() {
+		left, right = net.Pipe()
+		DeferCleanup(left.Close)
+		DeferCleanup(right.Close)
+	})
+
+	It("carries a message unchanged", func() {
+		sent := &wire.Chunk{ID: wire.AttemptID{Attempt: 2}, Sequence: 3, Data: []byte("x")}
+		go func() { _ = wire.NewConn(left).Write(sent) }()
+		got, err := wire.NewConn(right).Read(time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(sent))
+	})
+
+	// A peer that announces a huge frame must not make this process allocate it.
+	It("refuses a frame over the limit", func() {
+		header := make([]byte, 5)
+		binary.BigEndian.PutUint32(header, wire.MaxFrame+1)
+		go func() { _, _ = left.Write(header) }()
+		_, err := wire.NewConn(right).Read(time.Second)
+		Expect(result.CodeOf(err)).To(Equal(result.FrameTooLarge))
+	})
+
+	It("refuses an unknown kind", func() {
+		go func() { _, _ = left.Write([]byte{0, 0, 0, 2, 200, 0}) }()
+		_, err := wire.NewConn(right).Read(time.Second)
+		Expect(result.CodeOf(err)).To(Equal(result.UnexpectedFrame))
+	})
+
+	// A peer of another protocol version must be refused before it sends work.
+	It("refuses another protocol version", func() {
+		go func() {
+			peer := wire.NewConn(left)
+			_, _ = peer.Read(time.Second)
+			_ = peer.Write(&wire.Hello{Protocol: 99, Process: "old"})
+		}()
+		_, err := wire.NewConn(right).Handshake(wire.Hello{})
+		Expect(result.CodeOf(err)).To(Equal(result.VersionMismatch))
+	})
+})
