--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -258,6 +258,7 @@
 func (s *Scheduler) Status(now time.Time) Status {
 	return Status{
 		Revision:  s.revision,
+		BaseModel: s.row.Pool.BaseModel,
 		State:     s.state,
 		Authority: s.holdsAuthority(),
 		Fence:     s.parts.guard.Fence(),
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -152,6 +152,7 @@
 // Status is a view of the scheduler for operators.
 type Status struct {
 	Revision  uint64
+	BaseModel string
 	State     wire.State
 	Authority bool
 	Fence     uint64
--- /dev/null
+++ b/internal/platform/engine.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/slots"
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+// Engine gives orders to one model engine and runs requests on it.
+type Engine struct {
+	base   string
+	client *http.Client
+}
+
+// NewEngine returns a client of the engine at a base URL.
+func NewEngine(base string) *Engine {
+	return &Engine{base: strings.TrimSuffix(base, "/"), client: newClient()}
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}}
+}
+
+// EngineState is what an engine says of itself.
+type EngineState struct {
+	Incarnation int64    `json:"incarnation"`
+	Fence       uint64   `json:"fence"`
+	KeepsFence  bool     `json:"keeps_fence"`
+	Resident    []string `json:"resident"`
+	Loading     []string `json:"loading"`
+	Running     []string `json:"running"`
+}
+
+// Adapters returns the resident adapters and those that are being loaded. A
+// load that another process ordered occupies a slot as well.
+func (s *EngineState) Adapters() []slots.Key {
+	var keys []slots.Key
+	for _, model := range append(append([]string{}, s.Resident...), s.Loading...) {
+		name, version, ok := strings.Cut(model, "@")
+		if ok {
+			keys = append(keys, slots.Key{Adapter: name, Version: version})
+		}
+	}
+	return keys
+}
+
+// ModelName returns the name under which the engine serves an adapter.
+func ModelName(key slots.Key) string { return key.Adapter + "@" + key.Version }
+
+// State looks at the engine.
+func (e *Engine) State(ctx context.Context) (*EngineState, error) {
+	resp, err := get(ctx, e.client, e.base+"/v1/state")
+	if err != nil {
+		return nil, err
+	}
+	return decodeState(resp)
+}
+
+// TakeFence sets the fencing number. It fails with AuthorityLost if the engine
+// knows a higher one.
+func (e *Engine) TakeFence(ctx context.Context, fence uint64) (*EngineState, error) {
+	resp, err := e.order(ctx, http.MethodPost, fmt.Sprintf("/v1/fence?fence=%d", fence))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusConflict {
+		drain(resp)
+		return nil, result.New(result.AuthorityLost, "the engine knows a higher fencing number")
+	}
+	return decodeState(resp)
+}
+
+func decodeState(resp *http.Response) (*EngineState, error) {
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK {
+		return nil, result.Newf(result.EngineUnavailable, "engine answered %d", resp.StatusCode)
+	}
+	var s EngineState
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&s); err != nil {
+		return nil, result.Wrap(result.EngineUnavailable, err)
+	}
+	return &s, nil
+}
+
+// Load orders the engine to load an adapter and waits for it.
+func (e *Engine) Load(ctx context.Context, key slots.Key, fence uint64) error {
+	return e.adapterOrder(ctx, http.MethodPost, key, fence)
+}
+
+// Unload orders the engine to free the slot of an adapter.
+func (e *Engine) Unload(ctx context.Context, key slots.Key, fence uint64) error {
+	return e.adapterOrder(ctx, http.MethodDelete, key, fence)
+}
+
+func (e *Engine) adapterOrder(ctx context.Context, method string, key slots.Key, fence uint64) error {
+	path := fmt.Sprintf("/v1/adapters/%s/%s?fence=%d", url.PathEscape(key.Adapter), url.PathEscape(key.Version), fence)
+	resp, err := e.order(ctx, method, path)
+	if err != nil {
+		return err
+	}
+	defer drain(resp)
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return result.New(result.AuthorityLost, "the engine knows a higher fencing number")
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	return result.Newf(result.AdapterLoadFailed, "engine answered %d %s", resp.StatusCode, bytes.TrimSpace(text))
+}
+
+func (e *Engine) order(ctx context.Context, method, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, nil)
+	if err != nil {
+		return nil, result.Wrap(result.EngineUnavailable, err)
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return nil, result.Wrap(result.EngineUnavailable, err)
+	}
+	return resp, nil
+}
+
+// Cancel ends a run at the engine.
+func (e *Engine) Cancel(ctx context.Context, runID string) {
+	if resp, err := e.order(ctx, http.MethodDelete, "/v1/requests/"+url.PathEscape(runID)); err == nil {
+		drain(resp)
+	}
+}
+
+// Run posts a completion request. The body is the caller's with model and
+// priority replaced.
+func (e *Engine) Run(ctx context.Context, runID, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, result.Wrap(result.EngineUnavailable, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Request-Id", runID)
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return nil, result.Wrap(result.EngineFailed, err)
+	}
+	return resp, nil
+}
+
+func drain(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10))
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/standin/engine_http.go
@@ -0,0 +1,296 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// EngineState is the answer of GET /v1/state.
+type EngineState struct {
+	Incarnation int64    `json:"incarnation"`
+	Fence       uint64   `json:"fence"`
+	KeepsFence  bool     `json:"keeps_fence"`
+	Slots       int      `json:"slots"`
+	Resident    []string `json:"resident"`
+	Loading     []string `json:"loading"`
+	Running     []string `json:"running"`
+}
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Priority  int    `json:"priority"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (q *completionRequest) text() string {
+	if len(q.Messages) == 0 {
+		return q.Prompt
+	}
+	var b strings.Builder
+	for _, m := range q.Messages {
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+// Handler returns the HTTP interface of the engine:
+//
+//	POST   /v1/completions, /v1/chat/completions  run; X-Request-Id names the run
+//	GET    /v1/requests/{id}?from=N               resume a stream from token N
+//	DELETE /v1/requests/{id}                      cancel
+//	POST   /v1/adapters/{name}/{version}?fence=N  load
+//	DELETE /v1/adapters/{name}/{version}?fence=N  unload
+//	POST   /v1/fence?fence=N                      set the fencing number
+//	GET    /v1/state                              incarnation, fence, adapters, runs
+//	GET    /v1/load                               lagging load report
+//	POST   /control?slow=F&restart=true           test control
+//	GET    /stats                                 batches and distinct adapters
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, false) })
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, true) })
+	mux.HandleFunc("GET /v1/requests/{id}", e.resume)
+	mux.HandleFunc("DELETE /v1/requests/{id}", e.cancel)
+	mux.HandleFunc("POST /v1/adapters/{name}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		status, text := e.load(r, r.PathValue("name"), r.PathValue("version"), fenceParam(r))
+		writeJSON(w, status, map[string]string{"error": text})
+	})
+	mux.HandleFunc("DELETE /v1/adapters/{name}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		status, text := e.unload(ModelName(r.PathValue("name"), r.PathValue("version")), fenceParam(r))
+		writeJSON(w, status, map[string]string{"error": text})
+	})
+	mux.HandleFunc("POST /v1/fence", e.setFence)
+	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, http.StatusOK, e.State()) })
+	mux.HandleFunc("GET /v1/load", e.loadReport)
+	mux.HandleFunc("POST /control", e.control)
+	mux.HandleFunc("GET /stats", e.stats)
+	return mux
+}
+
+func fenceParam(r *http.Request) uint64 {
+	n, _ := strconv.ParseUint(r.URL.Query().Get("fence"), 10, 64)
+	return n
+}
+
+// State returns what the engine holds.
+func (e *Engine) State() EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := EngineState{Incarnation: e.incarnation, Fence: e.fence, KeepsFence: e.cfg.KeepsFence, Slots: e.cfg.Slots,
+		Resident: []string{}, Loading: []string{}, Running: []string{}}
+	for model, state := range e.adapters {
+		if state == "resident" {
+			s.Resident = append(s.Resident, model)
+		} else {
+			s.Loading = append(s.Loading, model)
+		}
+	}
+	for id, q := range e.sequences {
+		if !q.done() {
+			s.Running = append(s.Running, id)
+		}
+	}
+	slices.Sort(s.Resident)
+	slices.Sort(s.Loading)
+	slices.Sort(s.Running)
+	return s
+}
+
+func (e *Engine) setFence(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	ok := e.checkFence(fenceParam(r))
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	writeJSON(w, http.StatusOK, e.State())
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	var q completionRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if q.MaxTokens <= 0 {
+		q.MaxTokens = 16
+	}
+	id := r.Header.Get("X-Request-Id")
+	s, status := e.start(id, &q)
+	if status != http.StatusOK {
+		http.Error(w, "cannot run "+q.Model, status)
+		return
+	}
+	if q.Stream {
+		e.stream(w, r, s, 0, chat)
+		return
+	}
+	e.whole(w, r, s, chat)
+}
+
+func (e *Engine) start(id string, q *completionRequest) (*sequence, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.residentOrBase(q.Model) {
+		return nil, http.StatusNotFound
+	}
+	if _, ok := e.sequences[id]; ok && id != "" {
+		return nil, http.StatusConflict
+	}
+	e.nextOrder++
+	if id == "" {
+		id = fmt.Sprintf("anonymous-%d", e.nextOrder)
+	}
+	s := &sequence{id: id, model: q.Model, prompt: q.text(), total: q.MaxTokens, priority: q.Priority,
+		order: e.nextOrder, change: make(chan struct{})}
+	e.sequences[id] = s
+	e.signal()
+	return s, http.StatusOK
+}
+
+// progress returns the number of tokens and a channel that closes on change.
+func (e *Engine) progress(s *sequence) (tokens int, broken bool, change chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.tokens, s.failed || s.cancelled, s.change
+}
+
+// forget drops an ended sequence after a while, so that a stream can be
+// resumed for some time.
+func (e *Engine) forget(s *sequence) {
+	time.AfterFunc(10*time.Second, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.sequences, s.id)
+	})
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, from int, chat bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher, _ := w.(http.Flusher)
+	sent := from
+	for {
+		tokens, broken, change := e.progress(s)
+		for ; sent < tokens; sent++ {
+			writeEvent(w, s, sent, chat)
+		}
+		if flusher != nil {
+			flusher.Flush()
+		}
+		if sent >= s.total {
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			e.forget(s)
+			return
+		}
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-change:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeEvent(w http.ResponseWriter, s *sequence, position int, chat bool) {
+	text := Token(s.model, s.prompt, position)
+	choice := map[string]any{"index": 0, "text": text}
+	object := "text_completion"
+	if chat {
+		choice = map[string]any{"index": 0, "delta": map[string]string{"content": text}}
+		object = "chat.completion.chunk"
+	}
+	data, _ := json.Marshal(map[string]any{"id": s.id, "object": object, "model": s.model, "choices": []any{choice}})
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, s *sequence, chat bool) {
+	for {
+		tokens, broken, change := e.progress(s)
+		if tokens >= s.total {
+			break
+		}
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-change:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	e.forget(s)
+	text := Text(s.model, s.prompt, s.total)
+	choice := map[string]any{"index": 0, "text": text, "finish_reason": "length"}
+	object := "text_completion"
+	if chat {
+		choice = map[string]any{"index": 0, "message": map[string]string{"role": "assistant", "content": text}, "finish_reason": "length"}
+		object = "chat.completion"
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"id": s.id, "object": object, "model": s.model, "choices": []any{choice}})
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s, ok := e.sequences[r.PathValue("id")]
+	e.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	e.stream(w, r, s, intParam(r, "from", 0), false)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.sequences[r.PathValue("id")]; ok && !s.done() {
+		s.cancelled = true
+		s.notify()
+		delete(e.sequences, s.id)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) loadReport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var report engineReport
+	if len(e.reports) > 0 {
+		report = e.reports[0]
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) control(w http.ResponseWriter, r *http.Request) {
+	if f, err := strconv.ParseFloat(r.URL.Query().Get("slow"), 64); err == nil && f > 0 {
+		e.SetSlow(f)
+	}
+	if r.URL.Query().Get("restart") == "true" {
+		e.Restart()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) stats(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	steps := max(e.steps, 1)
+	writeJSON(w, http.StatusOK, map[string]float64{
+		"steps": float64(e.steps), "mean_batch": float64(e.batchSum) / float64(steps),
+		"mean_distinct_adapters": float64(e.distinctSum) / float64(steps),
+	})
+}
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// Relay forwards TCP connections and can be cut, for tests of partitions.
+// While it is cut, open connections are frozen or closed and new ones are
+// refused.
+type Relay struct {
+	listener net.Listener
+	upstream string
+
+	mu    sync.Mutex
+	cut   bool
+	conns map[net.Conn]struct{}
+}
+
+// NewRelay listens on address and forwards to upstream.
+func NewRelay(address, upstream string) (*Relay, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: l, upstream: upstream, conns: make(map[net.Conn]struct{})}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns the listen address.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Cut closes all connections and refuses new ones until Heal.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = true
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	clear(r.conns)
+}
+
+// Heal lets connections through again.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = false
+}
+
+// Close ends the relay.
+func (r *Relay) Close() error {
+	r.Cut()
+	return r.listener.Close()
+}
+
+func (r *Relay) accept() {
+	for {
+		down, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		up, err := net.Dial("tcp", r.upstream)
+		if err != nil || !r.track(down, up) {
+			_ = down.Close()
+			if up != nil {
+				_ = up.Close()
+			}
+			continue
+		}
+		go r.copy(up, down)
+		go r.copy(down, up)
+	}
+}
+
+func (r *Relay) track(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		return false
+	}
+	for _, c := range conns {
+		r.conns[c] = struct{}{}
+	}
+	return true
+}
+
+func (r *Relay) copy(dst, src net.Conn) {
+	_, _ = io.Copy(dst, src)
+	_ = dst.Close()
+	_ = src.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, dst)
+	delete(r.conns, src)
+}
--- /dev/null
+++ b/internal/standin/vmlist.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// VM is one row of the VM list.
+type VM struct {
+	Name string `json:"name"`
+	// Role is "entry" or "target".
+	Role string `json:"role"`
+	// Address is the IP address and port of the system's process on the VM.
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// VMList serves a list of VMs that lags behind what is written to it.
+type VMList struct {
+	Lag time.Duration
+
+	mu      sync.Mutex
+	current map[string]VM
+	visible []VM
+}
+
+// NewVMList returns an empty list.
+func NewVMList(lag time.Duration) *VMList {
+	return &VMList{Lag: lag, current: make(map[string]VM)}
+}
+
+// Set writes a row; readers see it after the lag.
+func (l *VMList) Set(vm VM) {
+	l.mu.Lock()
+	l.current[vm.Name] = vm
+	l.mu.Unlock()
+	time.AfterFunc(l.Lag, l.publish)
+}
+
+func (l *VMList) publish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]VM, 0, len(l.current))
+	for _, vm := range l.current {
+		if vm.State != "gone" {
+			list = append(list, vm)
+		}
+	}
+	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
+	l.visible = list
+}
+
+// Handler returns the HTTP interface: GET /v1/vms, and PUT /v1/vms for the
+// platform's side. State "gone" removes a row.
+func (l *VMList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, r *http.Request) {
+		l.mu.Lock()
+		list := slices.Clone(l.visible)
+		l.mu.Unlock()
+		writeJSON(w, http.StatusOK, list)
+	})
+	mux.HandleFunc("PUT /v1/vms", func(w http.ResponseWriter, r *http.Request) {
+		var vm VM
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&vm); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(vm)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,108 @@
+// Package telemetry holds logs, metrics and the admin HTTP server that all
+// processes share.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+// Logger writes lines of one part of a process.
+type Logger struct {
+	part  string
+	entry log.Interface
+}
+
+// SetupLogs sends all logs to w at a level ("debug", "info", "warn", "error").
+func SetupLogs(w io.Writer, level string) error {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return result.Newf(result.SettingInvalid, "log level %q", level)
+	}
+	log.SetHandler(&lineHandler{w: w})
+	log.SetLevel(parsed)
+	return nil
+}
+
+// For returns the logger of a part. Its lines start with the part's name.
+func For(part string) *Logger { return &Logger{part: part, entry: log.Log} }
+
+// With returns a logger that adds a field to each line.
+func (l *Logger) With(key string, value any) *Logger {
+	return &Logger{part: l.part, entry: l.entry.WithField(key, value)}
+}
+
+// Error logs a failure with its result code.
+func (l *Logger) Error(err error, text string) {
+	l.entry.WithField("code", int(result.CodeOf(err))).WithField("error", err.Error()).Error(l.line(text))
+}
+
+// Warn logs a condition that an operator may look at.
+func (l *Logger) Warn(text string) { l.entry.Warn(l.line(text)) }
+
+// Info logs a change of state.
+func (l *Logger) Info(text string) { l.entry.Info(l.line(text)) }
+
+// Debug logs details that are off by default.
+func (l *Logger) Debug(text string) { l.entry.Debug(l.line(text)) }
+
+func (l *Logger) line(text string) string { return l.part + ": " + text }
+
+// lineHandler writes one line per record: time, level, text, sorted fields.
+type lineHandler struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// HandleLog implements log.Handler.
+func (h *lineHandler) HandleLog(e *log.Entry) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-5s %s", e.Timestamp.UTC().Format(time.RFC3339Nano), e.Level, e.Message)
+	names := make([]string, 0, len(e.Fields))
+	for name := range e.Fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%q", name, fmt.Sprint(e.Fields[name]))
+	}
+	b.WriteByte('\n')
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, err := io.WriteString(h.w, b.String())
+	return err
+}
+
+// SlogHandler returns a handler that passes records of libraries that log
+// through slog to the logger.
+func (l *Logger) SlogHandler() slog.Handler { return slogBridge{logger: l} }
+
+type slogBridge struct {
+	logger *Logger
+}
+
+func (s slogBridge) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelWarn }
+
+func (s slogBridge) Handle(_ context.Context, r slog.Record) error {
+	entry := s.logger
+	r.Attrs(func(a slog.Attr) bool {
+		entry = entry.With(a.Key, a.Value.String())
+		return true
+	})
+	entry.Warn(r.Message)
+	return nil
+}
+
+func (s slogBridge) WithAttrs([]slog.Attr) slog.Handler { return s }
+
+func (s slogBridge) WithGroup(string) slog.Handler { return s }
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,96 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"agatelanding.example/agatelanding/internal/decide/retry"
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+// Metrics is the metric registry of one process. It may be used by any
+// goroutine.
+type Metrics struct {
+	registry metrics.Registry
+}
+
+// NewMetrics returns a registry with a counter for each refusal reason and
+// each retry reason, so that a scraper sees them at zero.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: metrics.NewRegistry()}
+	for _, info := range result.All() {
+		if info.HTTP != 0 {
+			m.counter(refusedName(info.Code))
+		}
+		if info.RetryElsewhere {
+			m.counter(retriedName(info.Code))
+		}
+	}
+	return m
+}
+
+func refusedName(code result.Code) string {
+	return fmt.Sprintf("refused_total{code=\"%d\",reason=%q}", code, code.String())
+}
+
+func retriedName(code result.Code) string {
+	return fmt.Sprintf("retried_total{code=\"%d\",reason=%q}", code, code.String())
+}
+
+func (m *Metrics) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, m.registry)
+}
+
+// Refused counts a request that ended with a code other than OK.
+func (m *Metrics) Refused(code result.Code) { m.counter(refusedName(code)).Inc(1) }
+
+// Retried counts a further attempt after a code.
+func (m *Metrics) Retried(code result.Code) { m.counter(retriedName(code)).Inc(1) }
+
+// NotRetried counts a failed attempt that ended the request.
+func (m *Metrics) NotRetried(stop retry.Stop) {
+	m.counter(fmt.Sprintf("not_retried_total{reason=\"%d\"}", stop)).Inc(1)
+}
+
+// Count adds one to a named counter.
+func (m *Metrics) Count(name string) { m.counter(name + "_total").Inc(1) }
+
+// Counter returns the value of a named counter.
+func (m *Metrics) Counter(name string) int64 { return m.counter(name).Count() }
+
+// Gauge sets a named gauge.
+func (m *Metrics) Gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+// Observe adds a sample in milliseconds to a named histogram.
+func (m *Metrics) Observe(name string, milliseconds int64) {
+	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(1028, 0.015)).Update(milliseconds)
+}
+
+// WriteText writes all metrics in the text format that scrapers read, with
+// the prefix "agate_".
+func (m *Metrics) WriteText(w io.Writer) error {
+	var lines []string
+	m.registry.Each(func(name string, v any) {
+		switch x := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("agate_%s %d", name, x.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("agate_%s %d", name, x.Value()))
+		case metrics.Histogram:
+			s := x.Snapshot()
+			for _, q := range []float64{0.5, 0.95, 0.99} {
+				lines = append(lines, fmt.Sprintf("agate_%s{quantile=\"%g\"} %g", name, q, s.Percentile(q)))
+			}
+			lines = append(lines, fmt.Sprintf("agate_%s_count %d", name, s.Count()))
+		}
+	})
+	slices.Sort(lines)
+	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return err
+}
--- /dev/null
+++ b/target/core/core.go
@@ -0,0 +1,172 @@
+// Package core runs the scheduler of a target process as an actor: it turns
+// messages into events, performs the actions, and owns all state.
+package core
+
+import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/internal/decide/scheduler"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+	"agatelanding.example/agatelanding/target/driver"
+	"agatelanding.example/agatelanding/target/session"
+)
+
+// Tick drives what depends on time.
+type Tick struct{}
+
+// Leave starts a planned stop.
+type Leave struct{}
+
+// GetStatus asks for a scheduler.Status.
+type GetStatus struct{}
+
+// GetIdle asks whether no accepted request is left.
+type GetIdle struct{}
+
+// Core is the actor.
+type Core struct {
+	scheduler *scheduler.Scheduler
+	driver    *driver.Driver
+	// onView publishes revision and state for the sessions' hellos.
+	onView  func(scheduler.Status)
+	writers map[scheduler.SessionID]*actor.PID
+	log     *telemetry.Logger
+	probeOK bool
+}
+
+// Props returns the properties of the actor.
+func Props(s *scheduler.Scheduler, d *driver.Driver, onView func(scheduler.Status)) *actor.Props {
+	return actor.PropsFromProducer(func() actor.Actor {
+		return &Core{
+			scheduler: s, driver: d, onView: onView,
+			writers: make(map[scheduler.SessionID]*actor.PID), log: telemetry.For("core"), probeOK: true,
+		}
+	})
+}
+
+// Receive implements actor.Actor.
+func (c *Core) Receive(ctx actor.Context) {
+	now := time.Now()
+	switch m := ctx.Message().(type) {
+	case *Tick:
+		c.perform(ctx, c.scheduler.Tick(now))
+		c.onView(c.scheduler.Status(now))
+	case *Leave:
+		c.perform(ctx, c.scheduler.Leave(now))
+		c.onView(c.scheduler.Status(now))
+	case *GetStatus:
+		ctx.Respond(c.scheduler.Status(now))
+	case *GetIdle:
+		ctx.Respond(c.scheduler.Idle())
+	case *session.Opened:
+		c.writers[m.ID] = m.Writer
+		c.log.With("peer", m.Peer.Process).Debug("session opened")
+		c.perform(ctx, c.scheduler.SessionUp(now, m.ID))
+	case *session.Closed:
+		delete(c.writers, m.ID)
+		c.perform(ctx, c.scheduler.SessionLost(now, m.ID))
+	case *session.Received:
+		c.perform(ctx, c.receive(ctx, now, m))
+	default:
+		c.perform(ctx, c.result(now, m))
+	}
+}
+
+// receive turns a message of an entry into an event.
+func (c *Core) receive(ctx actor.Context, now time.Time, r *session.Received) []scheduler.Action {
+	switch m := r.Message.(type) {
+	case *wire.Reserve:
+		return c.scheduler.Reserve(now, r.ID, m)
+	case *wire.Run:
+		return c.scheduler.Run(now, r.ID, m)
+	case *wire.Cancel:
+		return c.scheduler.Cancel(now, r.ID, m)
+	case *wire.Resume:
+		return c.scheduler.Resume(now, r.ID, m)
+	case *wire.PoolUpdate:
+		before := c.scheduler.Status(now).Revision
+		actions := c.scheduler.PoolUpdate(now, m)
+		if after := c.scheduler.Status(now); after.Revision != before {
+			c.log.With("revision", after.Revision).Info("pool row in force")
+			c.onView(after)
+		}
+		return actions
+	case *wire.LoadGrant:
+		return c.scheduler.Grant(now, m)
+	case *wire.Ping:
+		c.write(ctx, r.ID, &wire.Pong{Sequence: m.Sequence, Load: c.scheduler.Report()})
+	case *wire.RevisionQuery:
+		c.write(ctx, r.ID, &wire.RevisionReply{Revision: c.scheduler.Status(now).Revision})
+	default:
+		c.log.Warn("unexpected message; closing the session")
+		c.stop(ctx, r.ID)
+	}
+	return nil
+}
+
+// result turns a result of the driver into an event.
+func (c *Core) result(now time.Time, message any) []scheduler.Action {
+	switch m := message.(type) {
+	case *driver.Probed:
+		c.noteProbe(m.Err)
+		if m.Err == nil {
+			return c.scheduler.EngineProbed(now, m.State)
+		}
+	case *driver.FenceTaken:
+		if m.Err == nil {
+			c.log.With("fence", m.Fence).Info("authority over the engine taken")
+			return c.scheduler.FenceTaken(now, m.State, m.Fence)
+		}
+		c.log.Error(m.Err, "the engine refused the fencing number")
+	case *driver.Loaded:
+		if result.CodeOf(m.Err) == result.AuthorityLost {
+			return append(c.scheduler.OrderRefused(now), c.scheduler.AdapterLoaded(now, m.Key, m.Err)...)
+		}
+		return c.scheduler.AdapterLoaded(now, m.Key, m.Err)
+	case *driver.Unloaded:
+		return c.scheduler.AdapterUnloaded(now, m.Key, m.Err)
+	case *driver.Chunk:
+		return c.scheduler.ExecutionChunk(now, m.ID, m.Data)
+	case *scheduler.Completion:
+		return c.scheduler.ExecutionEnded(now, *m)
+	}
+	return nil
+}
+
+func (c *Core) noteProbe(err error) {
+	ok := err == nil
+	if ok != c.probeOK {
+		c.probeOK = ok
+		if ok {
+			c.log.Info("the engine answers again")
+		} else {
+			c.log.Error(err, "the engine does not answer")
+		}
+	}
+}
+
+func (c *Core) perform(ctx actor.Context, actions []scheduler.Action) {
+	for _, action := range actions {
+		if m, ok := action.(scheduler.ToSession); ok {
+			c.write(ctx, m.Session, m.Message)
+			continue
+		}
+		c.driver.Perform(action)
+	}
+}
+
+func (c *Core) write(ctx actor.Context, id scheduler.SessionID, message any) {
+	if writer, ok := c.writers[id]; ok {
+		ctx.Send(writer, message)
+	}
+}
+
+func (c *Core) stop(ctx actor.Context, id scheduler.SessionID) {
+	if writer, ok := c.writers[id]; ok {
+		ctx.Stop(writer)
+	}
+}
--- /dev/null
+++ b/target/driver/driver.go
@@ -0,0 +1,163 @@
+// Package driver performs the orders of a target process at its engine or
+// plain service. Each order runs in a goroutine of its own and reports its
+// result to the core as a message.
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/internal/decide/authority"
+	"agatelanding.example/agatelanding/internal/decide/scheduler"
+	"agatelanding.example/agatelanding/internal/decide/slots"
+	"agatelanding.example/agatelanding/internal/platform"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const (
+	// orderTimeout bounds a look at the engine and a fencing order.
+	orderTimeout = 2 * time.Second
+	// loadTimeout bounds an adapter load; the weight store may be slow.
+	loadTimeout = 30 * time.Second
+)
+
+// Probed is the result of a look at the engine.
+type Probed struct {
+	State scheduler.EngineState
+	Err   error
+}
+
+// FenceTaken is the result of a fencing order.
+type FenceTaken struct {
+	State scheduler.EngineState
+	Fence uint64
+	Err   error
+}
+
+// Loaded is the result of a load order.
+type Loaded struct {
+	Key slots.Key
+	Err error
+}
+
+// Unloaded is the result of an unload order.
+type Unloaded struct {
+	Key slots.Key
+	Err error
+}
+
+// Chunk is a piece of an answer.
+type Chunk struct {
+	ID   wire.AttemptID
+	Data []byte
+}
+
+// Driver performs orders. Perform may be called by one goroutine.
+type Driver struct {
+	// Engine is nil beside a plain service, Service beside an engine.
+	Engine    *platform.Engine
+	Service   *platform.Service
+	BaseModel func() string
+
+	system *actor.ActorSystem
+	core   *actor.PID
+
+	mu      sync.Mutex
+	cancels map[wire.AttemptID]context.CancelFunc
+}
+
+// Bind sets the actor that receives the results.
+func (d *Driver) Bind(system *actor.ActorSystem, core *actor.PID) {
+	d.system, d.core = system, core
+	d.cancels = make(map[wire.AttemptID]context.CancelFunc)
+}
+
+func (d *Driver) report(message any) { d.system.Root.Send(d.core, message) }
+
+// Perform starts an order and returns at once.
+func (d *Driver) Perform(action scheduler.Action) {
+	switch a := action.(type) {
+	case scheduler.ProbeEngine:
+		go d.probe()
+	case scheduler.TakeFence:
+		go d.takeFence(a.Fence)
+	case scheduler.LoadAdapter:
+		go d.load(a)
+	case scheduler.UnloadAdapter:
+		go d.unload(a)
+	case scheduler.Execute:
+		ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
+		d.mu.Lock()
+		d.cancels[a.ID] = cancel
+		d.mu.Unlock()
+		go d.execute(ctx, a)
+	case scheduler.CancelExecution:
+		d.cancel(a.ID)
+	}
+}
+
+func (d *Driver) probe() {
+	if d.Engine == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	state, err := d.Engine.State(ctx)
+	if err != nil {
+		d.report(&Probed{Err: err})
+		return
+	}
+	d.report(&Probed{State: stateOf(state)})
+}
+
+func stateOf(s *platform.EngineState) scheduler.EngineState {
+	return scheduler.EngineState{
+		View:     authority.EngineView{Incarnation: s.Incarnation, Fence: s.Fence, KeepsFence: s.KeepsFence},
+		Resident: s.Adapters(),
+	}
+}
+
+func (d *Driver) takeFence(fence uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	state, err := d.Engine.TakeFence(ctx, fence)
+	if err != nil {
+		d.report(&FenceTaken{Fence: fence, Err: err})
+		return
+	}
+	d.report(&FenceTaken{State: stateOf(state), Fence: fence})
+}
+
+func (d *Driver) load(a scheduler.LoadAdapter) {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	d.report(&Loaded{Key: a.Key, Err: d.Engine.Load(ctx, a.Key, a.Fence)})
+}
+
+func (d *Driver) unload(a scheduler.UnloadAdapter) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	d.report(&Unloaded{Key: a.Key, Err: d.Engine.Unload(ctx, a.Key, a.Fence)})
+}
+
+func (d *Driver) cancel(id wire.AttemptID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if cancel, ok := d.cancels[id]; ok {
+		cancel()
+	}
+}
+
+func (d *Driver) ended(id wire.AttemptID, c scheduler.Completion) {
+	d.mu.Lock()
+	if cancel, ok := d.cancels[id]; ok {
+		cancel()
+		delete(d.cancels, id)
+	}
+	d.mu.Unlock()
+	c.ID = id
+	d.report(&c)
+}
--- /dev/null
+++ b/target/driver/execute.go
@@ -0,0 +1,173 @@
+package driver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"agatelanding.example/agatelanding/internal/decide/scheduler"
+	"agatelanding.example/agatelanding/internal/platform"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const (
+	// maxEvent bounds one event of a stream.
+	maxEvent = 256 << 10
+	// maxAnswer bounds an answer that is not streamed.
+	maxAnswer = 8 << 20
+	// chunkSize is the size of the pieces of such an answer.
+	chunkSize = 64 << 10
+)
+
+func (d *Driver) execute(ctx context.Context, a scheduler.Execute) {
+	if d.Service != nil {
+		d.ended(a.ID, d.callService(ctx, a))
+		return
+	}
+	d.ended(a.ID, d.runEngine(ctx, a))
+}
+
+func (d *Driver) callService(ctx context.Context, a scheduler.Execute) scheduler.Completion {
+	resp, err := d.Service.Call(ctx, a.Run.Method, a.Run.Path, a.Key, a.Run.Body)
+	if err != nil {
+		return failure(err)
+	}
+	defer resp.Body.Close()
+	if err := d.sendWhole(a.ID, resp.Body); err != nil {
+		return failure(result.Wrap(result.AnswerCut, err))
+	}
+	return scheduler.Completion{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
+}
+
+func failure(err error) scheduler.Completion {
+	e := result.From(err)
+	return scheduler.Completion{Code: e.Code, Detail: e.Detail}
+}
+
+func (d *Driver) sendWhole(id wire.AttemptID, r io.Reader) error {
+	data, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxAnswer {
+		return errors.New("answer over the limit")
+	}
+	for len(data) > 0 {
+		n := min(len(data), chunkSize)
+		d.report(&Chunk{ID: id, Data: data[:n]})
+		data = data[n:]
+	}
+	return nil
+}
+
+// runID names an attempt at the engine.
+func runID(id wire.AttemptID) string {
+	return fmt.Sprintf("%s-%x-%d-%d", id.Request.Entry, id.Request.Incarnation, id.Request.Number, id.Attempt)
+}
+
+func (d *Driver) runEngine(ctx context.Context, a scheduler.Execute) scheduler.Completion {
+	model := d.BaseModel()
+	if a.Adapter.Adapter != "" {
+		model = platform.ModelName(a.Adapter)
+	}
+	body, err := rewriteBody(a.Run.Body, model, a.Priority)
+	if err != nil {
+		return failure(err)
+	}
+	id := runID(a.ID)
+	resp, err := d.Engine.Run(ctx, id, a.Run.Path, body)
+	if err != nil {
+		d.Engine.Cancel(context.Background(), id)
+		return interrupted(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		return failure(result.Newf(result.EngineFailed, "engine answered %d %s", resp.StatusCode, bytes.TrimSpace(text)))
+	}
+	if err := d.relayAnswer(a, model, resp); err != nil {
+		d.Engine.Cancel(context.Background(), id)
+		return interrupted(ctx, err)
+	}
+	return scheduler.Completion{
+		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"),
+		Adapter: a.Adapter.Adapter, Version: a.Adapter.Version,
+	}
+}
+
+func interrupted(ctx context.Context, err error) scheduler.Completion {
+	if ctx.Err() != nil {
+		return failure(result.Wrap(result.Cancelled, err))
+	}
+	return failure(err)
+}
+
+// rewriteBody sets model and priority in a caller's body and leaves the rest
+// as it is.
+func rewriteBody(body []byte, model string, priority int) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, result.Wrap(result.BadRequest, err)
+	}
+	fields["model"], _ = json.Marshal(model)
+	fields["priority"], _ = json.Marshal(priority)
+	return json.Marshal(fields)
+}
+
+// relayAnswer passes the answer on. An answer that names another model, or
+// that ends without its end marker, is an error.
+func (d *Driver) relayAnswer(a scheduler.Execute, model string, resp *http.Response) error {
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+		if err != nil {
+			return result.Wrap(result.AnswerCut, err)
+		}
+		if err := checkModel(data, model); err != nil {
+			return err
+		}
+		return d.sendWhole(a.ID, bytes.NewReader(data))
+	}
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		event, ok := bytes.CutPrefix(line, []byte("data: "))
+		if !ok {
+			continue
+		}
+		last := bytes.Equal(event, []byte("[DONE]"))
+		if !last {
+			if err := checkModel(event, model); err != nil {
+				return err
+			}
+		}
+		d.report(&Chunk{ID: a.ID, Data: append(bytes.Clone(line), '\n', '\n')})
+		if last {
+			return nil
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return result.Wrap(result.AnswerCut, err)
+	}
+	return result.New(result.AnswerCut, "the stream ended without its end marker")
+}
+
+func checkModel(data []byte, model string) error {
+	var answer struct {
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return result.Wrap(result.EngineFailed, err)
+	}
+	if answer.Model != model {
+		return result.Newf(result.WrongAdapter, "asked for %s, got %s", model, answer.Model)
+	}
+	return nil
+}
--- /dev/null
+++ b/target/session/session.go
@@ -0,0 +1,136 @@
+// Package session holds the sessions of a target process: one actor for each
+// connected entry, which writes, and one goroutine, which reads.
+package session
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/internal/decide/scheduler"
+	"agatelanding.example/agatelanding/internal/runtime"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const (
+	// IdleTimeout ends a session whose peer sends nothing, not even pings.
+	IdleTimeout = 15 * time.Second
+	// MaxSessions bounds the sessions of one target process.
+	MaxSessions = 1024
+)
+
+// Opened tells the core that a session is open.
+type Opened struct {
+	ID     scheduler.SessionID
+	Writer *actor.PID
+	Peer   *wire.Hello
+}
+
+// Received carries a message of a session to the core.
+type Received struct {
+	ID      scheduler.SessionID
+	Message any
+}
+
+// Closed tells the core that a session has ended.
+type Closed struct{ ID scheduler.SessionID }
+
+// Accepted carries a new connection to the sessions supervisor.
+type Accepted struct{ Conn net.Conn }
+
+// Supervisor accepts connections and has one child for each session. A failed
+// session is stopped; its entry connects again.
+type Supervisor struct {
+	Core  *actor.PID
+	Hello func() wire.Hello
+
+	next     atomic.Uint64
+	sessions int
+	log      *telemetry.Logger
+}
+
+// Props returns the properties of the supervisor.
+func Props(core *actor.PID, hello func() wire.Hello) *actor.Props {
+	return actor.PropsFromProducer(func() actor.Actor {
+		return &Supervisor{Core: core, Hello: hello, log: telemetry.For("sessions")}
+	}, actor.WithSupervisor(runtime.StopChildren()))
+}
+
+// Receive implements actor.Actor.
+func (s *Supervisor) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *Accepted:
+		if s.sessions >= MaxSessions {
+			s.log.Warn("too many sessions; refusing a connection")
+			_ = m.Conn.Close()
+			return
+		}
+		s.sessions++
+		ctx.Spawn(actor.PropsFromProducer(func() actor.Actor {
+			return &session{
+				id: scheduler.SessionID(s.next.Add(1)), core: s.Core, hello: s.Hello,
+				conn: wire.NewConn(m.Conn), log: s.log,
+			}
+		}))
+	case *actor.Terminated:
+		s.sessions--
+	}
+}
+
+// session writes to one entry. Its reader goroutine ends with the connection.
+type session struct {
+	id    scheduler.SessionID
+	core  *actor.PID
+	hello func() wire.Hello
+	conn  *wire.Conn
+	log   *telemetry.Logger
+}
+
+type readerEnded struct{ err error }
+
+// Receive implements actor.Actor.
+func (s *session) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *actor.Started:
+		go s.read(ctx.ActorSystem().Root, ctx.Self())
+	case *actor.Stopping, *actor.Restarting:
+		_ = s.conn.Close()
+		ctx.Send(s.core, &Closed{ID: s.id})
+	case *readerEnded:
+		s.log.With("peer", s.conn.RemoteAddr()).With("reason", m.err).Debug("session ended")
+		ctx.Stop(ctx.Self())
+	case *actor.Stopped:
+	default:
+		if err := s.conn.Write(m); err != nil {
+			_ = s.conn.Close()
+		}
+	}
+}
+
+func (s *session) read(root *actor.RootContext, self *actor.PID) {
+	peer, err := s.conn.Handshake(s.hello())
+	if err == nil {
+		root.Send(s.core, &Opened{ID: s.id, Writer: self, Peer: peer})
+		for err == nil {
+			var message any
+			if message, err = s.conn.Read(IdleTimeout); err == nil {
+				root.Send(s.core, &Received{ID: s.id, Message: message})
+			}
+		}
+	}
+	root.Send(self, &readerEnded{err: err})
+}
+
+// Accept passes connections to the supervisor until the listener closes.
+func Accept(system *actor.ActorSystem, supervisor *actor.PID, l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		system.Root.Send(supervisor, &Accepted{Conn: conn})
+	}
+}
--- /dev/null
+++ b/target/settings.go
@@ -0,0 +1,54 @@
+package target
+
+import (
+	"time"
+
+	"agatelanding.example/agatelanding/internal/settings"
+)
+
+// Kinds of targets.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// Settings are the settings of one target process.
+type Settings struct {
+	Name          string `json:"name" doc:"Name of the target in the pool table." range:"1..200"`
+	FailureDomain string `json:"failure_domain" doc:"Failure domain of this VM." range:"1..200"`
+	Kind          string `json:"kind" doc:"What stands beside this process." range:"engine|service"`
+	Backend       string `json:"backend" doc:"Base URL of the engine or plain service beside this process." range:"1..500"`
+	// Listen also guards against a second process: the port is held for the
+	// life of the process.
+	Listen       string `json:"listen" doc:"IP address and port for entries. Holding the port keeps a second process away." range:"1..200"`
+	AdminListen  string `json:"admin_listen" doc:"IP address and port for health, readiness, metrics and status." range:"1..200"`
+	LogLevel     string `json:"log_level" doc:"Least severe level that is logged." range:"debug|info|warn|error"`
+	DrainLimitMS int    `json:"drain_limit_ms" doc:"Longest time that a planned stop waits for accepted requests." unit:"ms" range:"0..86400000"`
+	SlotPolicy   string `json:"slot_policy" doc:"Eviction policy; lru is for comparison." range:"frequency|lru"`
+	QueuePolicy  string `json:"queue_policy" doc:"Queue policy; fifo is for comparison." range:"class|fifo"`
+}
+
+// SetDefaults implements settings.Defaulter.
+func (s *Settings) SetDefaults() {
+	s.Name = "target-1"
+	s.FailureDomain = "local"
+	s.Kind = KindEngine
+	s.Backend = "http://127.0.0.1:8000"
+	s.Listen = "127.0.0.1:7100"
+	s.AdminListen = "127.0.0.1:7200"
+	s.LogLevel = "info"
+	s.DrainLimitMS = 10 * 60 * 1000
+	s.SlotPolicy = "frequency"
+	s.QueuePolicy = "class"
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() []settings.Fault {
+	var faults []settings.Fault
+	if s.Listen == s.AdminListen {
+		faults = append(faults, settings.Fault{Field: "admin_listen", Reason: "is the same address as listen"})
+	}
+	return faults
+}
+
+func (s *Settings) drainLimit() time.Duration { return time.Duration(s.DrainLimitMS) * time.Millisecond }
