Serve one request end to end: entry, target process, daemons

Cause: the decision packages had no shell. The entry (HTTP front, router, sessions, configuration watcher) and the target process (core, sessions, driver) now run them as actors.

No load has been run yet.

--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,223 @@
+// Package entry is the library of the entry process, which takes callers'
+// requests and carries them to targets.
+//
+// The supervisor tree has the router under the root, with one session under
+// it for each target. A failed session is restarted and connects again; a
+// failed router ends the process, whose callers then see a broken connection
+// rather than a request that is never answered.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/entry/front"
+	"agatelanding.example/agatelanding/entry/router"
+	"agatelanding.example/agatelanding/entry/watcher"
+	"agatelanding.example/agatelanding/internal/decide/dispatch"
+	"agatelanding.example/agatelanding/internal/decide/picker"
+	"agatelanding.example/agatelanding/internal/decide/retry"
+	"agatelanding.example/agatelanding/internal/platform"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/runtime"
+	"agatelanding.example/agatelanding/internal/tables"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const tickInterval = 10 * time.Millisecond
+
+// Entry is one entry process.
+type Entry struct {
+	settings Settings
+	metrics  *telemetry.Metrics
+	log      *telemetry.Logger
+
+	callers  net.Listener
+	peers    net.Listener
+	admin    *telemetry.Admin
+	system   *actor.ActorSystem
+	router   *actor.PID
+	front    *front.Front
+	server   *http.Server
+	watcher  *watcher.Watcher
+	snapshot atomic.Pointer[tables.Snapshot]
+	leaving  atomic.Bool
+	started  time.Time
+	cancel   context.CancelFunc
+	stop     chan struct{}
+	failed   chan error
+}
+
+// New returns an entry that is not yet started.
+func New(s Settings) *Entry {
+	return &Entry{
+		settings: s, metrics: telemetry.NewMetrics(), log: telemetry.For("entry"),
+		started: time.Now(), stop: make(chan struct{}), failed: make(chan error, 1),
+	}
+}
+
+// Provision takes the listen addresses. It fails with AddressInUse when
+// another process holds one.
+func (e *Entry) Provision() error {
+	var admin net.Listener
+	for _, l := range []struct {
+		address string
+		into    *net.Listener
+	}{{e.settings.Listen, &e.callers}, {e.settings.PeerListen, &e.peers}, {e.settings.AdminListen, &admin}} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			e.closeListeners()
+			return result.Wrap(result.AddressInUse, err)
+		}
+		*l.into = listener
+	}
+	e.admin = &telemetry.Admin{Ready: e.ready, Status: e.status, Metrics: e.metrics, Listener: admin}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.callers, e.peers} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Start builds the supervisor tree and begins to serve.
+func (e *Entry) Start() {
+	e.system = runtime.NewSystem()
+	root := e.system.Root.WithGuardian(runtime.FailProcess(e.fail))
+	e.watcher = e.newWatcher()
+	e.watcher.Provision()
+	d := dispatch.New(e.dispatchConfig(), e.metrics)
+	e.router = root.Spawn(router.Props(d, e.hello, e.watcher.Refresh))
+	runtime.Ticker(e.system, e.router, tickInterval, &router.Tick{}, e.stop)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.watcher.Run(ctx)
+	peerServer := &watcher.PeerServer{Hello: e.hello, Snapshot: e.snapshot.Load}
+	go peerServer.Serve(e.peers)
+
+	e.front = &front.Front{
+		Snapshot: e.snapshot.Load, MaxBody: e.settings.MaxBodyBytes, MaxOpen: e.settings.MaxOpen,
+		System: e.system, Router: e.router, Metrics: e.metrics,
+	}
+	e.server = e.front.Server()
+	go func() { _ = e.server.Serve(e.callers) }()
+	e.admin.Serve()
+	e.log.With("name", e.settings.Name).With("listen", e.callers.Addr()).Info("entry started")
+}
+
+func (e *Entry) dispatchConfig() dispatch.Config {
+	c := dispatch.Config{
+		Entry: e.settings.Name, Incarnation: e.started.UnixNano(), Retry: retry.DefaultConfig(), Seed: e.started.UnixNano(),
+	}
+	if e.settings.PickPolicy == "random" {
+		c.Pick = picker.Random
+	}
+	c.Retry.Unlimited = e.settings.RetryPolicy == "unlimited"
+	return c
+}
+
+func (e *Entry) newWatcher() *watcher.Watcher {
+	return &watcher.Watcher{
+		Name: e.settings.Name, Config: platform.NewConfig(e.settings.ConfigService), VMs: platform.NewVMList(e.settings.VMList),
+		Peers: watcher.PeerClient{Hello: e.hello}, Metrics: e.metrics, Publish: e.publish,
+		ListStates: func(leaving map[string]bool) {
+			e.system.Root.Send(e.router, &router.ListState{Leaving: leaving})
+		},
+	}
+}
+
+// publish puts a snapshot in force for new requests.
+func (e *Entry) publish(s *tables.Snapshot) {
+	e.snapshot.Store(s)
+	e.system.Root.Send(e.router, &router.InForce{Snapshot: s})
+}
+
+func (e *Entry) fail(reason any) {
+	select {
+	case e.failed <- result.Newf(result.Internal, "the router failed: %v", reason):
+	default:
+	}
+}
+
+// Failed receives an error when the process must end.
+func (e *Entry) Failed() <-chan error { return e.failed }
+
+// Address returns the address for callers.
+func (e *Entry) Address() string { return e.callers.Addr().String() }
+
+// Metrics returns the metrics of the process.
+func (e *Entry) Metrics() *telemetry.Metrics { return e.metrics }
+
+func (e *Entry) revision() uint64 {
+	if s := e.snapshot.Load(); s != nil {
+		return s.Revision
+	}
+	return 0
+}
+
+func (e *Entry) hello() wire.Hello {
+	state := wire.StateServing
+	if e.leaving.Load() {
+		state = wire.StateLeaving
+	}
+	return wire.Hello{
+		Process: e.settings.Name, Role: wire.RoleEntry, Incarnation: e.started.UnixNano(),
+		Revision: e.revision(), FailureDomain: e.settings.FailureDomain, State: state,
+	}
+}
+
+func (e *Entry) ready() bool { return !e.leaving.Load() && e.revision() > 0 }
+
+func (e *Entry) status() any {
+	return struct {
+		Name          string `json:"name"`
+		Role          string `json:"role"`
+		FailureDomain string `json:"failure_domain"`
+		Revision      uint64 `json:"revision"`
+		Ready         bool   `json:"ready"`
+		InFlight      int    `json:"in_flight"`
+	}{e.settings.Name, "entry", e.settings.FailureDomain, e.revision(), e.ready(), e.inFlight()}
+}
+
+func (e *Entry) inFlight() int {
+	reply, err := e.system.Root.RequestFuture(e.router, &router.GetInFlight{}, time.Second).Result()
+	n, ok := reply.(int)
+	if err != nil || !ok {
+		return -1
+	}
+	return n
+}
+
+// Shutdown fails readiness, gives the balancer time to notice, answers every
+// open request and ends the process's tree.
+func (e *Entry) Shutdown(ctx context.Context) {
+	e.log.Info("planned stop begins")
+	e.leaving.Store(true)
+	time.Sleep(millis(e.settings.DrainDelayMS))
+	ctx, cancel := context.WithTimeout(ctx, millis(e.settings.DrainLimitMS))
+	defer cancel()
+	_ = e.server.Shutdown(ctx)
+	e.Close()
+	e.log.Info("planned stop ends")
+}
+
+// Close ends the process's tree at once.
+func (e *Entry) Close() {
+	close(e.stop)
+	e.cancel()
+	_ = e.server.Close()
+	e.closeListeners()
+	e.admin.Close()
+	_ = e.system.Root.StopFuture(e.router).Wait()
+	e.system.Shutdown()
+}
--- /dev/null
+++ b/entry/router/router.go
@@ -0,0 +1,140 @@
+// Package router runs the dispatcher of an entry as an actor: it turns
+// messages into events and performs the actions. Its children are the
+// sessions, one for each target.
+package router
+
+import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/entry/session"
+	"agatelanding.example/agatelanding/internal/decide/dispatch"
+	"agatelanding.example/agatelanding/internal/runtime"
+	"agatelanding.example/agatelanding/internal/tables"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+// Tick drives what depends on time.
+type Tick struct{}
+
+// Submit takes a new call.
+type Submit struct {
+	Call   *dispatch.Call
+	Answer *Answer
+}
+
+// Abort ends a call whose caller is gone.
+type Abort struct{ Number uint64 }
+
+// InForce puts a snapshot in force.
+type InForce struct{ Snapshot *tables.Snapshot }
+
+// ListState passes on what the VM list says of targets.
+type ListState struct{ Leaving map[string]bool }
+
+// GetInFlight asks for the number of open calls.
+type GetInFlight struct{}
+
+// Router is the actor.
+type Router struct {
+	dispatcher *dispatch.Dispatcher
+	hello      func() wire.Hello
+	refresh    func(revision uint64)
+	sessions   map[string]*actor.PID
+	answers    map[uint64]*Answer
+	log        *telemetry.Logger
+}
+
+// Props returns the properties of the router. refresh asks the configuration
+// watcher for a newer revision and must not block.
+func Props(d *dispatch.Dispatcher, hello func() wire.Hello, refresh func(revision uint64)) *actor.Props {
+	return actor.PropsFromProducer(func() actor.Actor {
+		return &Router{
+			dispatcher: d, hello: hello, refresh: refresh,
+			sessions: make(map[string]*actor.PID), answers: make(map[uint64]*Answer),
+			log: telemetry.For("router"),
+		}
+	}, actor.WithSupervisor(runtime.RestartChildren()))
+}
+
+// Receive implements actor.Actor.
+func (r *Router) Receive(ctx actor.Context) {
+	now := time.Now()
+	switch m := ctx.Message().(type) {
+	case *Tick:
+		r.perform(ctx, now, r.dispatcher.Tick(now))
+	case *Submit:
+		r.answers[m.Call.Number] = m.Answer
+		r.perform(ctx, now, r.dispatcher.Submit(now, m.Call))
+	case *Abort:
+		r.perform(ctx, now, r.dispatcher.Abort(now, m.Number))
+	case *InForce:
+		r.perform(ctx, now, r.dispatcher.SetSnapshot(now, m.Snapshot))
+	case *ListState:
+		for name, leaving := range m.Leaving {
+			r.dispatcher.ListLeaving(name, leaving)
+		}
+	case *GetInFlight:
+		ctx.Respond(r.dispatcher.InFlight())
+	case *session.Up:
+		r.perform(ctx, now, r.dispatcher.SessionUp(now, m.Target, m.Peer))
+	case *session.Down:
+		r.perform(ctx, now, r.dispatcher.SessionDown(now, m.Target))
+	case *session.Received:
+		r.perform(ctx, now, r.dispatcher.Message(now, m.Target, m.Message))
+	}
+}
+
+func (r *Router) perform(ctx actor.Context, now time.Time, actions []dispatch.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case dispatch.Send:
+			if pid, ok := r.sessions[a.Target]; ok {
+				ctx.Send(pid, a.Message)
+			}
+		case dispatch.Deliver:
+			r.deliver(ctx, now, a)
+		case dispatch.Discard:
+			if answer, ok := r.answers[a.Number]; ok {
+				answer.discard()
+			}
+		case dispatch.Finish:
+			r.finish(a)
+		case dispatch.Connect:
+			r.connect(ctx, a)
+		case dispatch.Disconnect:
+			r.disconnect(ctx, a.Target)
+		case dispatch.Refresh:
+			r.refresh(a.Revision)
+		}
+	}
+}
+
+func (r *Router) deliver(ctx actor.Context, now time.Time, a dispatch.Deliver) {
+	answer, ok := r.answers[a.Number]
+	if ok && !answer.deliver(a.Data) {
+		r.log.With("request", a.Number).Warn("the caller does not read; ending its request")
+		ctx.Send(ctx.Self(), &Abort{Number: a.Number})
+	}
+}
+
+func (r *Router) finish(a dispatch.Finish) {
+	if answer, ok := r.answers[a.Number]; ok {
+		answer.finish(a.Outcome)
+		delete(r.answers, a.Number)
+	}
+}
+
+func (r *Router) connect(ctx actor.Context, a dispatch.Connect) {
+	r.disconnect(ctx, a.Target)
+	r.sessions[a.Target] = ctx.Spawn(session.Props(a.Target, a.Address, ctx.Self(), r.hello))
+}
+
+func (r *Router) disconnect(ctx actor.Context, target string) {
+	if pid, ok := r.sessions[target]; ok {
+		ctx.Stop(pid)
+		delete(r.sessions, target)
+	}
+}
--- /dev/null
+++ b/entry/session/session.go
@@ -0,0 +1,202 @@
+// Package session holds the sessions of an entry: one actor for each target,
+// which connects, writes and connects again.
+package session
+
+import (
+	"math/rand"
+	"net"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// minBackoff and maxBackoff bound the delay between connection attempts.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// pingInterval keeps a session alive and refreshes the load report.
+	pingInterval = 5 * time.Second
+	// idleTimeout ends a session whose target answers no pings.
+	idleTimeout = 12 * time.Second
+)
+
+// Up tells the router that a session is open.
+type Up struct {
+	Target string
+	Peer   *wire.Hello
+}
+
+// Down tells the router that a session has ended.
+type Down struct{ Target string }
+
+// Received carries a message of a target to the router.
+type Received struct {
+	Target  string
+	Message any
+}
+
+// session is the actor of one target.
+type session struct {
+	target  string
+	address string
+	router  *actor.PID
+	hello   func() wire.Hello
+	log     *telemetry.Logger
+
+	conn       *wire.Conn
+	generation int
+	failures   int
+	stopped    chan struct{}
+	pings      uint64
+}
+
+type connected struct {
+	conn *wire.Conn
+	peer *wire.Hello
+}
+
+type connectFailed struct{ err error }
+
+type lost struct {
+	generation int
+	err        error
+}
+
+type reconnect struct{}
+
+type ping struct{ generation int }
+
+// Props returns the properties of the session with one target.
+func Props(target, address string, router *actor.PID, hello func() wire.Hello) *actor.Props {
+	return actor.PropsFromProducer(func() actor.Actor {
+		return &session{
+			target: target, address: address, router: router, hello: hello,
+			log: telemetry.For("session").With("target", target), stopped: make(chan struct{}),
+		}
+	})
+}
+
+// Receive implements actor.Actor.
+func (s *session) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *actor.Started, *reconnect:
+		go s.connect(ctx.ActorSystem().Root, ctx.Self())
+	case *actor.Stopping, *actor.Restarting:
+		close(s.stopped)
+		s.disconnect(ctx)
+	case *actor.Stopped:
+	case *connected:
+		s.opened(ctx, m)
+	case *connectFailed:
+		s.retry(ctx, m.err)
+	case *lost:
+		if m.generation == s.generation && s.conn != nil {
+			s.disconnect(ctx)
+			s.retry(ctx, m.err)
+		}
+	case *ping:
+		if m.generation == s.generation && s.conn != nil {
+			s.pings++
+			s.write(&wire.Ping{Sequence: s.pings, Revision: s.hello().Revision})
+		}
+	default:
+		s.write(m)
+	}
+}
+
+func (s *session) connect(root *actor.RootContext, self *actor.PID) {
+	nc, err := net.DialTimeout("tcp", s.address, dialTimeout)
+	if err != nil {
+		root.Send(self, &connectFailed{err: err})
+		return
+	}
+	conn := wire.NewConn(nc)
+	peer, err := conn.Handshake(s.hello())
+	if err != nil {
+		_ = conn.Close()
+		root.Send(self, &connectFailed{err: err})
+		return
+	}
+	root.Send(self, &connected{conn: conn, peer: peer})
+}
+
+func (s *session) opened(ctx actor.Context, m *connected) {
+	if m.peer.Process != s.target {
+		s.log.With("peer", m.peer.Process).Warn("another target answers at this address")
+		_ = m.conn.Close()
+		s.retry(ctx, nil)
+		return
+	}
+	s.conn = m.conn
+	s.generation++
+	s.failures = 0
+	s.log.Info("session open")
+	ctx.Send(s.router, &Up{Target: s.target, Peer: m.peer})
+	root, self, generation := ctx.ActorSystem().Root, ctx.Self(), s.generation
+	go s.read(root, self, m.conn, generation)
+	go s.pingLoop(root, self, generation)
+}
+
+func (s *session) read(root *actor.RootContext, self *actor.PID, conn *wire.Conn, generation int) {
+	for {
+		message, err := conn.Read(idleTimeout)
+		if err != nil {
+			root.Send(self, &lost{generation: generation, err: err})
+			return
+		}
+		root.Send(s.router, &Received{Target: s.target, Message: message})
+	}
+}
+
+// pingLoop ends with the actor or when its session is no longer the current.
+func (s *session) pingLoop(root *actor.RootContext, self *actor.PID, generation int) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			root.Send(self, &ping{generation: generation})
+		case <-s.stopped:
+			return
+		}
+	}
+}
+
+func (s *session) write(message any) {
+	if s.conn == nil {
+		return
+	}
+	if err := s.conn.Write(message); err != nil {
+		s.log.With("error", err).Debug("write failed")
+		_ = s.conn.Close()
+	}
+}
+
+func (s *session) disconnect(ctx actor.Context) {
+	if s.conn == nil {
+		return
+	}
+	_ = s.conn.Close()
+	s.conn = nil
+	ctx.Send(s.router, &Down{Target: s.target})
+}
+
+// retry connects again after an exponential delay with jitter.
+func (s *session) retry(ctx actor.Context, err error) {
+	s.log.With("error", err).Debug("no session")
+	ceiling := min(minBackoff<<min(s.failures, 10), maxBackoff)
+	s.failures++
+	delay := ceiling/2 + time.Duration(rand.Int63n(int64(ceiling/2)+1))
+	root, self := ctx.ActorSystem().Root, ctx.Self()
+	time.AfterFunc(delay, func() {
+		select {
+		case <-s.stopped:
+		default:
+			root.Send(self, &reconnect{})
+		}
+	})
+}
--- /dev/null
+++ b/entry/watcher/peers.go
@@ -0,0 +1,136 @@
+package watcher
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/tables"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+// PeerClient asks other entries for their configuration.
+type PeerClient struct {
+	Hello func() wire.Hello
+}
+
+// Peer is a connection to another entry.
+type Peer struct{ conn *wire.Conn }
+
+// Dial connects to a peer. The connection lives as long as the context.
+func (c PeerClient) Dial(ctx context.Context, address string) (*Peer, error) {
+	var dialer net.Dialer
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, result.Wrap(result.PlatformUnreached, err)
+	}
+	conn := wire.NewConn(nc)
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if _, err := conn.Handshake(c.Hello()); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Peer{conn: conn}, nil
+}
+
+// Close ends the connection.
+func (p *Peer) Close() { _ = p.conn.Close() }
+
+func ask[T any](p *Peer, question any) (*T, error) {
+	if err := p.conn.Write(question); err != nil {
+		return nil, err
+	}
+	message, err := p.conn.Read(callTimeout)
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := message.(*T)
+	if !ok {
+		return nil, result.New(result.UnexpectedFrame, "the peer sent another reply")
+	}
+	return reply, nil
+}
+
+// Revision asks for the peer's revision and manifest.
+func (p *Peer) Revision() (*wire.RevisionReply, error) {
+	return ask[wire.RevisionReply](p, &wire.RevisionQuery{})
+}
+
+// Part asks for a part of the peer's snapshot.
+func (p *Peer) Part(key string) ([]byte, error) {
+	reply, err := ask[wire.PartReply](p, &wire.PartQuery{Key: key})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Data, nil
+}
+
+const (
+	// peerIdle ends a peer's connection that asks nothing.
+	peerIdle = 10 * time.Second
+	// maxPeers bounds the connections of peers at one time.
+	maxPeers = 64
+)
+
+// PeerServer answers other entries.
+type PeerServer struct {
+	Hello    func() wire.Hello
+	Snapshot func() *tables.Snapshot
+}
+
+// Serve answers on l until it closes.
+func (s *PeerServer) Serve(l net.Listener) {
+	tokens := make(chan struct{}, maxPeers)
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case tokens <- struct{}{}:
+		default:
+			_ = nc.Close()
+			continue
+		}
+		go func() {
+			defer func() { <-tokens }()
+			s.answer(wire.NewConn(nc))
+		}()
+	}
+}
+
+func (s *PeerServer) answer(conn *wire.Conn) {
+	defer conn.Close()
+	if _, err := conn.Handshake(s.Hello()); err != nil {
+		return
+	}
+	for {
+		message, err := conn.Read(peerIdle)
+		if err != nil {
+			return
+		}
+		if err := conn.Write(s.reply(message)); err != nil {
+			return
+		}
+	}
+}
+
+func (s *PeerServer) reply(message any) any {
+	snapshot := s.Snapshot()
+	switch m := message.(type) {
+	case *wire.PartQuery:
+		reply := &wire.PartReply{Key: m.Key}
+		if snapshot != nil {
+			reply.Data, _ = snapshot.Part(m.Key)
+		}
+		return reply
+	default:
+		reply := &wire.RevisionReply{}
+		if snapshot != nil {
+			reply.Revision = snapshot.Revision
+			reply.Manifest = snapshot.Manifest()
+		}
+		return reply
+	}
+}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -18,15 +18,11 @@
 	conns map[net.Conn]struct{}
 }
 
-// NewRelay listens on address and forwards to upstream.
-func NewRelay(address, upstream string) (*Relay, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
+// NewRelay forwards the connections of l to upstream.
+func NewRelay(l net.Listener, upstream string) *Relay {
 	r := &Relay{listener: l, upstream: upstream, conns: make(map[net.Conn]struct{})}
 	go r.accept()
-	return r, nil
+	return r
 }
 
 // Address returns the listen address.
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -14,12 +14,14 @@
 	// Status returns what /status shows as JSON.
 	Status  func() any
 	Metrics *Metrics
+	// Listener is the socket to answer on.
+	Listener net.Listener
 
 	server *http.Server
 }
 
-// Serve answers on l until Close. It returns at once.
-func (a *Admin) Serve(l net.Listener) {
+// Serve answers until Close. It returns at once.
+func (a *Admin) Serve() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
@@ -36,11 +38,12 @@
 		_ = json.NewEncoder(w).Encode(a.Status())
 	})
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
-	go func() { _ = a.server.Serve(l) }()
+	go func() { _ = a.server.Serve(a.Listener) }()
 }
 
 // Close stops the server.
 func (a *Admin) Close() {
+	_ = a.Listener.Close()
 	if a.server != nil {
 		_ = a.server.Close()
 	}
--- a/target/settings.go
+++ b/target/settings.go
@@ -51,4 +51,6 @@
 	return faults
 }
 
-func (s *Settings) drainLimit() time.Duration { return time.Duration(s.DrainLimitMS) * time.Millisecond }
+func (s *Settings) drainLimit() time.Duration {
+	return time.Duration(s.DrainLimitMS) * time.Millisecond
+}
--- a/target/target.go
+++ b/target/target.go
@@ -72,8 +72,7 @@
 		_ = t.listener.Close()
 		return result.Wrap(result.AddressInUse, err)
 	}
-	t.admin = &telemetry.Admin{Ready: t.ready, Status: t.status, Metrics: t.metrics}
-	t.admin.Serve(adminListener)
+	t.admin = &telemetry.Admin{Ready: t.ready, Status: t.status, Metrics: t.metrics, Listener: adminListener}
 	return nil
 }
 
@@ -94,6 +93,7 @@
 	t.sessions = root.Spawn(session.Props(t.core, t.hello))
 	go session.Accept(t.system, t.sessions, t.listener)
 	runtime.Ticker(t.system, t.core, tickInterval, &core.Tick{}, t.stop)
+	t.admin.Serve()
 	t.log.With("name", t.settings.Name).With("listen", t.listener.Addr()).Info("target process started")
 }
 
