--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -5,12 +5,12 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"time"
 
 	"agatelanding.example/agatelanding/entry"
+	"agatelanding.example/agatelanding/internal/fixture"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/standin"
 	"agatelanding.example/agatelanding/internal/tables"
@@ -69,7 +69,8 @@
 		f.Services = append(f.Services, s)
 		f.serveURL = append(f.serveURL, f.serve(s.Handler()))
 	}
-	f.makeTables(o)
+	f.Routes, f.Pools = fixture.Tables(o.Adapters, o.Slots,
+		fixture.Targets("assistant", o.Engines), fixture.Targets("ledger", o.Services))
 	if err := f.startTargets(); err != nil {
 		return f, err
 	}
@@ -88,69 +89,6 @@
 	return s.URL
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-// domains are the failure domains of the first deployment.
-var domains = []string{"marneuli", "bolnisi", "gardabani", "tetritskaro"}
-
-// Names of the pools and classes of a fleet.
-const (
-	AssistantPool = "rota-assistant"
-	LedgerPool    = "gate-ledger"
-	ShortClass    = "short"
-	LongClass     = "long"
-	CallClass     = "call"
-	LedgerPath    = "/ledger"
-)
-
-// AdapterName returns the name of an adapter, which is also its model name.
-func AdapterName(i int) string { return fmt.Sprintf("plot-%d", i) }
-
-func (f *Fleet) makeTables(o Options) {
-	f.Pools.WeightStore = tables.WeightStore{LoadsPerSecond: 4.5, MaxInFlight: 8, LoadMS: 250}
-	assistant := tables.Pool{
-		Name: AssistantPool, Kind: tables.KindEngine, BaseModel: "base", Slots: o.Slots, MaxRunning: 16, QueueLimit: 200, LongShare: 0.25,
-		Classes: []tables.Class{
-			{Name: ShortClass, FirstTokenMS: 8000, TotalMS: 20000},
-			{Name: LongClass, FirstTokenMS: 15000, TotalMS: 60000, Long: true},
-		},
-	}
-	for i := range o.Engines {
-		assistant.Targets = append(assistant.Targets, tables.Target{
-			Name: fmt.Sprintf("assistant-%d", i+1), Address: freeAddress(), FailureDomain: domains[i%len(domains)],
-		})
-	}
-	f.Pools.Pools = append(f.Pools.Pools, assistant)
-	for i := range o.Adapters {
-		name := AdapterName(i)
-		f.Routes.Routes = append(f.Routes.Routes, tables.Route{
-			Model: name, Adapter: name, Version: "v1", Pool: AssistantPool, Class: ShortClass, Repeatable: true,
-		})
-	}
-	if o.Services == 0 {
-		return
-	}
-	ledger := tables.Pool{
-		Name: LedgerPool, Kind: tables.KindService, MaxRunning: 32, QueueLimit: 200,
-		Classes: []tables.Class{{Name: CallClass, FirstTokenMS: 3000, TotalMS: 5000}},
-	}
-	for i := range o.Services {
-		ledger.Targets = append(ledger.Targets, tables.Target{
-			Name: fmt.Sprintf("ledger-%d", i+1), Address: freeAddress(), FailureDomain: domains[i%len(domains)],
-		})
-	}
-	f.Pools.Pools = append(f.Pools.Pools, ledger)
-	f.Routes.Routes = append(f.Routes.Routes, tables.Route{Path: LedgerPath, Pool: LedgerPool, Class: CallClass})
-}
-
 func (f *Fleet) startTargets() error {
 	for i := range f.Engines {
 		if err := f.startTarget(f.Pools.Pools[0].Targets[i], target.KindEngine, f.engineURL[i]); err != nil {
@@ -169,7 +107,7 @@
 	var s target.Settings
 	s.SetDefaults()
 	s.Name, s.FailureDomain, s.Kind, s.Backend = row.Name, row.FailureDomain, kind, backend
-	s.Listen, s.AdminListen = row.Address, freeAddress()
+	s.Listen, s.AdminListen = row.Address, fixture.FreeAddress()
 	t := target.New(s)
 	if err := t.Provision(); err != nil {
 		return err
@@ -183,8 +121,8 @@
 func (f *Fleet) AddEntry(name string) error {
 	var s entry.Settings
 	s.SetDefaults()
-	s.Name, s.FailureDomain = name, domains[len(f.Entries)%len(domains)]
-	s.Listen, s.PeerListen, s.AdminListen = freeAddress(), freeAddress(), freeAddress()
+	s.Name, s.FailureDomain = name, fixture.Domain(len(f.Entries))
+	s.Listen, s.PeerListen, s.AdminListen = fixture.FreeAddress(), fixture.FreeAddress(), fixture.FreeAddress()
 	s.ConfigService, s.VMList, s.DrainDelayMS = f.configURL, f.vmURL, 50
 	e := entry.New(s)
 	if err := e.Provision(); err != nil {
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"agatelanding.example/agatelanding/internal/e2e"
+	"agatelanding.example/agatelanding/internal/fixture"
 	"agatelanding.example/agatelanding/internal/standin"
 )
 
@@ -33,7 +34,7 @@
 }
 
 func call(base, key, body string) (*http.Response, string) {
-	req, _ := http.NewRequest(http.MethodPost, base+e2e.LedgerPath+"/release", strings.NewReader(body))
+	req, _ := http.NewRequest(http.MethodPost, base+fixture.LedgerPath+"/release", strings.NewReader(body))
 	req.Header.Set("Idempotency-Key", key)
 	req.Header.Set("Idempotency-Key-Created", fmt.Sprint(time.Now().UnixMilli()))
 	resp, err := http.DefaultClient.Do(req)
@@ -53,7 +54,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		for i := range fleet.Entries {
 			Eventually(func() int {
-				resp, _ := complete(fleet.URL(i), e2e.AdapterName(0), "warm up", 1, false)
+				resp, _ := complete(fleet.URL(i), fixture.AdapterName(0), "warm up", 1, false)
 				return resp.StatusCode
 			}, 10*time.Second, 50*time.Millisecond).Should(Equal(http.StatusOK))
 		}
@@ -61,7 +62,7 @@
 
 	It("answers with the right adapter and the whole text", func() {
 		for i := range 6 {
-			name := e2e.AdapterName(i)
+			name := fixture.AdapterName(i)
 			resp, text := complete(fleet.URL(i%2), name, "turn", 8, false)
 			Expect(resp.StatusCode).To(Equal(http.StatusOK), text)
 			Expect(text).To(ContainSubstring(standin.Text(name+"@v1", "turn", 8)))
@@ -69,7 +70,7 @@
 	})
 
 	It("streams a whole answer", func() {
-		resp, text := complete(fleet.URL(0), e2e.AdapterName(1), "stream", 5, true)
+		resp, text := complete(fleet.URL(0), fixture.AdapterName(1), "stream", 5, true)
 		Expect(resp.StatusCode).To(Equal(http.StatusOK))
 		Expect(strings.Count(text, "data: ")).To(Equal(6))
 		Expect(text).To(HaveSuffix("data: [DONE]\n\n"))
@@ -91,9 +92,9 @@
 		fleet.Routes.Routes[2].Version = "v2"
 		fleet.Publish()
 		Eventually(func() string {
-			_, text := complete(fleet.URL(0), e2e.AdapterName(2), "new", 2, false)
+			_, text := complete(fleet.URL(0), fixture.AdapterName(2), "new", 2, false)
 			return text
-		}, 10*time.Second, 50*time.Millisecond).Should(ContainSubstring(e2e.AdapterName(2) + "@v2"))
+		}, 10*time.Second, 50*time.Millisecond).Should(ContainSubstring(fixture.AdapterName(2) + "@v2"))
 	})
 
 	DescribeTable("answers a wrong request with a status and a code",
--- /dev/null
+++ b/internal/load/workload.go
@@ -0,0 +1,100 @@
+// Package load is an open-loop load generator that verifies every answer.
+package load
+
+import (
+	"math"
+	"math/rand"
+	"sort"
+	"time"
+)
+
+// Workload describes the arrivals. The same seed gives the same arrivals.
+type Workload struct {
+	Seed int64
+	// Rate is the mean number of requests a second.
+	Rate     float64
+	Duration time.Duration
+	// StepAt, StepFor and StepFactor multiply the rate for a while; a factor
+	// of 0 means no step.
+	StepAt     time.Duration
+	StepFor    time.Duration
+	StepFactor float64
+	// Models are the models by falling popularity, with Zipf exponent Zipf.
+	Models []string
+	Zipf   float64
+	// LongShare of the completions asks for LongTokens instead of Tokens.
+	LongShare  float64
+	Tokens     int
+	LongTokens int
+	// StreamShare of the completions is streamed.
+	StreamShare float64
+	// CallShare of the requests are calls to CallPath that may not be
+	// repeated; RepeatShare of those are sent a second time.
+	CallShare   float64
+	RepeatShare float64
+	CallPath    string
+}
+
+// Arrival is one request to send.
+type Arrival struct {
+	At     time.Duration
+	Model  string
+	Tokens int
+	Long   bool
+	Stream bool
+	Call   bool
+	Repeat bool
+}
+
+// Arrivals draws the requests of the workload in order of time.
+func (w *Workload) Arrivals() []Arrival {
+	rng := rand.New(rand.NewSource(w.Seed))
+	popularity := newZipf(len(w.Models), w.Zipf)
+	var list []Arrival
+	var at time.Duration
+	for {
+		at += time.Duration(rng.ExpFloat64() / w.rateAt(at) * float64(time.Second))
+		if at >= w.Duration {
+			return list
+		}
+		a := Arrival{At: at, Call: rng.Float64() < w.CallShare, Tokens: w.Tokens}
+		if a.Call {
+			a.Repeat = rng.Float64() < w.RepeatShare
+		} else {
+			a.Model = w.Models[popularity.draw(rng)]
+			a.Stream = rng.Float64() < w.StreamShare
+			if a.Long = rng.Float64() < w.LongShare; a.Long {
+				a.Tokens = w.LongTokens
+			}
+		}
+		list = append(list, a)
+	}
+}
+
+func (w *Workload) rateAt(at time.Duration) float64 {
+	if w.StepFactor > 0 && at >= w.StepAt && at < w.StepAt+w.StepFor {
+		return w.Rate * w.StepFactor
+	}
+	return w.Rate
+}
+
+// zipf draws ranks with probability proportional to 1/rank^s.
+type zipf struct{ cumulative []float64 }
+
+func newZipf(n int, s float64) *zipf {
+	z := &zipf{cumulative: make([]float64, n)}
+	sum := 0.0
+	for i := range n {
+		sum += math.Pow(float64(i+1), -s)
+		z.cumulative[i] = sum
+	}
+	return z
+}
+
+func (z *zipf) draw(rng *rand.Rand) int {
+	if len(z.cumulative) == 0 {
+		return 0
+	}
+	x := rng.Float64() * z.cumulative[len(z.cumulative)-1]
+	return min(sort.SearchFloat64s(z.cumulative, x), len(z.cumulative)-1)
+}
