Add fault runs against real processes

make faults starts stand-ins, entries and target processes on loopback and kills, freezes, cuts, restarts and stops them under verified load.

--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,7 @@
 
 build:
 	$(GO) build -o bin/ ./cmd/...
+
+# faults starts real processes on loopback, breaks them and checks every answer.
+faults:
+	$(GO) test -tags faults -count 1 -timeout 30m ./internal/faults -v -ginkgo.v
--- /dev/null
+++ b/internal/faults/config_test.go
@@ -0,0 +1,118 @@
+//go:build faults
+
+package faults_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/procfleet"
+)
+
+func revisionOf(adminURL string) uint64 {
+	_, body := procfleet.Get(adminURL + "/status")
+	var status struct {
+		Revision uint64 `json:"revision"`
+	}
+	_ = json.Unmarshal([]byte(body), &status)
+	return status.Revision
+}
+
+func revisions(f *procfleet.Fleet) []uint64 {
+	var list []uint64
+	for _, e := range f.Entries {
+		list = append(list, revisionOf(e.AdminURL))
+	}
+	return list
+}
+
+var _ = Describe("Configuration", func() {
+	var f *procfleet.Fleet
+
+	BeforeEach(func() { f = start(procfleet.Options{Entries: 3, Engines: 2, Adapters: 4, Slots: 4}) })
+
+	inForce := func(revision uint64) {
+		GinkgoHelper()
+		Eventually(func() []uint64 { return revisions(f) }, 19*time.Second, 50*time.Millisecond).
+			Should(HaveEach(revision))
+	}
+
+	It("is in force everywhere within seconds", func() {
+		started := time.Now()
+		Expect(f.Publish()).To(Succeed())
+		inForce(2)
+		AddReportEntry("in force after", time.Since(started).String())
+	})
+
+	// A service restored from an old copy must not take an accepted revision
+	// back, neither at a running entry nor at a restarted one.
+	It("never reverts, also across a restart beside a stale service", func() {
+		Expect(procfleet.Post(f.Config + "/control?stale=true")).To(Succeed())
+		f.Routes.Routes[0].Version = "v2"
+		Expect(f.Publish()).To(Succeed())
+		Expect(procfleet.Post(f.Config + "/control?stale=false")).To(Succeed())
+		Expect(f.Publish()).To(Succeed())
+		inForce(3)
+		Expect(f.PublishAs(1)).To(Succeed())
+		f.Entries[0].Process.Kill()
+		Expect(f.Entries[0].Process.Start()).To(Succeed())
+		inForce(3)
+		Consistently(func() []uint64 { return revisions(f) }, 3*time.Second, 100*time.Millisecond).Should(HaveEach(uint64(3)))
+	})
+
+	It("reaches a new process while the service is down", func() {
+		inForce(1)
+		Expect(procfleet.Post(f.Config + "/control?down=true")).To(Succeed())
+		f.Entries[1].Process.Kill()
+		Expect(f.Entries[1].Process.Start()).To(Succeed())
+		inForce(1)
+	})
+
+	// Two operators publish the same revision with different content.
+	It("ends the same everywhere after an operator race", func() {
+		f.Routes.Routes[0].Version = "left"
+		Expect(f.PublishAs(2)).To(Succeed())
+		f.Routes.Routes[0].Version = "right"
+		Expect(f.PublishAs(2)).To(Succeed())
+		inForce(2)
+		Eventually(func() int {
+			answers := map[string]bool{}
+			for _, e := range f.Entries {
+				answers[version(e.URL)] = true
+			}
+			return len(answers)
+		}, 19*time.Second, 200*time.Millisecond).Should(Equal(1))
+	})
+
+	It("keeps the old tables when new ones are refused", func() {
+		inForce(1)
+		Expect(procfleet.Put(f.Config+"/v1/values/agate/manifest", `{"revision":9,"routes":[],"pools":[{"key":"agate/part/none","size":10}]}`)).To(Succeed())
+		Consistently(func() []uint64 { return revisions(f) }, 2*time.Second, 100*time.Millisecond).Should(HaveEach(uint64(1)))
+		Expect(version(f.Entries[0].URL)).To(Equal("v1"))
+	})
+})
+
+// version returns the adapter version that an entry's answer names.
+func version(base string) string {
+	resp, err := postCompletion(base, "plot-0")
+	if err != nil {
+		return fmt.Sprint(err)
+	}
+	return resp
+}
+
+func postCompletion(base, model string) (string, error) {
+	body, _ := json.Marshal(map[string]any{"model": model, "prompt": "p", "max_tokens": 1})
+	resp, err := http.Post(base+"/v1/completions", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	return resp.Header.Get("X-Agate-Version"), nil
+}
--- /dev/null
+++ b/internal/faults/engine_test.go
@@ -0,0 +1,96 @@
+//go:build faults
+
+package faults_test
+
+import (
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/procfleet"
+)
+
+var _ = Describe("Completions", func() {
+	small := procfleet.Options{Entries: 2, Engines: 3, Adapters: 12, Slots: 6, Relays: true}
+
+	// Each case breaks one or two parts under load. Answers that are not
+	// streamed must all come, from another target where needed.
+	DescribeTable("survive a fault with every answer right",
+		func(fault func(f *procfleet.Fleet)) {
+			f := start(small)
+			o := options(f, 10, 8*time.Second, 0)
+			r := during(o, func() { fault(f) })
+			expectTruthful(r)
+			Expect(r.Broken).To(BeZero(), "%v", r.Details)
+			Expect(r.Right).To(BeNumerically(">=", r.Sent*95/100), "refused: %v", r.Refused)
+		},
+		Entry("no fault", func(*procfleet.Fleet) {}),
+		Entry("target process killed and restarted", func(f *procfleet.Fleet) {
+			f.Engines[0].Process.Kill()
+			time.Sleep(time.Second)
+			Expect(f.Engines[0].Process.Start()).To(Succeed())
+		}),
+		Entry("engine restarts empty", func(f *procfleet.Fleet) {
+			Expect(procfleet.Post(f.Engines[1].BackendURL + "/control?restart=true")).To(Succeed())
+		}),
+		Entry("engine restarts empty twice", func(f *procfleet.Fleet) {
+			for range 2 {
+				Expect(procfleet.Post(f.Engines[1].BackendURL + "/control?restart=true")).To(Succeed())
+				time.Sleep(time.Second)
+			}
+		}),
+		Entry("target process frozen for 3 s", func(f *procfleet.Fleet) {
+			f.Engines[2].Process.Freeze(3 * time.Second)
+		}),
+		Entry("connection to a target cut for 2 s", func(f *procfleet.Fleet) {
+			Expect(procfleet.Post(f.Engines[0].RelayControl + "/cut")).To(Succeed())
+			time.Sleep(2 * time.Second)
+			Expect(procfleet.Post(f.Engines[0].RelayControl + "/heal")).To(Succeed())
+		}),
+		Entry("adapter loads fail", func(f *procfleet.Fleet) {
+			Expect(procfleet.Post(f.Weights + "/control?fail_next=2")).To(Succeed())
+		}),
+		Entry("configuration service and VM list down, target killed", func(f *procfleet.Fleet) {
+			Expect(procfleet.Post(f.Config + "/control?down=true")).To(Succeed())
+			f.Engines[0].Process.Kill()
+			Expect(f.Engines[0].Process.Start()).To(Succeed())
+		}),
+		Entry("engine restarts empty while its target process is frozen", func(f *procfleet.Fleet) {
+			f.Engines[0].Process.Signal(syscall.SIGSTOP)
+			Expect(procfleet.Post(f.Engines[0].BackendURL + "/control?restart=true")).To(Succeed())
+			time.Sleep(2 * time.Second)
+			f.Engines[0].Process.Signal(syscall.SIGCONT)
+		}),
+	)
+
+	// A planned stop must not cut a request short, streamed ones included.
+	DescribeTable("are not cut by a planned stop",
+		func(stop func(f *procfleet.Fleet) *procfleet.Process) {
+			f := start(small)
+			o := options(f, 10, 6*time.Second, 0)
+			o.Workload.StreamShare, o.Workload.LongShare = 0.5, 0.2
+			var ended bool
+			r := during(o, func() { ended = stop(f).Terminate(20 * time.Second) })
+			Expect(ended).To(BeTrue(), "the process did not end by itself")
+			expectTruthful(r)
+			Expect(r.Broken).To(BeZero(), "%v", r.Details)
+			Expect(r.Refused).To(BeEmpty())
+		},
+		Entry("of a target process", func(f *procfleet.Fleet) *procfleet.Process { return f.Engines[0].Process }),
+	)
+
+	It("are finished by an entry that is stopped", func() {
+		f := start(small)
+		o := options(f, 10, 2*time.Second, 0)
+		o.Entries = o.Entries[:1]
+		o.Workload.LongShare = 0.5
+		r := during(o, func() {
+			time.Sleep(1500 * time.Millisecond)
+			Expect(f.Entries[0].Process.Terminate(20 * time.Second)).To(BeTrue())
+		})
+		expectTruthful(r)
+		Expect(r.Broken).To(BeZero(), "%v", r.Details)
+	})
+})
