Add optional mutual TLS between processes

A certificate's DNS name is the process name, so a process with a valid certificate cannot pass for another one. The handshake has a deadline for reads too: a peer that connected over TLS and stayed silent would have held its goroutine for ever, because Write set a write deadline only.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"agatelanding.example/agatelanding/entry/front"
 	"agatelanding.example/agatelanding/entry/router"
+	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/entry/watcher"
 	"agatelanding.example/agatelanding/internal/decide/dispatch"
 	"agatelanding.example/agatelanding/internal/decide/picker"
@@ -27,6 +28,7 @@
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/trust"
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
@@ -38,6 +40,7 @@
 	metrics  *telemetry.Metrics
 	log      *telemetry.Logger
 
+	keys     *trust.Keys
 	callers  net.Listener
 	peers    net.Listener
 	admin    *telemetry.Admin
@@ -65,6 +68,10 @@
 // Provision takes the listen addresses. It fails with AddressInUse when
 // another process holds one.
 func (e *Entry) Provision() error {
+	var err error
+	if e.keys, err = trust.Load(e.settings.TLS); err != nil {
+		return err
+	}
 	var admin net.Listener
 	for _, l := range []struct {
 		address string
@@ -77,6 +84,7 @@
 		}
 		*l.into = listener
 	}
+	e.peers = e.keys.Listener(e.peers)
 	e.admin = &telemetry.Admin{Ready: e.ready, Status: e.status, Metrics: e.metrics, Listener: admin}
 	return nil
 }
@@ -96,7 +104,7 @@
 	e.watcher = e.newWatcher()
 	e.watcher.Provision()
 	d := dispatch.New(e.dispatchConfig(), e.metrics)
-	e.router = root.Spawn(router.Props(d, e.hello, e.watcher.Refresh))
+	e.router = root.Spawn(router.Props(d, session.Local{Hello: e.hello, Keys: e.keys}, e.watcher.Refresh))
 	runtime.Ticker(e.system, e.router, tickInterval, &router.Tick{}, e.stop)
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,7 +137,7 @@
 func (e *Entry) newWatcher() *watcher.Watcher {
 	return &watcher.Watcher{
 		Name: e.settings.Name, Config: platform.NewConfig(e.settings.ConfigService), VMs: platform.NewVMList(e.settings.VMList),
-		Peers: watcher.PeerClient{Hello: e.hello}, Metrics: e.metrics, Publish: e.publish,
+		Peers: watcher.PeerClient{Hello: e.hello, Keys: e.keys}, Metrics: e.metrics, Publish: e.publish,
 		ListStates: func(leaving map[string]bool) {
 			e.system.Root.Send(e.router, &router.ListState{Leaving: leaving})
 		},
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -13,7 +13,6 @@
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/telemetry"
-	"agatelanding.example/agatelanding/internal/wire"
 )
 
 // Tick drives what depends on time.
@@ -40,7 +39,7 @@
 // Router is the actor.
 type Router struct {
 	dispatcher *dispatch.Dispatcher
-	hello      func() wire.Hello
+	local      session.Local
 	refresh    func(revision uint64)
 	sessions   map[string]*actor.PID
 	answers    map[uint64]*Answer
@@ -49,10 +48,10 @@
 
 // Props returns the properties of the router. refresh asks the configuration
 // watcher for a newer revision and must not block.
-func Props(d *dispatch.Dispatcher, hello func() wire.Hello, refresh func(revision uint64)) *actor.Props {
+func Props(d *dispatch.Dispatcher, local session.Local, refresh func(revision uint64)) *actor.Props {
 	return actor.PropsFromProducer(func() actor.Actor {
 		return &Router{
-			dispatcher: d, hello: hello, refresh: refresh,
+			dispatcher: d, local: local, refresh: refresh,
 			sessions: make(map[string]*actor.PID), answers: make(map[uint64]*Answer),
 			log: telemetry.For("router"),
 		}
@@ -129,7 +128,7 @@
 
 func (r *Router) connect(ctx actor.Context, a dispatch.Connect) {
 	r.disconnect(ctx, a.Target)
-	r.sessions[a.Target] = ctx.Spawn(session.Props(a.Target, a.Address, ctx.Self(), r.hello))
+	r.sessions[a.Target] = ctx.Spawn(session.Props(a.Target, a.Address, ctx.Self(), r.local))
 }
 
 func (r *Router) disconnect(ctx actor.Context, target string) {
--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -10,6 +10,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/trust"
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
@@ -39,12 +40,19 @@
 	Message any
 }
 
+// Local is what a session says of its own process.
+type Local struct {
+	Hello func() wire.Hello
+	// Keys is nil for plain TCP.
+	Keys *trust.Keys
+}
+
 // session is the actor of one target.
 type session struct {
 	target  string
 	address string
 	router  *actor.PID
-	hello   func() wire.Hello
+	local   Local
 	log     *telemetry.Logger
 
 	conn       *wire.Conn
@@ -71,10 +79,10 @@
 type ping struct{ generation int }
 
 // Props returns the properties of the session with one target.
-func Props(target, address string, router *actor.PID, hello func() wire.Hello) *actor.Props {
+func Props(target, address string, router *actor.PID, local Local) *actor.Props {
 	return actor.PropsFromProducer(func() actor.Actor {
 		return &session{
-			target: target, address: address, router: router, hello: hello,
+			target: target, address: address, router: router, local: local,
 			log: telemetry.For("session").With("target", target), stopped: make(chan struct{}),
 		}
 	})
@@ -101,7 +109,7 @@
 	case *ping:
 		if m.generation == s.generation && s.conn != nil {
 			s.pings++
-			s.write(&wire.Ping{Sequence: s.pings, Revision: s.hello().Revision})
+			s.write(&wire.Ping{Sequence: s.pings, Revision: s.local.Hello().Revision})
 		}
 	default:
 		s.write(m)
@@ -114,8 +122,8 @@
 		root.Send(self, &connectFailed{err: err})
 		return
 	}
-	conn := wire.NewConn(nc)
-	peer, err := conn.Handshake(s.hello())
+	conn := wire.NewConn(s.local.Keys.Client(nc, s.target))
+	peer, err := conn.Handshake(s.local.Hello())
 	if err != nil {
 		_ = conn.Close()
 		root.Send(self, &connectFailed{err: err})
--- a/entry/watcher/peers.go
+++ b/entry/watcher/peers.go
@@ -7,25 +7,28 @@
 
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
+	"agatelanding.example/agatelanding/internal/trust"
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
 // PeerClient asks other entries for their configuration.
 type PeerClient struct {
 	Hello func() wire.Hello
+	// Keys is nil for plain TCP.
+	Keys *trust.Keys
 }
 
 // Peer is a connection to another entry.
 type Peer struct{ conn *wire.Conn }
 
-// Dial connects to a peer. The connection lives as long as the context.
-func (c PeerClient) Dial(ctx context.Context, address string) (*Peer, error) {
+// Dial connects to the peer of that name. The connection lives as long as the context.
+func (c PeerClient) Dial(ctx context.Context, name, address string) (*Peer, error) {
 	var dialer net.Dialer
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, result.Wrap(result.PlatformUnreached, err)
 	}
-	conn := wire.NewConn(nc)
+	conn := wire.NewConn(c.Keys.Client(nc, name))
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if _, err := conn.Handshake(c.Hello()); err != nil {
 		_ = conn.Close()
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -253,7 +253,7 @@
 func (w *Watcher) askPeer(ctx context.Context, vm platform.VM) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	peer, err := w.Peers.Dial(callCtx, vm.Address)
+	peer, err := w.Peers.Dial(callCtx, vm.Name, vm.Address)
 	if err != nil {
 		w.Metrics.Count("peer_failures")
 		return
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -59,6 +59,7 @@
 	VersionMismatch  Code = 6002
 	UnexpectedFrame  Code = 6003
 	MalformedMessage Code = 6004
+	UntrustedPeer    Code = 6005
 
 	SettingInvalid Code = 7001
 	AddressInUse   Code = 7002
@@ -130,6 +131,7 @@
 	{VersionMismatch, "version_mismatch", 0, NotARequest, false, false, "The peer speaks another protocol version."},
 	{UnexpectedFrame, "unexpected_frame", 0, NotARequest, false, false, "A frame arrived that is not allowed at this point."},
 	{MalformedMessage, "malformed_message", 0, NotARequest, false, false, "A message does not decode."},
+	{UntrustedPeer, "untrusted_peer", 0, NotARequest, false, false, "A peer's certificate is missing or for another process."},
 
 	{SettingInvalid, "setting_invalid", 0, NotARequest, false, false, "A settings file is wrong. The text names file, line and field."},
 	{AddressInUse, "address_in_use", 0, NotARequest, false, false, "A listen address is in use."},
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -110,6 +111,11 @@
 // VersionMismatch when the peer speaks another protocol version.
 func (c *Conn) Handshake(local Hello) (*Hello, error) {
 	local.Protocol = ProtocolVersion
+	// The deadline covers the reads of a TLS handshake inside Write, which a
+	// peer that connects and stays silent would otherwise hold up for ever.
+	if err := c.nc.SetDeadline(time.Now().Add(HelloTimeout)); err != nil {
+		return nil, err
+	}
 	if err := c.Write(&local); err != nil {
 		return nil, err
 	}
@@ -124,7 +130,23 @@
 	if peer.Protocol != ProtocolVersion {
 		return nil, result.Newf(result.VersionMismatch, "peer %s speaks version %d, this process %d", peer.Process, peer.Protocol, ProtocolVersion)
 	}
-	return peer, nil
+	return peer, c.checkName(peer.Process)
+}
+
+// checkName refuses a peer whose certificate is for another process.
+func (c *Conn) checkName(process string) error {
+	secure, ok := c.nc.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certs := secure.ConnectionState().PeerCertificates
+	if len(certs) == 0 {
+		return result.New(result.UntrustedPeer, "no certificate")
+	}
+	if err := certs[0].VerifyHostname(process); err != nil {
+		return result.Wrap(result.UntrustedPeer, err)
+	}
+	return nil
 }
 
 // IsTimeout reports whether a read ended because the peer was silent.
--- a/target/settings.go
+++ b/target/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"agatelanding.example/agatelanding/internal/settings"
+	"agatelanding.example/agatelanding/internal/trust"
 )
 
 // Kinds of targets.
@@ -20,12 +21,13 @@
 	Backend       string `json:"backend" doc:"Base URL of the engine or plain service beside this process." range:"1..500"`
 	// Listen also guards against a second process: the port is held for the
 	// life of the process.
-	Listen       string `json:"listen" doc:"IP address and port for entries. Holding the port keeps a second process away." range:"1..200"`
-	AdminListen  string `json:"admin_listen" doc:"IP address and port for health, readiness, metrics and status." range:"1..200"`
-	LogLevel     string `json:"log_level" doc:"Least severe level that is logged." range:"debug|info|warn|error"`
-	DrainLimitMS int    `json:"drain_limit_ms" doc:"Longest time that a planned stop waits for accepted requests." unit:"ms" range:"0..86400000"`
-	SlotPolicy   string `json:"slot_policy" doc:"Eviction policy; lru is for comparison." range:"frequency|lru"`
-	QueuePolicy  string `json:"queue_policy" doc:"Queue policy; fifo is for comparison." range:"class|fifo"`
+	Listen       string         `json:"listen" doc:"IP address and port for entries. Holding the port keeps a second process away." range:"1..200"`
+	AdminListen  string         `json:"admin_listen" doc:"IP address and port for health, readiness, metrics and status." range:"1..200"`
+	LogLevel     string         `json:"log_level" doc:"Least severe level that is logged." range:"debug|info|warn|error"`
+	DrainLimitMS int            `json:"drain_limit_ms" doc:"Longest time that a planned stop waits for accepted requests." unit:"ms" range:"0..86400000"`
+	TLS          trust.Settings `json:"tls" doc:"Mutual TLS between processes; plain TCP when empty."`
+	SlotPolicy   string         `json:"slot_policy" doc:"Eviction policy; lru is for comparison." range:"frequency|lru"`
+	QueuePolicy  string         `json:"queue_policy" doc:"Queue policy; fifo is for comparison." range:"class|fifo"`
 }
 
 // SetDefaults implements settings.Defaulter.
--- a/target/target.go
+++ b/target/target.go
@@ -21,6 +21,7 @@
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/trust"
 	"agatelanding.example/agatelanding/internal/wire"
 	"agatelanding.example/agatelanding/target/core"
 	"agatelanding.example/agatelanding/target/driver"
@@ -63,10 +64,15 @@
 // Provision takes the listen addresses. It fails with AddressInUse when
 // another process holds one.
 func (t *Target) Provision() error {
-	var err error
-	if t.listener, err = net.Listen("tcp", t.settings.Listen); err != nil {
+	keys, err := trust.Load(t.settings.TLS)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", t.settings.Listen)
+	if err != nil {
 		return result.Wrap(result.AddressInUse, err)
 	}
+	t.listener = keys.Listener(listener)
 	adminListener, err := net.Listen("tcp", t.settings.AdminListen)
 	if err != nil {
 		_ = t.listener.Close()
