--- a/cmd/agate-load/main.go
+++ b/cmd/agate-load/main.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"agatelanding.example/agatelanding/internal/capacity"
 	"agatelanding.example/agatelanding/internal/daemon"
 	"agatelanding.example/agatelanding/internal/load"
 )
@@ -14,6 +15,6 @@
 		Use: "agate-load", Short: "Load and experiments", Version: daemon.Version,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(load.RunCommand())
+	root.AddCommand(load.RunCommand(), capacity.Command())
 	daemon.Main(root)
 }
--- a/internal/procfleet/process.go
+++ b/internal/procfleet/process.go
@@ -160,3 +160,6 @@
 	}
 	return fmt.Errorf("%s: not within %s", what, limit)
 }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
