--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -24,113 +24,157 @@
 // may be nil, sets the defaults of each new element of an array or a map.
 func (d *Document) Into(v any, init func(reflect.Value)) []Fault {
 	dec := &decoder{doc: d, init: init}
-	dec.value(&d.root, reflect.ValueOf(v).Elem(), "")
+	dec.value(&d.root, reflect.ValueOf(v).Elem())
 	return dec.faults
 }
 
+// segment is one step of a path. Paths become text only for faults, because
+// a table has tens of thousands of fields.
+type segment struct {
+	name  string
+	index int
+	kind  segmentKind
+}
+
+type segmentKind uint8
+
+const (
+	memberSegment segmentKind = iota
+	indexSegment
+	keySegment
+)
+
 type decoder struct {
 	doc    *Document
 	init   func(reflect.Value)
+	path   []segment
 	faults []Fault
 }
 
-func (d *decoder) fail(at *hujson.Value, field, format string, args ...any) {
+func (d *decoder) push(s segment) { d.path = append(d.path, s) }
+
+func (d *decoder) pop() { d.path = d.path[:len(d.path)-1] }
+
+func (d *decoder) field() string {
+	field := ""
+	for _, s := range d.path {
+		switch s.kind {
+		case memberSegment:
+			field = Join(field, s.name)
+		case indexSegment:
+			field += "[" + strconv.Itoa(s.index) + "]"
+		case keySegment:
+			field += "[" + strconv.Quote(s.name) + "]"
+		}
+	}
+	return field
+}
+
+func (d *decoder) fail(at *hujson.Value, format string, args ...any) {
 	if len(d.faults) < MaxFaults {
 		line := d.doc.lineAt(at.StartOffset)
-		d.faults = append(d.faults, Fault{Line: line, Field: field, Reason: fmt.Sprintf(format, args...)})
+		d.faults = append(d.faults, Fault{Line: line, Field: d.field(), Reason: fmt.Sprintf(format, args...)})
 	}
 }
 
-func (d *decoder) value(from *hujson.Value, to reflect.Value, field string) {
+func (d *decoder) value(from *hujson.Value, to reflect.Value) {
 	if text, ok := to.Addr().Interface().(encoding.TextUnmarshaler); ok && to.Kind() != reflect.Pointer {
-		d.text(from, text, field)
+		d.text(from, text)
 		return
 	}
 	switch to.Kind() {
 	case reflect.Pointer:
 		fresh := d.fresh(to.Type().Elem())
-		d.value(from, fresh, field)
+		d.value(from, fresh)
 		to.Set(fresh.Addr())
 	case reflect.Struct:
-		d.object(from, to, field)
+		d.object(from, to)
 	case reflect.Slice:
-		d.slice(from, to, field)
+		d.slice(from, to)
 	case reflect.Map:
-		d.dictionary(from, to, field)
+		d.dictionary(from, to)
 	default:
-		d.scalar(from, to, field)
+		d.scalar(from, to)
 	}
 }
 
 // fresh returns an addressable new value with its defaults.
 func (d *decoder) fresh(t reflect.Type) reflect.Value {
 	v := reflect.New(t).Elem()
+	d.setDefaults(v)
+	return v
+}
+
+func (d *decoder) setDefaults(v reflect.Value) {
 	if d.init != nil {
 		d.init(v)
 	}
-	return v
 }
 
-func (d *decoder) text(from *hujson.Value, to encoding.TextUnmarshaler, field string) {
+func (d *decoder) text(from *hujson.Value, to encoding.TextUnmarshaler) {
 	lit, ok := from.Value.(hujson.Literal)
 	if !ok || lit.Kind() != '"' {
-		d.fail(from, field, "want a string, got %s", kindOf(from))
+		d.fail(from, "want a string, got %s", kindOf(from))
 		return
 	}
 	if err := to.UnmarshalText([]byte(lit.String())); err != nil {
-		d.fail(from, field, "%v", err)
+		d.fail(from, "%v", err)
 	}
 }
 
-func (d *decoder) object(from *hujson.Value, to reflect.Value, field string) {
+func (d *decoder) object(from *hujson.Value, to reflect.Value) {
 	object, ok := from.Value.(*hujson.Object)
 	if !ok {
-		d.fail(from, field, "want an object, got %s", kindOf(from))
+		d.fail(from, "want an object, got %s", kindOf(from))
 		return
 	}
 	fields := FieldsOf(to.Type())
-	seen := make(map[string]bool, len(object.Members))
+	var seen [maxFields]bool
 	for i := range object.Members {
 		m := &object.Members[i]
-		name := m.Name.Value.(hujson.Literal).String()
-		path := Join(field, name)
-		if seen[name] {
-			d.fail(&m.Name, path, "occurs twice in the same object")
-			continue
-		}
-		seen[name] = true
-		f, ok := fields.byName[name]
+		f, ok := fields.lookup(m.Name.Value.(hujson.Literal))
 		if !ok {
-			d.fail(&m.Name, path, "unknown field%s", fields.hint(name))
+			name := m.Name.Value.(hujson.Literal).String()
+			d.push(segment{name: name})
+			d.fail(&m.Name, "unknown field%s", fields.hint(name))
+			d.pop()
 			continue
 		}
-		d.value(&m.Value, to.Field(f.Index), path)
+		d.push(segment{name: f.Name})
+		if seen[f.Index] {
+			d.fail(&m.Name, "occurs twice in the same object")
+		} else {
+			d.value(&m.Value, to.Field(f.Index))
+		}
+		seen[f.Index] = true
+		d.pop()
 	}
 }
 
-func (d *decoder) slice(from *hujson.Value, to reflect.Value, field string) {
+func (d *decoder) slice(from *hujson.Value, to reflect.Value) {
 	array, ok := from.Value.(*hujson.Array)
 	if !ok {
-		d.fail(from, field, "want an array, got %s", kindOf(from))
+		d.fail(from, "want an array, got %s", kindOf(from))
 		return
 	}
 	to.SetZero()
 	if len(array.Elements) == 0 {
 		return
 	}
-	out := reflect.MakeSlice(to.Type(), 0, len(array.Elements))
+	out := reflect.MakeSlice(to.Type(), len(array.Elements), len(array.Elements))
 	for i := range array.Elements {
-		element := d.fresh(to.Type().Elem())
-		d.value(&array.Elements[i], element, field+"["+strconv.Itoa(i)+"]")
-		out = reflect.Append(out, element)
+		d.push(segment{index: i, kind: indexSegment})
+		d.setDefaults(out.Index(i))
+		d.value(&array.Elements[i], out.Index(i))
+		d.pop()
 	}
 	to.Set(out)
 }
 
-func (d *decoder) dictionary(from *hujson.Value, to reflect.Value, field string) {
+func (d *decoder) dictionary(from *hujson.Value, to reflect.Value) {
 	object, ok := from.Value.(*hujson.Object)
 	if !ok {
-		d.fail(from, field, "want an object, got %s", kindOf(from))
+		d.fail(from, "want an object, got %s", kindOf(from))
 		return
 	}
 	to.SetZero()
@@ -141,19 +185,20 @@
 	for i := range object.Members {
 		m := &object.Members[i]
 		name := m.Name.Value.(hujson.Literal).String()
-		path := field + "[" + strconv.Quote(name) + "]"
 		key := reflect.ValueOf(name).Convert(to.Type().Key())
+		d.push(segment{name: name, kind: keySegment})
 		if to.MapIndex(key).IsValid() {
-			d.fail(&m.Name, path, "occurs twice in the same object")
-			continue
+			d.fail(&m.Name, "occurs twice in the same object")
+		} else {
+			element := d.fresh(to.Type().Elem())
+			d.value(&m.Value, element)
+			to.SetMapIndex(key, element)
 		}
-		element := d.fresh(to.Type().Elem())
-		d.value(&m.Value, element, path)
-		to.SetMapIndex(key, element)
+		d.pop()
 	}
 }
 
-func (d *decoder) scalar(from *hujson.Value, to reflect.Value, field string) {
+func (d *decoder) scalar(from *hujson.Value, to reflect.Value) {
 	lit, ok := from.Value.(hujson.Literal)
 	kind := byte(0)
 	if ok {
@@ -161,7 +206,7 @@
 	}
 	want := wantOf(to.Kind())
 	if want.kind != kind && (want.kind != 't' || kind != 'f') {
-		d.fail(from, field, "want %s%s, got %s", want.text, unitOf(field), kindOf(from))
+		d.fail(from, "want %s%s, got %s", want.text, unitOf(d.field()), kindOf(from))
 		return
 	}
 	var err error
@@ -184,7 +229,7 @@
 		to.SetInt(n)
 	}
 	if err != nil {
-		d.fail(from, field, "want %s%s, got %s", want.text, unitOf(field), lit)
+		d.fail(from, "want %s%s, got %s", want.text, unitOf(d.field()), lit)
 	}
 }
 
--- a/internal/strictjson/fields.go
+++ b/internal/strictjson/fields.go
@@ -1,10 +1,13 @@
 package strictjson
 
 import (
+	"bytes"
 	"fmt"
 	"reflect"
 	"strings"
 	"sync"
+
+	"github.com/tailscale/hujson"
 )
 
 // units are the endings of field names that state a unit. Longer endings
@@ -29,6 +32,9 @@
 	Tag       reflect.StructTag
 }
 
+// maxFields is the most fields that a struct may have.
+const maxFields = 128
+
 // Fields are the fields of a struct in order of declaration.
 type Fields struct {
 	List   []Field
@@ -49,6 +55,9 @@
 		if !sf.IsExported() || name == "-" {
 			continue
 		}
+		if i >= maxFields {
+			panic(fmt.Sprintf("%s has more than %d fields", t, maxFields))
+		}
 		if name == "" {
 			name = sf.Name
 		}
@@ -60,6 +69,16 @@
 	return fields
 }
 
+// lookup finds a field by its quoted name.
+func (f *Fields) lookup(name hujson.Literal) (Field, bool) {
+	if bytes.IndexByte(name, '\\') < 0 && len(name) >= 2 {
+		known, ok := f.byName[string(name[1:len(name)-1])]
+		return known, ok
+	}
+	known, ok := f.byName[name.String()]
+	return known, ok
+}
+
 // hint names the field that an unknown name probably means: the same name in
 // another case or with another unit.
 func (f *Fields) hint(name string) string {
--- a/internal/tables/model.go
+++ b/internal/tables/model.go
@@ -33,6 +33,15 @@
 	Repeatable bool `json:"repeatable,omitempty"`
 }
 
+// Match returns what the route matches, with a prefix for its kind. It is
+// unique in a route table.
+func (r *Route) Match() string {
+	if r.Model != "" {
+		return "m:" + r.Model
+	}
+	return "p:" + r.Path
+}
+
 // Class is a class of requests with a time budget.
 type Class struct {
 	Name string `json:"name"`
@@ -135,14 +144,15 @@
 // PartRef names a part of a table by content.
 type PartRef struct {
 	// Key is the key of the part in the configuration service. It ends in
-	// the SHA-256 of the part.
-	Key  string `json:"key"`
-	Size int    `json:"size"`
+	// the first 16 bytes of the SHA-256 of the part.
+	Key string `json:"key"`
+	// Size is the size of the part in bytes.
+	Size int `json:"size"`
 }
 
 // Manifest lists the parts of one snapshot.
 type Manifest struct {
 	Revision uint64    `json:"revision"`
-	Routes   []PartRef `json:"routes"`
+	Routes   []PartRef `json:"routes,omitempty"`
 	Pools    []PartRef `json:"pools"`
 }
--- a/internal/tables/parts.go
+++ b/internal/tables/parts.go
@@ -1,10 +1,10 @@
 package tables
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"slices"
 	"strings"
 
@@ -20,95 +20,18 @@
 	MaxPart = 32 << 10
 	// MaxValue is the platform's limit for one value in bytes.
 	MaxValue = 1 << 20
+	// MaxManifest is the largest manifest in bytes. It fits into one message
+	// between processes and names about 3,600 parts.
+	MaxManifest = 256 << 10
 	// MaxTables is the limit in bytes for all parts of a snapshot.
 	MaxTables = 16 << 20
-)
-
-// encode splits the tables into parts and fills manifest, parts and digest.
-func (s *Snapshot) encode(routes *RouteTable, pools *PoolTable) []error {
-	s.parts = make(map[string][]byte)
-	manifest := Manifest{Revision: s.Revision}
-	var err error
-	if manifest.Routes, err = s.splitRoutes(routes.Routes); err != nil {
-		return []error{err}
-	}
-	if manifest.Pools, err = s.addPart(pools); err != nil {
-		return []error{err}
-	}
-	if s.manifest, err = json.Marshal(manifest); err != nil {
-		return []error{result.Wrap(result.Internal, err)}
-	}
-	if len(s.manifest) > MaxValue {
-		return []error{result.Newf(result.ValueTooLarge, "manifest of %d bytes", len(s.manifest))}
-	}
-	s.Digest = digestOf(s.manifest)
-	return nil
-}
-
-// splitRoutes cuts the routes, sorted by match, into parts at boundaries that
-// depend on a route's own name only, so that an insertion moves no other cut.
-func (s *Snapshot) splitRoutes(routes []Route) ([]PartRef, error) {
-	sorted := slices.Clone(routes)
-	slices.SortFunc(sorted, func(a, b Route) int { return strings.Compare(a.match(), b.match()) })
-	var refs []PartRef
-	var current []Route
-	size := 0
-	flush := func() error {
-		if len(current) == 0 {
-			return nil
-		}
-		ref, err := s.addPart(RouteTable{Routes: current})
-		refs = append(refs, ref...)
-		current, size = nil, 0
-		return err
-	}
-	for _, r := range sorted {
-		length := r.encodedSize()
-		if size+length > MaxPart || (size > MaxPart/4 && isCut(r.match())) {
-			if err := flush(); err != nil {
-				return nil, err
-			}
-		}
-		current = append(current, r)
-		size += length
-	}
-	return refs, flush()
-}
 
-// isCut is true for about one name in 64.
-func isCut(name string) bool {
-	sum := sha256.Sum256([]byte(name))
-	return sum[0]&63 == 0
-}
-
-func (r *Route) match() string {
-	if r.Model != "" {
-		return "m:" + r.Model
-	}
-	return "p:" + r.Path
-}
-
-func (r *Route) encodedSize() int {
-	data, _ := json.Marshal(r)
-	return len(data) + 1
-}
-
-func (s *Snapshot) addPart(v any) ([]PartRef, error) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return nil, result.Wrap(result.Internal, err)
-	}
-	if len(data) > MaxValue {
-		return nil, result.Newf(result.ValueTooLarge, "part of %d bytes, limit %d", len(data), MaxValue)
-	}
-	key := partKey(data)
-	s.parts[key] = data
-	return []PartRef{{Key: key, Size: len(data)}}, nil
-}
+	partKeyBytes = 16
+)
 
 func partKey(data []byte) string {
 	sum := sha256.Sum256(data)
-	return partPrefix + hex.EncodeToString(sum[:16])
+	return partPrefix + hex.EncodeToString(sum[:partKeyBytes])
 }
 
 func digestOf(data []byte) uint64 {
@@ -116,22 +39,30 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// ParseManifest decodes a manifest and checks its sizes.
+// ParseManifest decodes a manifest and checks its keys and sizes.
 func ParseManifest(data []byte) (*Manifest, error) {
-	if len(data) > MaxValue {
-		return nil, result.Newf(result.ValueTooLarge, "manifest of %d bytes", len(data))
+	if len(data) > MaxManifest {
+		return nil, result.Newf(result.ValueTooLarge, "manifest of %d bytes, limit %d", len(data), MaxManifest)
 	}
 	var m Manifest
-	if err := DecodeStrict(data, &m); err != nil {
-		return nil, err
+	if _, faults := decode(ManifestKey, data, &m); len(faults) > 0 {
+		return nil, faults[0]
 	}
 	if m.Revision == 0 {
 		return nil, result.New(result.MalformedTable, "manifest without a revision")
 	}
 	total := 0
+	seen := make(map[string]bool)
 	for _, ref := range m.Refs() {
-		if ref.Size <= 0 || ref.Size > MaxValue {
-			return nil, result.Newf(result.ValueTooLarge, "part %s of %d bytes", ref.Key, ref.Size)
+		if !isPartKey(ref.Key) {
+			return nil, result.Newf(result.MalformedTable, "%q is not the key of a part", ref.Key)
+		}
+		if seen[ref.Key] {
+			return nil, result.Newf(result.DuplicateName, "part %s occurs twice", ref.Key)
+		}
+		seen[ref.Key] = true
+		if ref.Size <= 0 || ref.Size > MaxPart {
+			return nil, result.Newf(result.ValueTooLarge, "part %s of %d bytes, limit %d", ref.Key, ref.Size, MaxPart)
 		}
 		total += ref.Size
 	}
@@ -141,42 +72,136 @@
 	return &m, nil
 }
 
+// isPartKey accepts only the form that partKey returns, because a process
+// asks the configuration service for any key that a manifest names.
+func isPartKey(key string) bool {
+	digest, ok := strings.CutPrefix(key, partPrefix)
+	raw, err := hex.DecodeString(digest)
+	return ok && err == nil && len(raw) == partKeyBytes && strings.ToLower(digest) == digest
+}
+
 // Refs returns all parts of the manifest.
 func (m *Manifest) Refs() []PartRef {
 	return append(slices.Clone(m.Routes), m.Pools...)
 }
 
 // Assemble builds a snapshot from a manifest and its parts. The snapshot is
-// whole or not at all.
+// whole or not at all. It keeps manifest and parts as they were published, so
+// that its digest is the same in all versions of the programs.
 func Assemble(manifest []byte, parts map[string][]byte) (*Snapshot, []error) {
+	return AssembleAfter(nil, manifest, parts)
+}
+
+// AssembleAfter is Assemble for a process that has a snapshot already, or nil.
+// Parts that the previous snapshot holds may be absent from parts and are not
+// decoded again: most changes touch one part in a hundred.
+func AssembleAfter(previous *Snapshot, manifest []byte, parts map[string][]byte) (*Snapshot, []error) {
 	m, err := ParseManifest(manifest)
 	if err != nil {
 		return nil, []error{err}
 	}
+	if previous == nil {
+		previous = &Snapshot{}
+	}
+	kept, faults := previous.pick(m, parts)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	routes, spans, faults := previous.joinRoutes(m, kept)
+	pools, poolFaults := joinPools(m, kept)
+	if faults = append(faults, poolFaults...); len(faults) > 0 {
+		return nil, faults
+	}
+	if faults := Validate(routes, pools); len(faults) > 0 {
+		return nil, faults
+	}
+	s := index(m.Revision, routes, pools)
+	s.manifest, s.parts, s.Digest = bytes.Clone(manifest), kept, digestOf(manifest)
+	if slices.IsSortedFunc(routes.Routes, compareRoutes) {
+		s.spans = spans
+	}
+	return s, nil
+}
+
+// pick returns the parts that the manifest names, after checking each.
+func (s *Snapshot) pick(m *Manifest, parts map[string][]byte) (map[string][]byte, []error) {
+	var faults []error
+	kept := make(map[string][]byte)
 	for _, ref := range m.Refs() {
-		data, ok := parts[ref.Key]
-		if !ok || len(data) != ref.Size || partKey(data) != ref.Key {
-			return nil, []error{result.Newf(result.PartMissing, "part %s", ref.Key)}
+		data, ok := s.parts[ref.Key]
+		if !ok {
+			data, ok = parts[ref.Key]
+		}
+		switch {
+		case !ok:
+			faults = append(faults, result.Newf(result.PartMissing, "part %s is missing", ref.Key))
+		case len(data) != ref.Size || !CheckPart(ref.Key, data):
+			faults = append(faults, result.Newf(result.PartMissing, "part %s is damaged", ref.Key))
 		}
+		kept[ref.Key] = data
 	}
-	var routes RouteTable
+	return kept, faults
+}
+
+// span is the place of a part's routes in a snapshot whose parts are sorted.
+type span struct{ from, to int }
+
+func (s *Snapshot) joinRoutes(m *Manifest, parts map[string][]byte) (*RouteTable, map[string]span, []error) {
+	var table RouteTable
+	var faults []error
+	spans := make(map[string]span, len(m.Routes))
 	for _, ref := range m.Routes {
-		var part RouteTable
-		if err := DecodeStrict(parts[ref.Key], &part); err != nil {
-			return nil, []error{err}
+		from := len(table.Routes)
+		if known, ok := s.spans[ref.Key]; ok {
+			table.Routes = append(table.Routes, s.routes[known.from:known.to]...)
+		} else {
+			var part RouteTable
+			_, found := decode(ref.Key, parts[ref.Key], &part)
+			faults = append(faults, found...)
+			table.Routes = append(table.Routes, part.Routes...)
 		}
-		routes.Routes = append(routes.Routes, part.Routes...)
+		spans[ref.Key] = span{from, len(table.Routes)}
 	}
-	var pools PoolTable
+	return &table, spans, faults
+}
+
+func joinPools(m *Manifest, parts map[string][]byte) (*PoolTable, []error) {
+	var table PoolTable
+	var faults []error
+	var targets []poolTargets
+	stores := 0
 	for _, ref := range m.Pools {
-		var part PoolTable
-		if err := DecodeStrict(parts[ref.Key], &part); err != nil {
-			return nil, []error{err}
+		var part poolPart
+		_, found := decode(ref.Key, parts[ref.Key], &part)
+		faults = append(faults, found...)
+		table.Pools = append(table.Pools, part.Pools...)
+		targets = append(targets, part.Targets...)
+		if part.WeightStore != nil {
+			table.WeightStore = *part.WeightStore
+			stores++
+		}
+	}
+	if stores > 1 {
+		faults = append(faults, result.New(result.DuplicateName, "weight_store occurs in two parts"))
+	}
+	return &table, append(faults, addTargets(&table, targets)...)
+}
+
+func addTargets(table *PoolTable, targets []poolTargets) []error {
+	var faults []error
+	rows := make(map[string]*Pool, len(table.Pools))
+	for i := range table.Pools {
+		rows[table.Pools[i].Name] = &table.Pools[i]
+	}
+	for _, group := range targets {
+		row, ok := rows[group.Pool]
+		if !ok {
+			faults = append(faults, result.Newf(result.DanglingName, "targets of pool %q, which has no row", group.Pool))
+			continue
 		}
-		pools.WeightStore = part.WeightStore
-		pools.Pools = append(pools.Pools, part.Pools...)
+		row.Targets = append(row.Targets, group.Targets...)
 	}
-	return Build(m.Revision, &routes, &pools)
+	return faults
 }
 
 // CheckPart reports whether data is the part that key names.
--- a/internal/tables/snapshot.go
+++ b/internal/tables/snapshot.go
@@ -1,15 +1,13 @@
 package tables
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"agatelanding.example/agatelanding/internal/result"
 )
 
@@ -23,33 +21,52 @@
 
 	manifest []byte
 	parts    map[string][]byte
-	byModel  map[string]*Route
-	byPath   []*Route
-	pools    map[string]*Pool
-	digests  map[string]uint64
-	store    WeightStore
-	members  []string
+	routes   []Route
+	rows     []Pool
+	// spans finds the routes of a part; it is nil if parts were not sorted.
+	spans   map[string]span
+	byModel map[string]*Route
+	byPath  []*Route
+	pools   map[string]*Pool
+	digests map[string]uint64
+	store   WeightStore
+	members []string
 }
 
-// Build joins a route table and a pool table. It returns all faults that it
-// finds, each with a code.
+// Build joins a route table and a pool table, which it copies. It returns all
+// faults that it finds, each with a code.
 func Build(revision uint64, routes *RouteTable, pools *PoolTable) (*Snapshot, []error) {
+	if revision == 0 {
+		return nil, []error{result.New(result.MalformedTable, "revision 0 means no snapshot; revisions start at 1")}
+	}
 	if faults := Validate(routes, pools); len(faults) > 0 {
 		return nil, faults
 	}
+	s := index(revision, routes, pools)
+	if err := s.encode(s.routes, &PoolTable{WeightStore: s.store, Pools: s.rows}); err != nil {
+		return nil, []error{err}
+	}
+	return s, nil
+}
+
+// index copies valid tables and prepares the lookups.
+func index(revision uint64, routes *RouteTable, pools *PoolTable) *Snapshot {
+	sorted, table := normalize(routes, pools)
 	s := &Snapshot{
 		Revision: revision,
-		byModel:  make(map[string]*Route, len(routes.Routes)),
-		pools:    make(map[string]*Pool, len(pools.Pools)),
-		digests:  make(map[string]uint64, len(pools.Pools)),
-		store:    pools.WeightStore,
+		routes:   sorted,
+		rows:     table.Pools,
+		byModel:  make(map[string]*Route, len(sorted)),
+		pools:    make(map[string]*Pool, len(table.Pools)),
+		digests:  make(map[string]uint64, len(table.Pools)),
+		store:    table.WeightStore,
 	}
-	for i := range pools.Pools {
-		s.addPool(&pools.Pools[i])
+	for i := range s.rows {
+		s.addPool(&s.rows[i])
 	}
 	slices.Sort(s.members)
-	for i := range routes.Routes {
-		route := &routes.Routes[i]
+	for i := range s.routes {
+		route := &s.routes[i]
 		if route.Model != "" {
 			s.byModel[route.Model] = route
 		} else {
@@ -57,8 +74,8 @@
 		}
 	}
 	// The longest prefix goes first, so that a lookup takes the first match.
-	slices.SortFunc(s.byPath, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
-	return s, s.encode(routes, pools)
+	slices.SortStableFunc(s.byPath, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
+	return s
 }
 
 func (s *Snapshot) addPool(pool *Pool) {
@@ -73,15 +90,11 @@
 }
 
 // targetDigest covers what decides the home of a key: the names of the
-// targets and whether they drain.
+// targets, sorted, and whether they drain.
 func targetDigest(pool *Pool) uint64 {
 	h := sha256.New()
 	for _, t := range pool.Targets {
-		h.Write([]byte(t.Name))
-		if t.Draining {
-			h.Write([]byte{1})
-		}
-		h.Write([]byte{0})
+		fmt.Fprintf(h, "%q %t\n", t.Name, t.Draining)
 	}
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
@@ -113,7 +126,12 @@
 func (s *Snapshot) Pools() map[string]*Pool { return s.pools }
 
 // Routes returns the number of routes.
-func (s *Snapshot) Routes() int { return len(s.byModel) + len(s.byPath) }
+func (s *Snapshot) Routes() int { return len(s.routes) }
+
+// Tables returns the two tables, sorted. They must not be changed.
+func (s *Snapshot) Tables() (*RouteTable, *PoolTable) {
+	return &RouteTable{Routes: s.routes}, &PoolTable{WeightStore: s.store, Pools: s.rows}
+}
 
 // PoolDigest identifies the target list of a pool.
 func (s *Snapshot) PoolDigest(name string) uint64 { return s.digests[name] }
@@ -145,17 +163,3 @@
 	}
 	return json.Marshal(PoolRow{Pool: *pool, WeightStore: s.store})
 }
-
-// DecodeStrict parses JSON with comments into v and refuses unknown fields.
-func DecodeStrict(data []byte, v any) error {
-	standard, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return result.Wrap(result.MalformedTable, err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return result.Wrap(result.MalformedTable, err)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/tables/source.go
@@ -0,0 +1,99 @@
+package tables
+
+import (
+	"errors"
+	"os"
+
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/strictjson"
+)
+
+// Source is a pair of table files as operators write them.
+type Source struct {
+	Routes RouteTable
+	Pools  PoolTable
+}
+
+// ReadSource reads and checks two table files. It returns all faults, each
+// with a code and, where one is known, file, line and field.
+func ReadSource(routeFile, poolFile string) (*Source, []error) {
+	routes, routesErr := readFile(routeFile)
+	pools, poolsErr := readFile(poolFile)
+	var faults []error
+	for _, err := range []error{routesErr, poolsErr} {
+		if err != nil {
+			faults = append(faults, err)
+		}
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return ParseSource(routeFile, routes, poolFile, pools)
+}
+
+func readFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, result.Wrap(result.MalformedTable, err)
+	}
+	if !info.Mode().IsRegular() {
+		return nil, result.Newf(result.MalformedTable, "%s: not a regular file", path)
+	}
+	if info.Size() > MaxTables {
+		return nil, result.Newf(result.ValueTooLarge, "%s: %d bytes, limit %d", path, info.Size(), MaxTables)
+	}
+	data, err := os.ReadFile(path)
+	return data, result.Wrap(result.MalformedTable, err)
+}
+
+// ParseSource is ReadSource for files that are in memory already.
+func ParseSource(routeFile string, routeData []byte, poolFile string, poolData []byte) (*Source, []error) {
+	s := &Source{}
+	routeDoc, routeFaults := decode(routeFile, routeData, &s.Routes)
+	poolDoc, poolFaults := decode(poolFile, poolData, &s.Pools)
+	faults := append(routeFaults, poolFaults...)
+	if routeDoc == nil || poolDoc == nil {
+		return nil, faults
+	}
+	// An empty file is more often a mistake than the wish to serve nothing.
+	if len(routeFaults) == 0 && len(s.Routes.Routes) == 0 {
+		faults = append(faults, result.Wrap(result.MalformedTable, &FieldError{File: routeFile, Line: 1, Field: "routes", Reason: "the table has no routes"}))
+	}
+	seen := make(map[string]bool)
+	for _, err := range faults {
+		var f *FieldError
+		if errors.As(err, &f) {
+			seen[f.Field] = true
+		}
+	}
+	for _, err := range Validate(&s.Routes, &s.Pools) {
+		var f *FieldError
+		if !errors.As(err, &f) {
+			faults = append(faults, err)
+			continue
+		}
+		// A field that did not decode is empty and would fail again.
+		if seen[f.Field] {
+			continue
+		}
+		f.File, f.Line = place(f, routeFile, routeDoc, poolFile, poolDoc)
+		faults = append(faults, result.Wrap(result.CodeOf(err), f))
+	}
+	if len(faults) > 0 {
+		sortByPlace(faults)
+		return nil, faults
+	}
+	return s, nil
+}
+
+func place(f *FieldError, routeFile string, routes *strictjson.Document, poolFile string, pools *strictjson.Document) (string, int) {
+	if f.isRoutes() {
+		return routeFile, routes.Line(f.Field)
+	}
+	return poolFile, pools.Line(f.Field)
+}
+
+// Build joins the tables into a snapshot with the given revision.
+func (s *Source) Build(revision uint64) (*Snapshot, []error) {
+	return Build(revision, &s.Routes, &s.Pools)
+}
