--- /dev/null
+++ b/internal/decide/acceptance/acceptance_suite_test.go
@@ -0,0 +1,174 @@
+package acceptance_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/acceptance"
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+func TestAcceptance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "acceptance")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+// step is one event: an offer, or a claim if peer is set.
+type step struct {
+	at       time.Duration
+	peer     string
+	revision uint64
+	digest   uint64
+	want     result.Code
+}
+
+func offer(revision, digest uint64, want result.Code) step {
+	return step{revision: revision, digest: digest, want: want}
+}
+
+func claim(peer string, revision uint64) step { return step{peer: peer, revision: revision} }
+
+func (s step) after(d time.Duration) step {
+	s.at = d
+	return s
+}
+
+var _ = Describe("Gate", func() {
+	const late = acceptance.ClaimWait
+
+	DescribeTable("accepts", func(conflicts int, steps ...step) {
+		var g acceptance.Gate
+		for i, s := range steps {
+			if s.peer != "" {
+				g.Heard(s.peer, s.revision)
+				continue
+			}
+			got := g.Offer(start.Add(s.at), acceptance.Version{Revision: s.revision, Digest: s.digest})
+			Expect(got).To(Equal(s.want), fmt.Sprintf("step %d", i))
+		}
+		Expect(g.Conflicts()).To(Equal(conflicts))
+	},
+		Entry("rising revisions", 0, offer(1, 9, result.OK), offer(5, 1, result.OK)),
+		Entry("not an older one from a stale service", 0, offer(5, 1, result.OK), offer(4, 9, result.RevisionTooLow), offer(5, 1, result.OK)),
+		Entry("the same one twice without a conflict", 0, offer(5, 1, result.OK), offer(5, 1, result.OK)),
+		Entry("the higher digest of two with one revision", 1, offer(5, 1, result.OK), offer(5, 2, result.OK), offer(5, 1, result.RevisionConflict)),
+		Entry("and counts a repeated rival once", 1, offer(5, 2, result.OK), offer(5, 1, result.RevisionConflict), offer(5, 1, result.RevisionConflict)),
+		Entry("and counts rivals of each revision", 2, offer(5, 2, result.OK), offer(5, 1, result.RevisionConflict), offer(6, 2, result.OK), offer(6, 1, result.RevisionConflict)),
+		Entry("never revision 0", 0, offer(0, 0, result.RevisionTooLow), offer(0, 9, result.RevisionTooLow)),
+		Entry("no first snapshot below the claim of a peer", 0, claim("a", 7), offer(6, 1, result.RevisionTooLow), offer(7, 1, result.OK)),
+		Entry("no first snapshot below the claims of two peers, however late", 0, claim("a", 7), claim("b", 8),
+			offer(6, 1, result.RevisionTooLow), offer(6, 1, result.RevisionTooLow).after(100*late), offer(7, 1, result.OK).after(100*late)),
+		Entry("despite the wrong claim of one peer, after the wait", 0, claim("a", 9000), claim("a", 9001),
+			offer(6, 1, result.RevisionTooLow), offer(6, 1, result.RevisionTooLow).after(late-1), offer(6, 1, result.OK).after(late)),
+		Entry("despite absurd claims of many peers, at once", 0, claim("a", math.MaxUint64), claim("b", math.MaxUint64), claim("c", 6+acceptance.MaxAhead+1), offer(6, 1, result.OK)),
+		Entry("a plausible claim next to an absurd one still counts", 0, claim("a", math.MaxUint64), claim("b", 7), offer(6, 1, result.RevisionTooLow)),
+		Entry("after the peers withdrew their claims", 0, claim("a", 7), claim("b", 7), offer(6, 1, result.RevisionTooLow), claim("a", 5), claim("b", 5), offer(6, 1, result.OK)),
+		Entry("a step forward below a claim once something is in force", 0, offer(5, 1, result.OK), claim("a", 9), claim("b", 9), offer(8, 1, result.OK)),
+		Entry("the largest revision", 0, claim("a", math.MaxUint64), offer(math.MaxUint64, 1, result.OK), claim("a", 1)),
+	)
+
+	It("asks for a refresh once for each higher claim and never for an absurd one", func() {
+		var g acceptance.Gate
+		g.Offer(start, acceptance.Version{Revision: 5})
+		Expect(g.Heard("a", 5)).To(BeFalse())
+		Expect(g.Heard("a", 6)).To(BeTrue())
+		Expect(g.Heard("b", 6)).To(BeFalse())
+		Expect(g.Behind()).To(BeTrue())
+		Expect(g.Heard("c", math.MaxUint64)).To(BeFalse())
+		Expect(g.Ignored()).To(Equal(1))
+		g.Offer(start, acceptance.Version{Revision: 6})
+		Expect(g.Behind()).To(BeFalse())
+	})
+
+	// A process that heard an absurd claim before its first snapshot would
+	// otherwise look for it for ever.
+	It("forgets an absurd claim with the first snapshot", func() {
+		var g acceptance.Gate
+		g.Heard("a", math.MaxUint64)
+		g.Offer(start, acceptance.Version{Revision: 5})
+		Expect(g.Behind()).To(BeFalse())
+		Expect(g.Ignored()).To(Equal(1))
+	})
+
+	It("says when a refused first snapshot may be offered again", func() {
+		var g acceptance.Gate
+		Expect(g.RetryAt().IsZero()).To(BeTrue())
+		g.Heard("a", 9)
+		g.Offer(start, acceptance.Version{Revision: 5})
+		Expect(g.RetryAt()).To(Equal(start.Add(late)))
+		Expect(g.Offer(g.RetryAt(), acceptance.Version{Revision: 5})).To(Equal(result.OK))
+		Expect(g.RetryAt().IsZero()).To(BeTrue())
+	})
+
+	It("keeps a bounded number of claims", func() {
+		var g acceptance.Gate
+		for i := range acceptance.MaxClaims {
+			g.Heard(fmt.Sprint("peer", i), 1)
+		}
+		g.Heard("one more", 9)
+		Expect(g.Floor(start, 5)).To(Equal(uint64(1)))
+		g.Forget("peer0")
+		g.Heard("one more", 9)
+		Expect(g.Floor(start, 5)).To(Equal(uint64(9)))
+	})
+
+	// Processes see snapshots in any order, some twice, some of them after a
+	// restart and with claims of which one peer's are wrong. The naive version
+	// sorts all snapshots and takes the last.
+	It("ends with the same snapshot everywhere and never goes back", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			versions := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) acceptance.Version {
+				return acceptance.Version{Revision: rapid.Uint64Range(1, 6).Draw(t, "revision"), Digest: rapid.Uint64Range(1, 4).Draw(t, "digest")}
+			}), 1, 8).Draw(t, "versions")
+			sorted := slices.SortedFunc(slices.Values(versions), func(a, b acceptance.Version) int {
+				return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Digest, b.Digest))
+			})
+			want := sorted[len(sorted)-1]
+			for range 3 {
+				if got := run(t, versions, want.Revision); got != want {
+					t.Fatalf("ended with %v, want %v", got, want)
+				}
+			}
+		})
+	})
+})
+
+// run feeds one process with all versions in a random order until nothing
+// changes, and checks that it never goes back.
+func run(t *rapid.T, versions []acceptance.Version, highest uint64) acceptance.Version {
+	var g acceptance.Gate
+	for range rapid.IntRange(0, 4).Draw(t, "claims") {
+		g.Heard(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer"), rapid.Uint64Range(0, highest).Draw(t, "claim"))
+	}
+	if rapid.Bool().Draw(t, "liar") {
+		g.Heard("liar", rapid.Uint64().Draw(t, "lie"))
+	}
+	now := start
+	for range 3 {
+		for _, v := range rapid.Permutation(versions).Draw(t, "order") {
+			before := g.Current()
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "wait")) * time.Millisecond)
+			code := g.Offer(now, v)
+			if g.Current().Less(before) {
+				t.Fatalf("went back from %v to %v", before, g.Current())
+			}
+			if (code == result.OK) != (g.Current() == v) {
+				t.Fatalf("offer of %v answered %v with %v in force", v, code, g.Current())
+			}
+		}
+		if at := g.RetryAt(); at.After(now) {
+			now = at
+		}
+	}
+	return g.Current()
+}
