--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -17,6 +17,7 @@
 	MethodNotAllowed Code = 1004
 	KeyInvalid       Code = 1005
 	CallerGone       Code = 1006
+	KeyReused        Code = 1007
 
 	BudgetExceeded     Code = 2001
 	QueueFull          Code = 2002
@@ -44,7 +45,6 @@
 	AnswerCut    Code = 4002
 	Cancelled    Code = 4003
 	WrongAdapter Code = 4004
-	KeyReused    Code = 4005
 
 	DanglingName      Code = 5001
 	DuplicateName     Code = 5002
@@ -67,6 +67,47 @@
 	Internal Code = 9001
 )
 
+// Repeat says when a caller may send a request again after a code.
+type Repeat uint8
+
+const (
+	// RepeatNone is for codes that are no answer to a request.
+	RepeatNone Repeat = iota
+	// RepeatLater allows it at any time, best after Retry-After.
+	RepeatLater
+	// RepeatSameKey allows it after Retry-After under the same key.
+	RepeatSameKey
+	// RepeatCorrected allows it once the request is corrected.
+	RepeatCorrected
+	// RepeatNewKey allows it under a key of its own.
+	RepeatNewKey
+	// RepeatIdempotent allows it at any time if the request is idempotent.
+	// Otherwise the caller must check the outcome first.
+	RepeatIdempotent
+	// RepeatChecked allows it under a new key, once the caller has checked
+	// by other means that the request was not executed.
+	RepeatChecked
+)
+
+// String returns the text that CODES.md uses.
+func (r Repeat) String() string {
+	switch r {
+	case RepeatLater:
+		return "yes, after Retry-After"
+	case RepeatSameKey:
+		return "yes, after Retry-After, under the same key"
+	case RepeatCorrected:
+		return "after correcting it"
+	case RepeatNewKey:
+		return "under a new key"
+	case RepeatIdempotent:
+		return "if idempotent; otherwise check the outcome first"
+	case RepeatChecked:
+		return "under a new key, after checking the outcome"
+	}
+	return "-"
+}
+
 // Info describes a code. CODES.md holds the same table.
 type Info struct {
 	Code      Code
@@ -74,68 +115,71 @@
 	HTTP      int
 	Execution Execution
 	// CallerMayRepeat says whether the caller may send the request again
-	// without risk of a second execution.
+	// unchanged without risk of a second execution.
 	CallerMayRepeat bool
-	// RetryElsewhere says whether the entry may try another target.
+	// Repeat says when a caller may send the request again.
+	Repeat Repeat
+	// RetryElsewhere says whether the entry may try another target. After a
+	// code with Execution Ran it does so for idempotent requests only.
 	RetryElsewhere bool
 	Meaning        string
 }
 
 var table = []Info{
-	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, false, false, "The request is malformed. Correct it before sending it again."},
-	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, false, false, "The body is larger than the entry's limit."},
-	{UnknownRoute, "unknown_route", http.StatusNotFound, NotRun, false, false, "No route matches the model name or path."},
-	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, NotRun, false, false, "The path does not take this HTTP method."},
-	{KeyInvalid, "key_invalid", http.StatusBadRequest, NotRun, false, false, "The route needs an Idempotency-Key and the request has none, or a malformed one."},
-	{CallerGone, "caller_gone", 499, Unknown, false, false, "The caller closed its connection before the answer ended."},
-
-	{BudgetExceeded, "budget_exceeded", http.StatusServiceUnavailable, NotRun, true, true, "The predicted start is past the time budget of the class."},
-	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, true, true, "The target's queue is at its limit."},
-	{NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, true, false, "No target of the pool can take the request now."},
-	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, NotRun, true, true, "The target is stopping and takes no new work."},
-	{AdapterLoadFailed, "adapter_load_failed", http.StatusServiceUnavailable, NotRun, true, true, "The engine could not load the adapter."},
-	{DeadlinePassed, "deadline_passed", http.StatusServiceUnavailable, NotRun, true, false, "The time budget ended before the request started."},
-	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, NotRun, true, true, "The request was routed by a configuration older than the target's."},
-	{NotHome, "not_home", http.StatusServiceUnavailable, NotRun, true, false, "The target is not the home of the idempotency key."},
-	{ReservationExpired, "reservation_expired", http.StatusServiceUnavailable, NotRun, true, true, "The reservation ended before the entry used it."},
-	{EngineUnavailable, "engine_unavailable", http.StatusServiceUnavailable, NotRun, true, true, "The engine or service beside the target process does not answer."},
-	{EntryLeaving, "entry_leaving", http.StatusServiceUnavailable, NotRun, true, false, "The entry is stopping."},
-	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, NotRun, true, false, "The entry has no configuration in force yet."},
-	{AuthorityLost, "authority_lost", http.StatusServiceUnavailable, NotRun, true, true, "The target process was paused or fenced and re-checks its engine."},
-	{SessionLost, "session_lost", http.StatusServiceUnavailable, NotRun, true, true, "The session to the target ended before the request was sent."},
-	{RecordsFull, "records_full", http.StatusServiceUnavailable, NotRun, true, false, "The home of the key has no room for a further idempotency record."},
-	{UnknownReservation, "unknown_reservation", http.StatusServiceUnavailable, NotRun, true, true, "The target does not know the reservation."},
-	{CancelledNotRun, "cancelled_not_run", http.StatusServiceUnavailable, NotRun, true, true, "The request was cancelled before it started."},
-
-	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, false, "The request may have been executed. Check before sending it again under a new key."},
-	{KeyUnknown, "key_unknown", http.StatusConflict, Unknown, false, false, "The home of the key cannot know whether the key was executed before. It was not executed now."},
-	{KeyInProgress, "key_in_progress", http.StatusConflict, Unknown, true, false, "A request with the same key is being executed. Repeat it under the same key later."},
-
-	{EngineFailed, "engine_failed", http.StatusBadGateway, Ran, false, true, "The engine failed during execution."},
-	{AnswerCut, "answer_cut", http.StatusBadGateway, Ran, false, true, "The answer ended before it was whole."},
-	{Cancelled, "cancelled", http.StatusBadGateway, Ran, false, false, "The request was cancelled during execution."},
-	{WrongAdapter, "wrong_adapter", http.StatusBadGateway, Ran, false, true, "The engine answered with another adapter or version. The answer was dropped."},
-	{KeyReused, "key_reused", http.StatusUnprocessableEntity, NotRun, false, false, "The key was used before with a different request."},
-
-	{DanglingName, "dangling_name", 0, NotARequest, false, false, "A route names a pool or class that the pool table does not have."},
-	{DuplicateName, "duplicate_name", 0, NotARequest, false, false, "A name or match occurs twice."},
-	{ValueTooLarge, "value_too_large", 0, NotARequest, false, false, "A value is larger than its limit."},
-	{RevisionTooLow, "revision_too_low", 0, NotARequest, false, false, "The snapshot's revision is lower than one already in force."},
-	{RevisionConflict, "revision_conflict", 0, NotARequest, false, false, "Two snapshots with the same revision differ."},
-	{MalformedTable, "malformed_table", 0, NotARequest, false, false, "A table does not parse, or a field is out of range."},
-	{PartMissing, "part_missing", 0, NotARequest, false, false, "A part of the snapshot is missing or has the wrong digest."},
-	{PlatformUnreached, "platform_unreached", 0, NotARequest, false, false, "A platform service did not answer."},
-
-	{FrameTooLarge, "frame_too_large", 0, NotARequest, false, false, "A frame is larger than the limit. The connection is closed."},
-	{VersionMismatch, "version_mismatch", 0, NotARequest, false, false, "The peer speaks another protocol version."},
-	{UnexpectedFrame, "unexpected_frame", 0, NotARequest, false, false, "A frame arrived that is not allowed at this point."},
-	{MalformedMessage, "malformed_message", 0, NotARequest, false, false, "A message does not decode."},
-
-	{SettingInvalid, "setting_invalid", 0, NotARequest, false, false, "A settings file is wrong. The text names file, line and field."},
-	{AddressInUse, "address_in_use", 0, NotARequest, false, false, "A listen address is in use."},
-	{UsageError, "usage_error", 0, NotARequest, false, false, "The command line is wrong."},
-
-	{Internal, "internal", http.StatusInternalServerError, Unknown, false, false, "A fault in the process. Report it."},
+	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, false, RepeatCorrected, false, "The request is malformed. Correct it before sending it again."},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, false, RepeatCorrected, false, "The body is larger than the entry's limit."},
+	{UnknownRoute, "unknown_route", http.StatusNotFound, NotRun, false, RepeatCorrected, false, "No route matches the model name or path."},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, NotRun, false, RepeatCorrected, false, "The path does not take this HTTP method."},
+	{KeyInvalid, "key_invalid", http.StatusBadRequest, NotRun, false, RepeatCorrected, false, "The route needs an Idempotency-Key and the request has none, or a malformed one."},
+	{CallerGone, "caller_gone", 499, Unknown, false, RepeatIdempotent, false, "The caller closed its connection before the answer ended."},
+	{KeyReused, "key_reused", http.StatusUnprocessableEntity, NotRun, false, RepeatNewKey, false, "The key was used before with a different request."},
+
+	{BudgetExceeded, "budget_exceeded", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The predicted start is past the time budget of the class."},
+	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The target's queue is at its limit."},
+	{NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, true, RepeatLater, false, "No target of the pool can take the request now."},
+	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The target is stopping and takes no new work."},
+	{AdapterLoadFailed, "adapter_load_failed", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The engine could not load the adapter."},
+	{DeadlinePassed, "deadline_passed", http.StatusServiceUnavailable, NotRun, true, RepeatLater, false, "The time budget ended before the request started."},
+	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The request was routed by a configuration older than the target's."},
+	{NotHome, "not_home", http.StatusServiceUnavailable, NotRun, true, RepeatLater, false, "The target is not the home of the idempotency key."},
+	{ReservationExpired, "reservation_expired", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The reservation ended before the entry used it."},
+	{EngineUnavailable, "engine_unavailable", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The engine or service beside the target process does not answer."},
+	{EntryLeaving, "entry_leaving", http.StatusServiceUnavailable, NotRun, true, RepeatLater, false, "The entry is stopping."},
+	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, NotRun, true, RepeatLater, false, "The entry has no configuration in force yet."},
+	{AuthorityLost, "authority_lost", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The target process was paused or fenced and re-checks its engine."},
+	{SessionLost, "session_lost", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The session to the target ended before the request was sent."},
+	{RecordsFull, "records_full", http.StatusServiceUnavailable, NotRun, true, RepeatLater, false, "The home of the key has no room for a further idempotency record."},
+	{UnknownReservation, "unknown_reservation", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The target does not know the reservation."},
+	{CancelledNotRun, "cancelled_not_run", http.StatusServiceUnavailable, NotRun, true, RepeatLater, true, "The request was cancelled before it started."},
+
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, RepeatChecked, false, "The request may have been executed. Check before sending it again under a new key."},
+	{KeyUnknown, "key_unknown", http.StatusConflict, Unknown, false, RepeatChecked, false, "The home of the key cannot know whether the key was executed before. It was not executed now."},
+	{KeyInProgress, "key_in_progress", http.StatusConflict, Unknown, true, RepeatSameKey, false, "A request with the same key is being executed. Repeat it under the same key later."},
+
+	{EngineFailed, "engine_failed", http.StatusBadGateway, Ran, false, RepeatIdempotent, true, "The engine failed during execution."},
+	{AnswerCut, "answer_cut", http.StatusBadGateway, Ran, false, RepeatIdempotent, true, "The answer ended before it was whole."},
+	{Cancelled, "cancelled", http.StatusBadGateway, Ran, false, RepeatIdempotent, false, "The request was cancelled during execution."},
+	{WrongAdapter, "wrong_adapter", http.StatusBadGateway, Ran, false, RepeatIdempotent, true, "The engine answered with another adapter or version. The answer was dropped."},
+
+	{DanglingName, "dangling_name", 0, NotARequest, false, RepeatNone, false, "A route names a pool or class that the pool table does not have."},
+	{DuplicateName, "duplicate_name", 0, NotARequest, false, RepeatNone, false, "A name or match occurs twice."},
+	{ValueTooLarge, "value_too_large", 0, NotARequest, false, RepeatNone, false, "A value is larger than its limit."},
+	{RevisionTooLow, "revision_too_low", 0, NotARequest, false, RepeatNone, false, "The snapshot's revision is lower than one already in force."},
+	{RevisionConflict, "revision_conflict", 0, NotARequest, false, RepeatNone, false, "Two snapshots with the same revision differ."},
+	{MalformedTable, "malformed_table", 0, NotARequest, false, RepeatNone, false, "A table does not parse, or a field is out of range."},
+	{PartMissing, "part_missing", 0, NotARequest, false, RepeatNone, false, "A part of the snapshot is missing or has the wrong digest."},
+	{PlatformUnreached, "platform_unreached", 0, NotARequest, false, RepeatNone, false, "A platform service did not answer."},
+
+	{FrameTooLarge, "frame_too_large", 0, NotARequest, false, RepeatNone, false, "A frame is larger than the limit. The connection is closed."},
+	{VersionMismatch, "version_mismatch", 0, NotARequest, false, RepeatNone, false, "The peer speaks another protocol version."},
+	{UnexpectedFrame, "unexpected_frame", 0, NotARequest, false, RepeatNone, false, "A frame arrived that is not allowed at this point."},
+	{MalformedMessage, "malformed_message", 0, NotARequest, false, RepeatNone, false, "A message does not decode."},
+
+	{SettingInvalid, "setting_invalid", 0, NotARequest, false, RepeatNone, false, "A settings file is wrong. The text names file, line and field."},
+	{AddressInUse, "address_in_use", 0, NotARequest, false, RepeatNone, false, "A listen address is in use."},
+	{UsageError, "usage_error", 0, NotARequest, false, RepeatNone, false, "The command line is wrong."},
+
+	{Internal, "internal", http.StatusInternalServerError, Unknown, false, RepeatIdempotent, false, "A fault in the process. Report it."},
 }
 
 var byCode = func() map[Code]Info {
