--- a/internal/tables/source.go
+++ b/internal/tables/source.go
@@ -37,7 +37,7 @@
 		return nil, result.Wrap(result.MalformedTable, err)
 	}
 	if !info.Mode().IsRegular() {
-		return nil, result.Newf(result.MalformedTable, "%s: not a regular file", path)
+		return nil, result.Wrap(result.MalformedTable, &os.PathError{Op: "read", Path: path, Err: errors.New("not a regular file")})
 	}
 	if info.Size() > MaxTables {
 		return nil, result.Newf(result.ValueTooLarge, "%s: %d bytes, limit %d", path, info.Size(), MaxTables)
