--- a/internal/ctl/ctl_suite_test.go
+++ b/internal/ctl/ctl_suite_test.go
@@ -213,6 +213,7 @@
 
 	DescribeTable("status", func(body string, code, exit int, want string, args ...string) {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/elsewhere")
 			w.WriteHeader(code)
 			_, _ = w.Write([]byte(body))
 		}))
@@ -224,6 +225,7 @@
 		Entry("prints simple fields", `{"load": {"x": 1}, "a": 1, "role": "entry", "revision": 18446744073709551615}`, 200, ctl.ExitOK, `ADDRESS +ROLE +REVISION +A\n127.0.0.1:\d+ +entry +18446744073709551615 +1\n`),
 		Entry("prints JSON", `{"load": {"x": 1}}`, 200, ctl.ExitOK, `"x": 1`, "--json"),
 		Entry("reports a refusal", `{}`, 503, ctl.ExitUnreadable, "5008 platform_unreached: .*503"),
+		Entry("follows no redirect", `{}`, 302, ctl.ExitUnreadable, "answered 302"),
 		Entry("reports a page of another kind", `[]`, 200, ctl.ExitUnreadable, "not a JSON object"),
 		Entry("limits the size", strings.Repeat(" ", 5<<20), 200, ctl.ExitUnreadable, "larger than 4194304 bytes"),
 	)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -31,6 +31,13 @@
 // leading are the fields of a status page that come first in the table.
 var leading = []string{"role", "process", "name", "state", "ready", "revision", "failure_domain", "version"}
 
+// client talks to each process directly: a proxy or a redirect would answer
+// for another one.
+var client = &http.Client{
+	Transport:     &http.Transport{DisableKeepAlives: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 // status is the page of one process.
 type status struct {
 	Address string         `json:"address"`
@@ -105,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/write.go
+++ b/internal/settings/write.go
@@ -15,7 +15,8 @@
 
 // WriteDefaults writes v, a pointer to a settings struct, as a commented
 // settings file that Load reads back unchanged. A zero v is written with its
-// defaults. Fields that are empty and optional become comments.
+// defaults. Fields that are empty and optional become comments. A required
+// field without a default is written empty, and Load asks for its value.
 func WriteDefaults(w io.Writer, v any) error {
 	value := reflect.ValueOf(v).Elem()
 	if err := checkType(value.Type(), nil); err != nil {
