--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# demo runs a small deployment of separate processes with checked load.
+demo:
+	./scripts/demo.sh
+
 # faults starts real processes on loopback, breaks them and checks every answer.
 faults:
 	$(GO) test -tags faults -count 1 -timeout 30m ./internal/faults -v -ginkgo.v
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -84,19 +84,33 @@
 	if err := tables.DecodeStrict(data, &table); err != nil {
 		return err
 	}
-	o.Expected = make(map[string]string)
-	for _, r := range table.Routes {
-		if r.Model != "" && r.Adapter != "" {
-			o.Expected[r.Model] = r.Adapter + "@" + r.Version
-			o.Workload.Models = append(o.Workload.Models, r.Model)
-		}
-	}
+	o.addRoutes(table.Routes)
 	if len(o.Workload.Models) == 0 {
 		return result.Newf(result.UsageError, "%s has no routes with an adapter", path)
 	}
 	return nil
 }
 
+// addRoutes takes the first route of an adapter for short work and the second
+// for long work.
+func (o *Options) addRoutes(routes []tables.Route) {
+	o.Expected = make(map[string]string)
+	o.Workload.LongModels = make(map[string]string)
+	first := make(map[string]string)
+	for _, r := range routes {
+		if r.Model == "" || r.Adapter == "" {
+			continue
+		}
+		o.Expected[r.Model] = r.Adapter + "@" + r.Version
+		if model, ok := first[r.Adapter]; ok {
+			o.Workload.LongModels[model] = r.Model
+			continue
+		}
+		first[r.Adapter] = r.Model
+		o.Workload.Models = append(o.Workload.Models, r.Model)
+	}
+}
+
 // Print writes the report as a table.
 func (r *Report) Print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -22,6 +22,9 @@
 	// Models are the models by falling popularity, with Zipf exponent Zipf.
 	Models []string
 	Zipf   float64
+	// LongModels maps a model to the model that serves its long work; a
+	// model that is absent serves both.
+	LongModels map[string]string
 	// LongShare of the completions asks for LongTokens instead of Tokens.
 	LongShare  float64
 	Tokens     int
@@ -65,6 +68,9 @@
 			a.Stream = rng.Float64() < w.StreamShare
 			if a.Long = rng.Float64() < w.LongShare; a.Long {
 				a.Tokens = w.LongTokens
+				if model, ok := w.LongModels[a.Model]; ok {
+					a.Model = model
+				}
 			}
 		}
 		list = append(list, a)
