--- /dev/null
+++ b/internal/e2e/callers_test.go
@@ -0,0 +1,86 @@
+package e2e_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/e2e"
+	"agatelanding.example/agatelanding/internal/fixture"
+)
+
+var _ = Describe("Callers and peers that misbehave", Ordered, func() {
+	var fleet *e2e.Fleet
+
+	BeforeAll(func() {
+		var err error
+		fleet, err = e2e.Start(e2e.Options{Entries: 1, Engines: 1, Adapters: 2, Slots: 2, Step: 5 * time.Millisecond})
+		DeferCleanup(fleet.Close)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int {
+			resp, _ := complete(fleet.URL(0), fixture.AdapterName(0), "warm up", 1, false)
+			return resp.StatusCode
+		}, 10*time.Second, 50*time.Millisecond).Should(Equal(http.StatusOK))
+	})
+
+	running := func() int { return len(fleet.Engines[0].State().Running) }
+
+	// A caller that goes away must not leave its request running, or its
+	// adapter pinned, for the rest of a long answer.
+	DescribeTable("a caller that disconnects frees the engine", func(stream string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		body := `{"model":"plot-0","prompt":"p","max_tokens":100000,"stream":` + stream + `}`
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, fleet.URL(0)+"/v1/completions", strings.NewReader(body))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			resp, err := http.DefaultClient.Do(req)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		}()
+		Eventually(running, 3*time.Second, 10*time.Millisecond).Should(Equal(1))
+		cancel()
+		<-done
+		Eventually(running, 3*time.Second, 10*time.Millisecond).Should(BeZero())
+	}, Entry("streamed", "true"), Entry("whole", "false"))
+
+	It("a caller that dribbles its headers is cut off", func() {
+		conn, err := net.Dial("tcp", fleet.Entries[0].Address())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, _ = conn.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: x\r\n"))
+		_ = conn.SetReadDeadline(time.Now().Add(8 * time.Second))
+		started := time.Now()
+		_, _ = bufio.NewReader(conn).ReadByte()
+		Expect(time.Since(started)).To(BeNumerically("<", 7*time.Second))
+	})
+
+	// Bytes that are no frame must end that session and nothing else.
+	DescribeTable("a peer that sends no protocol does not disturb the target process", func(data string) {
+		conn, err := net.Dial("tcp", fleet.Targets[0].Address())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, _ = conn.Write([]byte(data))
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.Copy(io.Discard, conn)
+		Expect(err).NotTo(HaveOccurred(), "the connection was not closed")
+		resp, text := complete(fleet.URL(0), fixture.AdapterName(0), "after", 1, false)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), text)
+	},
+		Entry("HTTP", "GET / HTTP/1.1\r\n\r\n"),
+		Entry("a huge length", "\xff\xff\xff\xff\x01"),
+		Entry("an empty frame", "\x00\x00\x00\x00\x00"),
+		Entry("a hello that does not decode", "\x00\x00\x00\x03\x01\xc1\xc1"),
+		Entry("a request before the hello", "\x00\x00\x00\x02\x02\x80"),
+	)
+})
