Resume a stream that the engine connection cuts

Cause: engines can resume streams, but a broken connection between target process and engine ended a streamed answer with an error event although the run went on at the engine. The driver now reads the stream again from the next event, three times at most.

With the mechanism off the new test fails with an unexpected end of the body; with it all 31 events of an answer whose stream was cut three times arrive.

--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -14,6 +14,7 @@
 
 	"agatelanding.example/agatelanding/internal/e2e"
 	"agatelanding.example/agatelanding/internal/fixture"
+	"agatelanding.example/agatelanding/internal/procfleet"
 )
 
 var _ = Describe("Callers and peers that misbehave", Ordered, func() {
@@ -54,6 +55,17 @@
 		Eventually(running, 3*time.Second, 10*time.Millisecond).Should(BeZero())
 	}, Entry("streamed", "true"), Entry("whole", "false"))
 
+	// A broken connection to an engine that still runs must not cut the
+	// answer: the stream is resumed from the next token.
+	It("a stream that the engine breaks is resumed", func() {
+		Expect(procfleet.Post(fleet.EngineURL(0) + "/control?cut_next=3")).To(Succeed())
+		resp, text := complete(fleet.URL(0), fixture.AdapterName(0), "resume", 30, true)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(strings.Count(text, "data: ")).To(Equal(31))
+		Expect(text).To(HaveSuffix("data: [DONE]\n\n"))
+		Expect(text).NotTo(ContainSubstring("event: error"))
+	})
+
 	It("a caller that dribbles its headers is cut off", func() {
 		conn, err := net.Dial("tcp", fleet.Entries[0].Address())
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -151,6 +151,9 @@
 // URL returns the base URL of an entry.
 func (f *Fleet) URL(i int) string { return "http://" + f.Entries[i].Address() }
 
+// EngineURL returns the base URL of an engine.
+func (f *Fleet) EngineURL(i int) string { return f.engineURL[i] }
+
 // Close ends everything at once.
 func (f *Fleet) Close() {
 	for _, e := range f.Entries {
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -153,6 +153,19 @@
 	return resp, nil
 }
 
+// Resume reads the stream of a run again, from an event on.
+func (e *Engine) Resume(ctx context.Context, runID string, from int) (*http.Response, error) {
+	resp, err := get(ctx, e.client, fmt.Sprintf("%s/v1/requests/%s?from=%d", e.base, url.PathEscape(runID), from))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		drain(resp)
+		return nil, result.Newf(result.AnswerCut, "the engine cannot resume: %d", resp.StatusCode)
+	}
+	return resp, nil
+}
+
 func drain(resp *http.Response) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10))
 	_ = resp.Body.Close()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -43,6 +43,7 @@
 	prompt   string
 	total    int
 	priority int
+	chat     bool
 	order    uint64
 	tokens   int
 	// change is closed and replaced whenever tokens or failure change.
@@ -66,6 +67,7 @@
 	slow        float64
 	wake        chan struct{}
 	stopped     bool
+	cutNext     int
 	steps       int
 	batchSum    int
 	distinctSum int
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -54,7 +54,8 @@
 //	POST   /v1/fence?fence=N                      set the fencing number
 //	GET    /v1/state                              incarnation, fence, adapters, runs
 //	GET    /v1/load                               lagging load report
-//	POST   /control?slow=F&restart=true           test control
+//	POST   /control?slow=F&restart=true&cut_next=N test control; cut_next breaks
+//	                                              the next N streams after a token
 //	GET    /stats                                 batches and distinct adapters
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -128,19 +129,19 @@
 		q.MaxTokens = 16
 	}
 	id := r.Header.Get("X-Request-Id")
-	s, status := e.start(id, &q)
+	s, status := e.start(id, &q, chat)
 	if status != http.StatusOK {
 		http.Error(w, "cannot run "+q.Model, status)
 		return
 	}
 	if q.Stream {
-		e.stream(w, r, s, 0, chat)
+		e.stream(w, r, s, 0)
 		return
 	}
-	e.whole(w, r, s, chat)
+	e.whole(w, r, s)
 }
 
-func (e *Engine) start(id string, q *completionRequest) (*sequence, int) {
+func (e *Engine) start(id string, q *completionRequest, chat bool) (*sequence, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.residentOrBase(q.Model) {
@@ -153,7 +154,7 @@
 	if id == "" {
 		id = fmt.Sprintf("anonymous-%d", e.nextOrder)
 	}
-	s := &sequence{id: id, model: q.Model, prompt: q.text(), total: q.MaxTokens, priority: q.Priority,
+	s := &sequence{id: id, model: q.Model, prompt: q.text(), total: q.MaxTokens, priority: q.Priority, chat: chat,
 		order: e.nextOrder, change: make(chan struct{})}
 	e.sequences[id] = s
 	e.signal()
@@ -177,18 +178,21 @@
 	})
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, from int, chat bool) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, from int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher, _ := w.(http.Flusher)
 	sent := from
 	for {
 		tokens, broken, change := e.progress(s)
 		for ; sent < tokens; sent++ {
-			writeEvent(w, s, sent, chat)
+			writeEvent(w, s, sent)
 		}
 		if flusher != nil {
 			flusher.Flush()
 		}
+		if sent > from && sent < s.total && e.takeCut() {
+			panic(http.ErrAbortHandler)
+		}
 		if sent >= s.total {
 			fmt.Fprint(w, "data: [DONE]\n\n")
 			e.forget(s)
@@ -205,11 +209,22 @@
 	}
 }
 
-func writeEvent(w http.ResponseWriter, s *sequence, position int, chat bool) {
+// takeCut reports whether this stream is to be broken, for tests.
+func (e *Engine) takeCut() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cutNext == 0 {
+		return false
+	}
+	e.cutNext--
+	return true
+}
+
+func writeEvent(w http.ResponseWriter, s *sequence, position int) {
 	text := Token(s.model, s.prompt, position)
 	choice := map[string]any{"index": 0, "text": text}
 	object := "text_completion"
-	if chat {
+	if s.chat {
 		choice = map[string]any{"index": 0, "delta": map[string]string{"content": text}}
 		object = "chat.completion.chunk"
 	}
@@ -217,7 +232,7 @@
 	fmt.Fprintf(w, "data: %s\n\n", data)
 }
 
-func (e *Engine) whole(w http.ResponseWriter, r *http.Request, s *sequence, chat bool) {
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, s *sequence) {
 	for {
 		tokens, broken, change := e.progress(s)
 		if tokens >= s.total {
@@ -236,7 +251,7 @@
 	text := Text(s.model, s.prompt, s.total)
 	choice := map[string]any{"index": 0, "text": text, "finish_reason": "length"}
 	object := "text_completion"
-	if chat {
+	if s.chat {
 		choice = map[string]any{"index": 0, "message": map[string]string{"role": "assistant", "content": text}, "finish_reason": "length"}
 		object = "chat.completion"
 	}
@@ -251,7 +266,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	e.stream(w, r, s, intParam(r, "from", 0), false)
+	e.stream(w, r, s, intParam(r, "from", 0))
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
@@ -279,6 +294,9 @@
 	if f, err := strconv.ParseFloat(r.URL.Query().Get("slow"), 64); err == nil && f > 0 {
 		e.SetSlow(f)
 	}
+	e.mu.Lock()
+	e.cutNext = intParam(r, "cut_next", e.cutNext)
+	e.mu.Unlock()
 	if r.URL.Query().Get("restart") == "true" {
 		e.Restart()
 	}
--- a/target/driver/execute.go
+++ b/target/driver/execute.go
@@ -22,6 +22,8 @@
 	maxEvent = 256 << 10
 	// maxAnswer bounds an answer that is not streamed.
 	maxAnswer = 8 << 20
+	// maxResumes bounds how often a cut stream of a run is read again.
+	maxResumes = 3
 	// chunkSize is the size of the pieces of such an answer.
 	chunkSize = 64 << 10
 )
@@ -92,7 +94,7 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 		return failure(result.Newf(result.EngineFailed, "engine answered %d %s", resp.StatusCode, bytes.TrimSpace(text)))
 	}
-	if err := d.relayAnswer(a, model, resp); err != nil {
+	if err := d.relayAnswer(ctx, a, model, resp); err != nil {
 		d.Engine.Cancel(context.Background(), id)
 		return interrupted(ctx, err)
 	}
@@ -123,18 +125,41 @@
 
 // relayAnswer passes the answer on. An answer that names another model, or
 // that ends without its end marker, is an error.
-func (d *Driver) relayAnswer(a scheduler.Execute, model string, resp *http.Response) error {
+func (d *Driver) relayAnswer(ctx context.Context, a scheduler.Execute, model string, resp *http.Response) error {
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-		if err != nil {
-			return result.Wrap(result.AnswerCut, err)
+		return d.relayWhole(a.ID, model, resp.Body)
+	}
+	events := 0
+	err := d.relayEvents(a.ID, model, resp.Body, &events)
+	for range maxResumes {
+		if result.CodeOf(err) != result.AnswerCut || ctx.Err() != nil {
+			return err
 		}
-		if err := checkModel(data, model); err != nil {
+		again, resumeErr := d.Engine.Resume(ctx, runID(a.ID), events)
+		if resumeErr != nil {
 			return err
 		}
-		return d.sendWhole(a.ID, bytes.NewReader(data))
+		err = d.relayEvents(a.ID, model, again.Body, &events)
+		_ = again.Body.Close()
 	}
-	scanner := bufio.NewScanner(resp.Body)
+	return err
+}
+
+func (d *Driver) relayWhole(id wire.AttemptID, model string, body io.Reader) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
+	if err != nil {
+		return result.Wrap(result.AnswerCut, err)
+	}
+	if err := checkModel(data, model); err != nil {
+		return err
+	}
+	return d.sendWhole(id, bytes.NewReader(data))
+}
+
+// relayEvents passes the events of a stream on and counts them. A stream that
+// ends without its end marker is cut.
+func (d *Driver) relayEvents(id wire.AttemptID, model string, body io.Reader, events *int) error {
+	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
 	for scanner.Scan() {
 		line := scanner.Bytes()
@@ -148,7 +173,8 @@
 				return err
 			}
 		}
-		d.report(&Chunk{ID: a.ID, Data: append(bytes.Clone(line), '\n', '\n')})
+		*events++
+		d.report(&Chunk{ID: id, Data: append(bytes.Clone(line), '\n', '\n')})
 		if last {
 			return nil
 		}
