placement: select ranks in one pass, remember them, decide copies

Cause: the dispatcher ranked all targets of a pool for every request by sorting them, and the number of copies of an adapter was not decided.

Rank now selects the best targets per failure domain in one pass. Copies grow when an adapter uses more than half of one target's capacity at each copy and the excess at its homes costs more request-seconds than a load and a slot; they shrink after 30 s below 0.3.

The ranks are the same as before (differential test against a full sort), so homes of keys do not move.

--- /dev/null
+++ b/internal/decide/placement/placement_suite_test.go
@@ -0,0 +1,180 @@
+package placement_test
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/placement"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func targets(n, domains int) []placement.Target {
+	list := make([]placement.Target, n)
+	for i := range list {
+		list[i] = placement.Target{Name: fmt.Sprintf("target-%d", i), FailureDomain: fmt.Sprintf("d%d", i%domains)}
+	}
+	return list
+}
+
+// naiveRank sorts all targets for one key and takes one per unused domain.
+func naiveRank(list []placement.Target, key string, n int) []int {
+	hash := func(s string) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(s))
+		return mix(h.Sum64())
+	}
+	order := make([]int, len(list))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(mix(hash(list[b].Name)^hash(key)), mix(hash(list[a].Name)^hash(key)))
+	})
+	var ranks []int
+	for len(ranks) < min(n, len(list)) {
+		used := make(map[string]bool)
+		for i := 0; i < len(order); i++ {
+			if domain := list[order[i]].FailureDomain; !used[domain] {
+				used[domain] = true
+				ranks = append(ranks, order[i])
+				order = slices.Delete(order, i, i+1)
+				i--
+			}
+		}
+	}
+	return ranks[:min(n, len(ranks))]
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+var _ = Describe("Ranker", func() {
+	// Every rank decides where an adapter is loaded and which target is the
+	// home of a key; a selection that differs from the full sort moves both.
+	It("agrees with a full sort", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			list := targets(rapid.IntRange(1, 150).Draw(t, "targets"), rapid.IntRange(1, 20).Draw(t, "domains"))
+			key := rapid.StringN(1, 12, -1).Draw(t, "key")
+			n := rapid.IntRange(1, len(list)).Draw(t, "n")
+			if got, want := placement.NewRanker(list).Rank(key, n), naiveRank(list, key, n); !slices.Equal(got, want) {
+				t.Fatalf("got %v, want %v", got, want)
+			}
+		})
+	})
+
+	// A removed or added target must not move adapters between the others:
+	// each moved adapter costs a load, of which the fleet has 4.5 a second.
+	DescribeTable("moves only the adapters of a changed target",
+		func(size int) {
+			before, after := targets(size+1, 4), targets(size, 4)
+			big, small := placement.NewRanker(before), placement.NewRanker(after)
+			moved := 0
+			for k := range 5000 {
+				key := fmt.Sprintf("adapter-%d", k)
+				was, is := big.Rank(key, 1)[0], small.Rank(key, 1)[0]
+				if was == size {
+					moved++
+					continue
+				}
+				Expect(is).To(Equal(was))
+			}
+			Expect(float64(moved)).To(BeNumerically("~", 5000/float64(size+1), 4*float64(5000)/float64(size+1)/5))
+		},
+		Entry("12 targets", 12), Entry("120 targets", 120), Entry("1,100 targets", 1100),
+	)
+
+	// Two copies in one failure domain are lost together.
+	It("spreads consecutive ranks over the failure domains", func() {
+		list := targets(12, 4)
+		for k := range 200 {
+			domains := make(map[string]bool)
+			for _, i := range placement.NewRanker(list).Rank(fmt.Sprint(k), 4) {
+				domains[list[i].FailureDomain] = true
+			}
+			Expect(domains).To(HaveLen(4))
+		}
+	})
+
+	DescribeTable("takes any count", func(size, n, want int) {
+		Expect(placement.NewRanker(targets(size, 2)).Rank("k", n)).To(HaveLen(want))
+	}, Entry("none", 3, 0, 0), Entry("more than there are", 3, 9, 3), Entry("empty pool", 0, 2, 0))
+})
+
+var _ = Describe("Directory", func() {
+	cfg := placement.DefaultConfig()
+	cfg.MaxAdapters, cfg.Ranks = 100, 8
+
+	// 14,000 adapters with a bound on memory must not evict the hot ones.
+	It("bounds its memory and keeps frequent adapters", func() {
+		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), cfg)
+		for range 30 {
+			d.Arrived(start, "hot")
+		}
+		d.Copies(start, "hot", placement.Load{Busy: 8, Excess: 5})
+		for k := range 10_000 {
+			d.Ranks(fmt.Sprint(k))
+			d.Ranks("hot")
+		}
+		Expect(d.Len()).To(Equal(100))
+		Expect(d.Copies(start, "hot", placement.Load{})).To(Equal(2), "the copies of a hot adapter were forgotten")
+	})
+
+	It("gives the ranks of a new list of targets", func() {
+		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), cfg)
+		d.Ranks("a")
+		small := placement.NewRanker(targets(11, 4))
+		d.SetRanker(small)
+		Expect(d.Ranks("a")).To(Equal(small.Rank("a", cfg.Ranks)))
+	})
+
+	type step struct {
+		after  time.Duration
+		load   placement.Load
+		copies int
+	}
+	busy := placement.Load{Busy: 8, Excess: 4}
+	idle := placement.Load{Busy: 0.1}
+	// One adapter has half of the requests, so its demand is half of Busy.
+	DescribeTable("follows demand with hysteresis", func(steps ...step) {
+		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), cfg)
+		now := start
+		for i, s := range steps {
+			for range 10 {
+				now = now.Add(s.after / 10)
+				d.Arrived(now, "hot")
+				d.Arrived(now, "rest")
+			}
+			Expect(d.Copies(now, "hot", s.load)).To(Equal(s.copies), "step %d", i)
+		}
+	},
+		Entry("grows one copy at a time", step{time.Second, busy, 2}, step{time.Second, busy, 2}, step{2 * time.Second, busy, 3}),
+		Entry("does not grow below the bound", step{time.Second, placement.Load{Busy: 0.9, Excess: 50}, 1}),
+		Entry("does not grow when a copy costs more than the queueing",
+			step{time.Second, placement.Load{Busy: 8, Excess: 0.01}, 1}),
+		Entry("does not shrink after a short quiet period",
+			step{time.Second, busy, 2}, step{20 * time.Second, idle, 2}, step{time.Second, busy, 3}, step{20 * time.Second, idle, 3}),
+		Entry("shrinks one copy after a long one",
+			step{time.Second, busy, 2}, step{3 * time.Second, busy, 3}, step{31 * time.Second, idle, 2},
+			step{10 * time.Second, idle, 2}, step{21 * time.Second, idle, 1}),
+		Entry("keeps its copies between the two bounds",
+			step{time.Second, busy, 2}, step{60 * time.Second, placement.Load{Busy: 0.8, Excess: 9}, 2},
+			step{60 * time.Second, placement.Load{Busy: 0.8, Excess: 9}, 2}),
+	)
+})
