picker: stages with tiers, load estimate, straggler ejection, prefix hints

Cause: the first version took the largest of own and reported load, ignored latency and prefixes, had no bound on a home's load, and the policy Random was not wired.

Filters, a score and a selector are separate small interfaces. Affinity keeps an adapter at its holders, spills above 1.25 of the mean, and sends an absent adapter to the less loaded of its first two ranks. Load counts own requests in full and smooths late reports over their lag. Outliers ejects targets above 3 times the median, at most a quarter, and re-admits them by a probe.

Fault found while testing: answers of requests that were open at the ejection doubled the wait until the probe each; now only a probe's answer does.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -265,7 +265,7 @@
 		key = c.Method + c.Path
 	}
 	candidates := d.candidates(now, c, ranker.Rank(key, len(c.Pool.Targets)))
-	i, ok := picker.Pick(candidates)
+	i, ok := picker.New(d.cfg.Pick, d.rng).Pick(&picker.Request{}, candidates)
 	if !ok {
 		return "", false
 	}
@@ -283,9 +283,9 @@
 		}
 		_, resident := t.resident[residencyKey(c.Route)]
 		list = append(list, picker.Candidate{
-			Name: row.Name, Rank: len(list), Usable: true, InFlight: t.inFlight,
-			Queued: t.load.Queued, Running: t.load.Running, Limit: t.load.Limit,
-			Latency: t.latency, Resident: resident,
+			Name: row.Name, Home: len(list) == 0, Usable: true, Warmth: 1,
+			Load: float64(max(t.inFlight, t.load.Queued+t.load.Running)), Limit: t.load.Limit,
+			Resident: resident,
 		})
 		if len(list) == candidateCount {
 			break
--- /dev/null
+++ b/internal/decide/picker/hints.go
@@ -0,0 +1,98 @@
+package picker
+
+import "container/list"
+
+// Hints is a bounded set of what a target is believed to hold. When it is
+// full, the entry that was confirmed longest ago makes way.
+type Hints[K comparable] struct {
+	limit int
+	order *list.List
+	items map[K]*list.Element
+}
+
+// NewHints returns an empty set.
+func NewHints[K comparable](limit int) *Hints[K] {
+	return &Hints[K]{limit: max(limit, 1), order: list.New(), items: make(map[K]*list.Element)}
+}
+
+// Confirm adds a key or makes it the latest.
+func (h *Hints[K]) Confirm(key K) {
+	if e, ok := h.items[key]; ok {
+		h.order.MoveToFront(e)
+		return
+	}
+	if h.order.Len() >= h.limit {
+		oldest := h.order.Back()
+		h.order.Remove(oldest)
+		delete(h.items, oldest.Value.(K))
+	}
+	h.items[key] = h.order.PushFront(key)
+}
+
+// Has reports whether the key is believed to be there.
+func (h *Hints[K]) Has(key K) bool {
+	_, ok := h.items[key]
+	return ok
+}
+
+// Drop removes a key.
+func (h *Hints[K]) Drop(key K) {
+	if e, ok := h.items[key]; ok {
+		h.order.Remove(e)
+		delete(h.items, key)
+	}
+}
+
+// Clear removes all keys.
+func (h *Hints[K]) Clear() {
+	h.order.Init()
+	clear(h.items)
+}
+
+// Len returns the number of keys.
+func (h *Hints[K]) Len() int { return len(h.items) }
+
+// maxPrefixes bounds the prefix hints of one target.
+const maxPrefixes = 128
+
+// Prefixes holds the prompt prefixes that a target is believed to cache, from
+// answers and from cache events.
+type Prefixes struct {
+	hints *Hints[uint64]
+	last  uint64
+}
+
+// NewPrefixes returns an empty set.
+func NewPrefixes() *Prefixes { return &Prefixes{hints: NewHints[uint64](maxPrefixes)} }
+
+// Served records that a request with the prefix was answered.
+func (p *Prefixes) Served(hash uint64) { p.hints.Confirm(hash) }
+
+// Has reports whether the prefix is believed to be cached.
+func (p *Prefixes) Has(hash uint64) bool { return hash != 0 && p.hints.Has(hash) }
+
+// Clear removes all hints, for example after a restart of the engine.
+func (p *Prefixes) Clear() {
+	p.hints.Clear()
+	p.last = 0
+}
+
+// Event takes a cache event. After a gap, evictions may have been missed, so
+// older hints are dropped. Of a late event only the evictions count: what it
+// stored may have been evicted since.
+func (p *Prefixes) Event(sequence uint64, stored, evicted []uint64) {
+	late := p.last != 0 && sequence <= p.last
+	if p.last != 0 && sequence > p.last+1 {
+		p.hints.Clear()
+	}
+	for _, hash := range evicted {
+		p.hints.Drop(hash)
+	}
+	if late {
+		return
+	}
+	p.last = sequence
+	for _, hash := range stored {
+		p.hints.Confirm(hash)
+	}
+}
--- a/internal/decide/picker/picker.go
+++ b/internal/decide/picker/picker.go
@@ -1,37 +1,64 @@
 // Package picker chooses one target for an attempt in three stages: filter,
-// score, pick.
+// score, pick. It also holds the observations that the stages use: load,
+// latency, stragglers and hints of what a target has cached.
 //
-// The functions are pure; the caller passes what it knows of each candidate.
+// All types are pure state machines used by one goroutine.
 package picker
 
-import "time"
+import "math/rand"
+
+const (
+	// OverloadRatio is the load of a home relative to the pool's mean above
+	// which requests spill to the next rank.
+	OverloadRatio = 1.25
+	// overloadShare is the share of a target's limit below which it is never
+	// overloaded. Without it, two requests at an otherwise idle pool would
+	// cause an adapter load.
+	overloadShare = 0.25
+	// loadPenalty is the cost of an absent adapter in requests: an adapter
+	// load takes about as long as two further requests in a running batch.
+	loadPenalty = 2.0
+	// equalRatio is the difference in score below which two candidates are
+	// about equal, so that a cached prefix decides.
+	equalRatio = 1.15
+	// minWarmth bounds the effect of a slow start.
+	minWarmth = 0.1
+)
 
 // Candidate is a target as the entry sees it at the time of the choice.
 type Candidate struct {
 	Name string
-	// Rank is the target's place in the adapter's ranking, 0 first.
-	Rank int
-	// Usable is false without a session or when the target is leaving.
+	// Home tells whether the target is one of the adapter's homes.
+	Home bool
+	// Usable is false for a target that takes no new work.
 	Usable bool
 	// Ejected is true while the target is treated as a straggler.
 	Ejected bool
+	// Silent is true while the target does not answer what it was asked.
+	Silent bool
 	// Tried is true if an earlier attempt of the request went there.
 	Tried bool
-	// InFlight counts this entry's requests at the target.
-	InFlight int
-	// Queued and Running come from the last load report.
-	Queued  int
-	Running int
+	// Load is the estimated number of requests at the target.
+	Load float64
 	// Limit is the number of requests that the target runs at once.
 	Limit int
-	// Latency is the entry's own peak-EWMA of first-token time.
-	Latency time.Duration
+	// Slowness is the target's first-token latency relative to the median
+	// of its pool; values below 1 count as 1.
+	Slowness float64
+	// Warmth grows from 0 to 1 after a restart.
+	Warmth float64
 	// Resident tells whether the adapter is believed to be loaded there.
 	Resident bool
 	// PrefixHit tells whether the prompt prefix is believed to be cached.
 	PrefixHit bool
 }
 
+// Request is what a choice depends on besides the candidates.
+type Request struct {
+	// MeanLoad is the mean number of requests at a target of the pool.
+	MeanLoad float64
+}
+
 // Policy selects how a target is picked.
 type Policy uint8
 
@@ -43,32 +70,170 @@
 	Random
 )
 
+// Filter decides whether a candidate may be picked.
+type Filter interface {
+	Keep(c *Candidate) bool
+}
+
+// Scorer returns the expected cost of a candidate; lower is better.
+type Scorer interface {
+	Score(r *Request, c *Candidate) float64
+}
+
+// Selector picks one of the candidates that passed the filters. List holds
+// indexes into candidates in the order of ranks and is never empty.
+type Selector interface {
+	Select(r *Request, candidates []Candidate, list []int) int
+}
+
+// Picker runs the stages.
+type Picker struct {
+	// hard filters always apply; soft filters only while a candidate is
+	// left, so that a pool is never emptied by suspicion.
+	hard, soft []Filter
+	selector   Selector
+	list, next []int
+}
+
+// New returns a picker with a policy.
+func New(policy Policy, rng *rand.Rand) *Picker {
+	p := &Picker{hard: []Filter{usable{}, untried{}}}
+	if policy == Random {
+		p.selector = randomTarget{rng: rng}
+		return p
+	}
+	p.soft = []Filter{answering{}, notEjected{}}
+	p.selector = affinity{scorer: costScore{}}
+	return p
+}
+
 // Pick returns the index of the chosen candidate, or false if none is usable.
-// Ejected targets are used only when nothing else is left.
-func Pick(candidates []Candidate) (int, bool) {
-	best := -1
-	for pass := 0; pass < 2 && best < 0; pass++ {
-		for i, c := range candidates {
-			if !c.Usable || c.Tried || (c.Ejected && pass == 0) {
-				continue
-			}
-			if best < 0 || score(c) < score(candidates[best]) {
-				best = i
+// Candidates are in the order of the adapter's ranks.
+func (p *Picker) Pick(r *Request, candidates []Candidate) (int, bool) {
+	p.list = p.list[:0]
+	for i := range candidates {
+		if keep(p.hard, &candidates[i]) {
+			p.list = append(p.list, i)
+		}
+	}
+	for _, f := range p.soft {
+		p.next = p.next[:0]
+		for _, i := range p.list {
+			if f.Keep(&candidates[i]) {
+				p.next = append(p.next, i)
 			}
 		}
+		if len(p.next) > 0 {
+			p.list, p.next = p.next, p.list
+		}
 	}
-	return best, best >= 0
+	if len(p.list) == 0 {
+		return -1, false
+	}
+	return p.selector.Select(r, candidates, p.list), true
+}
+
+func keep(filters []Filter, c *Candidate) bool {
+	for _, f := range filters {
+		if !f.Keep(c) {
+			return false
+		}
+	}
+	return true
 }
 
-// score is the expected cost of a candidate in units of one queued request.
-func score(c Candidate) float64 {
-	load := float64(max(c.InFlight, c.Queued+c.Running)) / float64(max(c.Limit, 1))
-	cost := load + float64(c.Rank)*0.05
+type (
+	usable     struct{}
+	untried    struct{}
+	answering  struct{}
+	notEjected struct{}
+)
+
+func (usable) Keep(c *Candidate) bool     { return c.Usable }
+func (untried) Keep(c *Candidate) bool    { return !c.Tried }
+func (answering) Keep(c *Candidate) bool  { return !c.Silent }
+func (notEjected) Keep(c *Candidate) bool { return !c.Ejected }
+
+// costScore is the expected wait in units of one request's share of a target.
+type costScore struct{}
+
+func (costScore) Score(_ *Request, c *Candidate) float64 {
+	load := c.Load + 1
 	if !c.Resident {
-		cost += 0.5
+		load += loadPenalty
+	}
+	return load / float64(max(c.Limit, 1)) * max(c.Slowness, 1) / max(c.Warmth, minWarmth)
+}
+
+type randomTarget struct{ rng *rand.Rand }
+
+func (s randomTarget) Select(_ *Request, _ []Candidate, list []int) int {
+	return list[s.rng.Intn(len(list))]
+}
+
+// affinity keeps requests where their adapter is. It goes through tiers and
+// takes the cheapest candidate of the first tier that has any.
+type affinity struct{ scorer Scorer }
+
+// tier says which candidates belong to a step of the search.
+type tier func(c *Candidate) bool
+
+func (s affinity) Select(r *Request, candidates []Candidate, list []int) int {
+	home, elsewhere := false, false
+	for _, i := range list {
+		home = home || candidates[i].Resident && candidates[i].Home
+		elsewhere = elsewhere || candidates[i].Resident
+	}
+	calm := func(c *Candidate) bool { return !overloaded(r, c) }
+	if home {
+		// A home without the adapter takes part too: it was made a home
+		// because the copy is worth its load.
+		if i := s.best(r, candidates, list, func(c *Candidate) bool { return c.Home && calm(c) }); i >= 0 {
+			return i
+		}
 	}
-	if c.PrefixHit {
-		cost -= 0.02
+	if elsewhere {
+		if i := s.best(r, candidates, list, func(c *Candidate) bool { return c.Resident && calm(c) }); i >= 0 {
+			return i
+		}
+	} else if i := s.best(r, candidates, list[:min(2, len(list))], calm); i >= 0 {
+		return i
+	}
+	for _, i := range list {
+		if calm(&candidates[i]) {
+			return i
+		}
 	}
-	return cost
+	return s.best(r, candidates, list, func(*Candidate) bool { return true })
+}
+
+// best returns the cheapest member of a tier, or -1. Among those about equal
+// to it, a cached prefix goes first, then the better rank.
+func (s affinity) best(r *Request, candidates []Candidate, list []int, member tier) int {
+	best, lowest := -1, 0.0
+	for _, i := range list {
+		if !member(&candidates[i]) {
+			continue
+		}
+		if score := s.scorer.Score(r, &candidates[i]); best < 0 || score < lowest {
+			best, lowest = i, score
+		}
+	}
+	if best < 0 || candidates[best].PrefixHit {
+		return best
+	}
+	for _, i := range list {
+		c := &candidates[i]
+		if c.PrefixHit && member(c) && s.scorer.Score(r, c) <= lowest*equalRatio {
+			return i
+		}
+	}
+	return best
+}
+
+// overloaded reports whether one more request would lift a target above the
+// bound on its load.
+func overloaded(r *Request, c *Candidate) bool {
+	bound := max(r.MeanLoad*OverloadRatio, r.MeanLoad+1, float64(c.Limit)*overloadShare)
+	return (c.Load+1)/max(c.Warmth, minWarmth) > bound
 }
--- /dev/null
+++ b/internal/decide/picker/picker_suite_test.go
@@ -0,0 +1,316 @@
+package picker_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/picker"
+)
+
+func TestPicker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "picker")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// set changes one property of a candidate.
+type set func(*picker.Candidate)
+
+func load(n float64) set      { return func(c *picker.Candidate) { c.Load = n } }
+func slow(factor float64) set { return func(c *picker.Candidate) { c.Slowness = factor } }
+func warm(share float64) set  { return func(c *picker.Candidate) { c.Warmth = share } }
+func resident(c *picker.Candidate) {
+	c.Resident = true
+}
+func home(c *picker.Candidate)    { c.Home = true }
+func away(c *picker.Candidate)    { c.Usable = false }
+func tried(c *picker.Candidate)   { c.Tried = true }
+func ejected(c *picker.Candidate) { c.Ejected = true }
+func silent(c *picker.Candidate)  { c.Silent = true }
+func prefix(c *picker.Candidate)  { c.PrefixHit = true }
+
+func target(sets ...set) picker.Candidate {
+	c := picker.Candidate{Usable: true, Limit: 8, Slowness: 1, Warmth: 1}
+	for _, s := range sets {
+		s(&c)
+	}
+	return c
+}
+
+var _ = Describe("Affinity", func() {
+	// Each entry: the mean load, the expected rank (-1 for none), the ranks.
+	DescribeTable("picks", func(mean float64, want int, candidates ...picker.Candidate) {
+		p := picker.New(picker.Affinity, nil)
+		got, ok := p.Pick(&picker.Request{MeanLoad: mean}, candidates)
+		Expect(ok).To(Equal(want >= 0))
+		Expect(got).To(Equal(want))
+	},
+		Entry("nothing from an empty list", 4.0, -1),
+		Entry("nothing when none is usable", 4.0, -1, target(away), target(tried)),
+		Entry("the less loaded of the first two ranks for an absent adapter", 4.0, 1,
+			target(home, load(4)), target(load(2)), target()),
+		Entry("the first of two equal ranks", 4.0, 0, target(home), target()),
+		Entry("the home that holds the adapter although another is idle", 4.0, 0,
+			target(home, resident, load(4)), target(), target()),
+		Entry("the holder although it is not the home", 4.0, 2, target(home), target(), target(resident, load(3))),
+		Entry("the home rather than another holder, so that a copy can be given up", 4.0, 0,
+			target(home, resident, load(4)), target(resident)),
+		Entry("the idle home without the adapter, once it is a home", 4.0, 1,
+			target(home, resident, load(4)), target(home, load(1))),
+		Entry("the holder when the other home is not much less loaded", 4.0, 0,
+			target(home, resident, load(3)), target(home, load(2))),
+		Entry("another holder when the home is above 1.25 of the mean", 8.0, 2,
+			target(home, resident, load(10)), target(), target(resident, load(5))),
+		Entry("the next calm rank when all holders are overloaded", 8.0, 2,
+			target(home, resident, load(10)), target(load(10)), target(load(9))),
+		Entry("the home at 1.25 of the mean", 8.0, 0, target(home, resident, load(9)), target()),
+		Entry("the home in an idle pool with two requests there", 0.1, 0,
+			target(home, resident, load(1)), target()),
+		Entry("the cheapest when all are overloaded", 2.0, 1,
+			target(home, load(9)), target(resident, load(8)), target(load(9))),
+		Entry("not an ejected home", 4.0, 1, target(home, resident, ejected), target()),
+		Entry("an ejected one rather than none", 4.0, 1, target(away), target(ejected)),
+		Entry("not a silent home", 4.0, 1, target(home, resident, silent), target()),
+		Entry("an ejected target rather than a silent one", 4.0, 0, target(ejected), target(silent)),
+		Entry("not a tried home", 4.0, 1, target(home, resident, tried), target()),
+		Entry("the faster of two about equally loaded homes", 4.0, 1,
+			target(home, resident, load(2), slow(2)), target(home, resident, load(3))),
+		Entry("little of a target that restarted", 4.0, 1,
+			target(home, resident, load(1), warm(0.2)), target(load(4))),
+		Entry("the warm one of two homes", 4.0, 1,
+			target(home, resident, warm(0.4)), target(home, resident, load(1))),
+		Entry("the cached prefix among about equal homes", 8.0, 1,
+			target(home, resident, load(7)), target(home, resident, load(8), prefix)),
+		Entry("not the cached prefix at a clearly busier home", 8.0, 0,
+			target(home, resident, load(4)), target(home, resident, load(8), prefix)),
+	)
+
+	// A pool in which every target is suspected must still serve.
+	It("picks a usable target whenever there is one", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			candidates := make([]picker.Candidate, rapid.IntRange(0, 6).Draw(t, "n"))
+			usable := false
+			for i := range candidates {
+				bit := func(name string) bool { return rapid.Bool().Draw(t, name) }
+				candidates[i] = picker.Candidate{
+					Home: bit("home"), Usable: bit("usable"), Ejected: bit("ejected"), Silent: bit("silent"),
+					Tried: bit("tried"), Resident: bit("resident"), PrefixHit: bit("prefix"),
+					Load: rapid.Float64Range(0, 20).Draw(t, "load"), Limit: rapid.IntRange(0, 16).Draw(t, "limit"),
+				}
+				usable = usable || candidates[i].Usable && !candidates[i].Tried
+			}
+			for _, policy := range []picker.Policy{picker.Affinity, picker.Random} {
+				i, ok := picker.New(policy, rand.New(rand.NewSource(1))).Pick(&picker.Request{MeanLoad: 4}, candidates)
+				if ok != usable || ok && (!candidates[i].Usable || candidates[i].Tried) {
+					t.Fatalf("policy %d picked %d, %v", policy, i, ok)
+				}
+			}
+		})
+	})
+
+	// The naive policy must stay naive: measurements compare with it.
+	It("ignores load and residency under Random", func() {
+		p := picker.New(picker.Random, rand.New(rand.NewSource(1)))
+		counts := make([]int, 3)
+		for range 3000 {
+			i, _ := p.Pick(&picker.Request{}, []picker.Candidate{target(home, resident), target(load(50)), target(ejected)})
+			counts[i]++
+		}
+		Expect(counts).To(HaveEach(BeNumerically("~", 1000, 150)))
+	})
+})
+
+var _ = Describe("Load", func() {
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+	It("counts own requests at once and in full", func() {
+		var l picker.Load
+		l.Report(at(0), 0)
+		l.Add(at(0.1), 5)
+		Expect(l.Estimate(at(0.1), 0)).To(BeNumerically("==", 5))
+		l.Add(at(0.2), -5)
+		Expect(l.Estimate(at(0.2), 0)).To(BeNumerically("==", 0))
+	})
+
+	// A report 2 s late that shows the entry's own past requests must not
+	// count them as those of others.
+	It("does not take its own requests in a late report for others'", func() {
+		var l picker.Load
+		own := func(s float64) int { return 4 + 3*(int(s)/2%2) }
+		last := 0
+		for s := 0.0; s < 30; s += 0.1 {
+			l.Add(at(s), own(s)-last)
+			last = own(s)
+			if s > 2 {
+				l.Report(at(s), own(s-2))
+			}
+		}
+		Expect(l.Others()).To(BeNumerically("<", 1.5))
+	})
+
+	It("sees the requests of other entries and trusts an old report less", func() {
+		var l picker.Load
+		for s := 0.0; s < 10; s++ {
+			l.Report(at(s), 6)
+		}
+		Expect(l.Estimate(at(9), 1)).To(BeNumerically("~", 6, 0.1))
+		Expect(l.Estimate(at(60), 1)).To(BeNumerically("~", 1, 0.1))
+	})
+
+	It("is warm after the slow start", func() {
+		Expect(picker.Warmth(at(0), time.Time{})).To(BeNumerically("==", 1))
+		Expect(picker.Warmth(at(0), at(0))).To(BeNumerically("~", 0.1, 0.01))
+		Expect(picker.Warmth(at(5), at(0))).To(BeNumerically("~", 0.5, 0.01))
+		Expect(picker.Warmth(at(20), at(0))).To(BeNumerically("==", 1))
+	})
+
+	It("follows a latency peak at once and forgets it with time", func() {
+		var l picker.Latency
+		l.Observe(at(0), 100*time.Millisecond)
+		l.Observe(at(0), 500*time.Millisecond)
+		Expect(l.Read(at(0))).To(Equal(500 * time.Millisecond))
+		l.Observe(at(0), 100*time.Millisecond)
+		Expect(l.Read(at(0))).To(Equal(400 * time.Millisecond))
+		Expect(l.Read(at(30))).To(BeNumerically("<", 30*time.Millisecond))
+	})
+})
+
+var _ = Describe("Outliers", func() {
+	const normal, slowly = 100 * time.Millisecond, 500 * time.Millisecond
+	var o *picker.Outliers
+	now := start
+	name := func(i int) string { return fmt.Sprint("t", i) }
+	// rounds feeds a pool in which the first slowCount targets are slow.
+	rounds := func(n, pool, slowCount int) {
+		for range n {
+			now = now.Add(200 * time.Millisecond)
+			for i := range pool {
+				sample := normal
+				if i < slowCount {
+					sample = slowly
+				}
+				o.Observe(now, name(i), sample)
+			}
+		}
+	}
+	ejectedCount := func(pool int) (n int) {
+		for i := range pool {
+			if o.Ejected(now, name(i)) {
+				n++
+			}
+		}
+		return n
+	}
+	BeforeEach(func() { o, now = picker.NewOutliers(), start })
+
+	DescribeTable("ejects", func(pool, usable, slowCount, want int) {
+		o.SetUsable(usable)
+		rounds(4, pool, slowCount)
+		Expect(ejectedCount(pool)).To(Equal(want))
+	},
+		Entry("two stragglers of 12", 12, 12, 2, 2),
+		Entry("at most a quarter", 12, 12, 5, 3),
+		Entry("at most a quarter of the usable ones", 12, 4, 2, 1),
+		Entry("none of a pool of three", 3, 3, 1, 0),
+		Entry("none without a straggler", 12, 12, 0, 0),
+		Entry("none when all are slow", 12, 12, 12, 0),
+	)
+
+	It("does not judge by one sample", func() {
+		o.SetUsable(12)
+		rounds(5, 12, 0)
+		o.Observe(now, name(0), slowly)
+		o.Observe(now, name(12), slowly)
+		Expect(ejectedCount(13)).To(BeZero())
+	})
+
+	It("sees a straggler by the age of its open attempts", func() {
+		o.SetUsable(12)
+		rounds(5, 12, 0)
+		for range 4 {
+			o.Overdue(now, name(0), slowly)
+			for range 5 {
+				o.Overdue(now, name(0), normal/2)
+			}
+		}
+		Expect(o.Ejected(now, name(0))).To(BeTrue(), "a short wait is no sample")
+	})
+
+	It("re-admits by a probe and waits longer after a failed one", func() {
+		o.SetUsable(12)
+		rounds(4, 12, 1)
+		now = now.Add(time.Second)
+		Expect(o.Ejected(now, name(0))).To(BeFalse(), "a probe is due")
+		o.Probed(now, name(0))
+		Expect(o.Ejected(now, name(0))).To(BeTrue(), "one probe at a time")
+		o.Observe(now, name(0), slowly)
+		now = now.Add(1500 * time.Millisecond)
+		Expect(o.Ejected(now, name(0))).To(BeTrue(), "the wait doubles")
+		now = now.Add(time.Second)
+		for i := range 12 {
+			o.Observe(now, name(i), normal)
+		}
+		Expect(o.Count()).To(BeZero())
+		o.Probed(now, name(0))
+		Expect(o.Ejected(now, name(0))).To(BeFalse())
+	})
+
+	It("frees its quota when a target is forgotten", func() {
+		o.SetUsable(4)
+		rounds(4, 4, 1)
+		Expect(o.Count()).To(Equal(1))
+		o.Forget(name(0))
+		o.Forget(name(0))
+		Expect(o.Count()).To(BeZero())
+	})
+})
+
+var _ = Describe("Hints", func() {
+	// The first version dropped all hints of a target when their number
+	// reached the bound, so that every adapter there was taken as absent.
+	It("drops only the oldest hint when full", func() {
+		h := picker.NewHints[int](3)
+		for i := range 3 {
+			h.Confirm(i)
+		}
+		h.Confirm(0)
+		h.Confirm(3)
+		Expect([]bool{h.Has(0), h.Has(1), h.Has(2), h.Has(3)}).To(Equal([]bool{true, false, true, true}))
+		h.Drop(0)
+		h.Drop(0)
+		Expect(h.Len()).To(Equal(2))
+	})
+
+	type event struct {
+		sequence        uint64
+		stored, evicted []uint64
+	}
+	DescribeTable("follow cache events", func(want []uint64, events ...event) {
+		p := picker.NewPrefixes()
+		p.Served(1)
+		for _, e := range events {
+			p.Event(e.sequence, e.stored, e.evicted)
+		}
+		var got []uint64
+		for hash := range uint64(10) {
+			if p.Has(hash) {
+				got = append(got, hash)
+			}
+		}
+		Expect(got).To(Equal(want))
+	},
+		Entry("in order", []uint64{1, 3}, event{5, []uint64{2}, nil}, event{6, []uint64{3}, []uint64{2}}),
+		Entry("a gap may hide evictions", []uint64{3}, event{5, []uint64{2}, nil}, event{7, []uint64{3}, nil}),
+		Entry("a late store does not count", []uint64{1, 2}, event{5, []uint64{2}, nil}, event{4, []uint64{3}, nil}),
+		Entry("a late eviction does", []uint64{1}, event{5, []uint64{2}, nil}, event{4, nil, []uint64{2}}),
+		Entry("the same event twice", []uint64{1, 2}, event{5, []uint64{2}, nil}, event{5, []uint64{2}, nil}),
+		Entry("no prefix is not a prefix", []uint64{1}, event{5, []uint64{0}, nil}),
+	)
+})
