dispatch: parallel attempts, deadlines, sessions on demand; retry, membership, reassembly

Cause: faults of the first version, each now with a test that fails without the fix (faults_test.go unless named otherwise): - A duplicated Reserved cancelled the request that it had started. - UnknownReservation after Run of a call that runs once was passed on as "not run" although the process that knew may have restarted: outcome_unknown. - A confirmed "not run" after Run let a call that runs once be sent again. - A later refusal overwrote the code of an attempt that had run, so the caller was told "not run"; a passed deadline overwrote the code of a refusal. - A lost session within an answer from a record was reported as "not run". - A new session without a reported loss of the old left calls to their total deadline; a resumed answer took frames of a restarted process. - After a change of a pool, retries used ranks of the new table as indexes of the old one; a removed target lost its running calls; a changed address left the old session in use and inFlight drifted. - Every frame behind a gap asked for the same chunks again; an end that overtook a chunk cut the answer. - A Refused with code OK finished a call as a success without an answer. - A duplicated load token was passed on twice. Every reply from a newer target asked for the configuration. Map order decided the order of actions.

New: hedges after min(95% quantile, 3 medians) within 5% of traffic, the loser cancelled; overload refusals go to one other target at most and are final while the pool refuses over 30%; first-token and total deadlines; timers in a heap; sessions on demand above 32 targets (128 at most, idle ones closed after 60 s); a load token goes to the most urgent need.

Not covered by a failing test: the second check in hedge() that no token arrived, because the wake time excludes it already.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -1,15 +1,14 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand"
+	"slices"
+	"strings"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/membership"
 	"agatelanding.example/agatelanding/internal/decide/picker"
-	"agatelanding.example/agatelanding/internal/decide/placement"
-	"agatelanding.example/agatelanding/internal/decide/reassembly"
-	"agatelanding.example/agatelanding/internal/decide/retry"
-	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/wire"
 )
@@ -19,24 +18,39 @@
 	cfg     Config
 	rec     Recorder
 	rng     *rand.Rand
-	retry   *retry.Policy
+	picker  *picker.Picker
 	members *membership.Tracker
 
 	snapshot *tables.Snapshot
-	rankers  map[string]*placement.Ranker
+	pools    map[string]*pool
 	targets  map[string]*target
-	calls    map[uint64]*call
-	grants   []wire.LoadGrant
-	actions  []Action
+	// order holds the targets sorted by name, for decisions over all.
+	order  []*target
+	calls  map[uint64]*call
+	timers timers
+	// onDemand counts the sessions on demand that are open or wanted.
+	onDemand  int
+	nextSweep time.Time
+	grants    grants
+	// refreshed is the revision that was last asked for, and when.
+	refreshed   uint64
+	refreshedAt time.Time
+	candidates  []picker.Candidate
+	ranked      []*target
+	actions     []Action
 }
 
 // New returns a dispatcher without a configuration.
 func New(cfg Config, rec Recorder) *Dispatcher {
+	if cfg.MaxSessions == 0 {
+		cfg.MaxSessions = DefaultMaxSessions
+	}
 	rng := rand.New(rand.NewSource(cfg.Seed))
 	return &Dispatcher{
 		cfg: cfg, rec: rec, rng: rng,
-		retry:   retry.New(cfg.Retry, rng),
+		picker:  picker.New(cfg.Pick, rng),
 		members: membership.New(),
+		pools:   make(map[string]*pool),
 		targets: make(map[string]*target),
 		calls:   make(map[uint64]*call),
 	}
@@ -50,248 +64,172 @@
 
 func (d *Dispatcher) act(a Action) { d.actions = append(d.actions, a) }
 
-// SetSnapshot puts a configuration in force.
+func (d *Dispatcher) send(t *target, message any) { d.act(Send{Target: t.Name, Message: message}) }
+
+// InFlight returns the number of open calls.
+func (d *Dispatcher) InFlight() int { return len(d.calls) }
+
+// Targets returns what the entry believes of its targets, by name.
+func (d *Dispatcher) Targets(now time.Time) []TargetView {
+	views := make([]TargetView, 0, len(d.order))
+	for _, t := range d.order {
+		views = append(views, TargetView{
+			Name: t.Name, Pool: t.pool.row.Name, Connected: d.connected(t), Usable: d.members.Usable(now, t.Name),
+			Ejected: t.pool.outliers.Ejected(now, t.Name), InFlight: len(t.open), Resident: t.resident.Len(),
+			Latency: t.latency.Read(now),
+		})
+	}
+	return views
+}
+
+// SetSnapshot puts a configuration in force. Targets that are no longer named
+// get no new work; their open attempts end first.
 func (d *Dispatcher) SetSnapshot(now time.Time, s *tables.Snapshot) []Action {
 	d.snapshot = s
-	d.rankers = make(map[string]*placement.Ranker)
 	seen := make(map[string]bool)
-	for name, pool := range s.Pools() {
-		d.rankers[name] = rankerOf(pool)
-		for _, t := range pool.Targets {
+	var moved []*target
+	for _, name := range slices.Sorted(maps.Keys(s.Pools())) {
+		row, _ := s.Pool(name)
+		p, ok := d.pools[name]
+		if !ok {
+			p = d.newPool()
+			d.pools[name] = p
+		}
+		list := make([]*target, len(row.Targets))
+		for i, t := range row.Targets {
 			seen[t.Name] = true
-			d.setTarget(name, t)
+			if old, ok := d.targets[t.Name]; ok && old.Address != t.Address {
+				moved = append(moved, old)
+				d.detach(old)
+			}
+			list[i] = d.setTarget(p, row, t)
 		}
-	}
-	for name := range d.targets {
-		if !seen[name] {
-			delete(d.targets, name)
-			d.act(Disconnect{Target: name})
+		p.setTargets(row, list)
+	}
+	maps.DeleteFunc(d.pools, func(name string, _ *pool) bool { _, ok := s.Pool(name); return !ok })
+	d.removeUnseen(seen)
+	d.setOrder()
+	d.members.Forget(func(name string) bool { return d.targets[name] != nil })
+	d.countOnDemand()
+	for _, t := range d.order {
+		if !t.removed && !t.pool.onDemand() {
+			d.connect(now, t)
 		}
-	}
-	d.members.Forget(func(name string) bool { return seen[name] })
-	for name, t := range d.targets {
-		if d.members.Status(name).Connected {
+		if d.connected(t) {
 			d.sendPool(t)
 		}
 	}
-	return d.take()
-}
-
-func rankerOf(pool *tables.Pool) *placement.Ranker {
-	list := make([]placement.Target, len(pool.Targets))
-	for i, t := range pool.Targets {
-		list[i] = placement.Target{Name: t.Name, FailureDomain: t.FailureDomain}
+	for _, t := range moved {
+		d.failAll(now, t, "the target moved")
 	}
-	return placement.NewRanker(list)
+	return d.take()
 }
 
-func (d *Dispatcher) setTarget(pool string, row tables.Target) {
+func (d *Dispatcher) setTarget(p *pool, poolRow *tables.Pool, row tables.Target) *target {
 	t, ok := d.targets[row.Name]
-	if !ok || t.Address != row.Address {
-		t = &target{resident: make(map[string]time.Time)}
-		d.targets[row.Name] = t
-		d.act(Connect{Target: row.Name, Address: row.Address})
-	}
-	t.Target = row
-	t.pool = pool
-}
-
-// sendPool gives a target its pool's row.
-func (d *Dispatcher) sendPool(t *target) {
-	row, err := d.snapshot.PoolRowJSON(t.pool)
-	if err != nil {
-		return
+	if ok && t.pool != p {
+		t.moveTo(p)
 	}
-	d.act(Send{Target: t.Name, Message: &wire.PoolUpdate{
-		Revision: d.snapshot.Revision, Digest: d.snapshot.PoolDigest(t.pool),
-		Row: row, LoadMembers: d.snapshot.LoadMembers(),
-	}})
-}
-
-// SessionUp records a session with a target.
-func (d *Dispatcher) SessionUp(now time.Time, name string, hello *wire.Hello) []Action {
-	t, ok := d.targets[name]
 	if !ok {
-		d.act(Disconnect{Target: name})
-		return d.take()
-	}
-	d.members.SessionUp(now, name, hello.Incarnation)
-	if hello.State == wire.StateLeaving {
-		d.members.Leaving(name)
-	}
-	sameProcess := t.incarnation == hello.Incarnation
-	t.incarnation = hello.Incarnation
-	d.heard(hello.Revision)
-	d.sendPool(t)
-	for _, c := range d.calls {
-		if c.target != name || c.phase != phaseResuming {
-			continue
-		}
-		if !sameProcess {
-			d.failed(now, c, d.lostCode(c), 0, "the target process restarted")
-			continue
+		t = &target{
+			pool:     p,
+			resident: picker.NewHints[string](poolRow.Slots),
+			prefixes: picker.NewPrefixes(),
 		}
-		c.phase = phaseRunning
-		c.wakeAt = c.totalDeadline()
-		d.rec.Count("resumed_answers")
-		d.act(Send{Target: name, Message: &wire.Resume{ID: d.id(c), From: c.answer.Next()}})
+		d.targets[row.Name] = t
 	}
-	return d.take()
+	t.Target = row
+	t.removed = false
+	return t
 }
 
-// SessionDown records the loss of a session. Requests that were not sent go
-// elsewhere; running ones wait for a new session to the same process.
-func (d *Dispatcher) SessionDown(now time.Time, name string) []Action {
-	d.members.SessionDown(name)
-	for _, c := range d.calls {
-		if c.target != name {
+func (d *Dispatcher) removeUnseen(seen map[string]bool) {
+	for _, t := range d.order {
+		if seen[t.Name] || d.targets[t.Name] != t {
 			continue
 		}
-		switch c.phase {
-		case phaseReserving:
-			d.failed(now, c, result.SessionLost, 0, "")
-		case phaseRunning:
-			c.phase = phaseResuming
-			c.wakeAt = now.Add(ResumeWait)
+		t.removed = true
+		if len(t.open) == 0 {
+			d.retire(t)
 		}
 	}
-	return d.take()
 }
 
-// lostCode is the code of a running attempt whose end is not known.
-func (d *Dispatcher) lostCode(c *call) result.Code {
-	if c.Route.Repeatable {
-		return result.AnswerCut
+// countOnDemand counts the sessions on demand again, because a pool that
+// crossed AllToAllTargets changes which sessions these are.
+func (d *Dispatcher) countOnDemand() {
+	d.onDemand = 0
+	for _, t := range d.order {
+		if t.wanted && t.pool.onDemand() {
+			d.onDemand++
+		}
 	}
-	return result.OutcomeUnknown
 }
 
-// TargetLeaving records that a target stops.
-func (d *Dispatcher) TargetLeaving(name string) []Action {
-	d.members.Leaving(name)
-	return d.take()
-}
-
-// ListLeaving records what the VM list says of a target.
-func (d *Dispatcher) ListLeaving(name string, leaving bool) { d.members.ListLeaving(name, leaving) }
-
-// heard notes the revision that a target holds.
-func (d *Dispatcher) heard(revision uint64) {
-	if d.snapshot != nil && revision > d.snapshot.Revision {
-		d.act(Refresh{Revision: revision})
+func (d *Dispatcher) setOrder() {
+	d.order = d.order[:0]
+	for _, t := range d.targets {
+		d.order = append(d.order, t)
 	}
+	slices.SortFunc(d.order, func(a, b *target) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// Submit takes a new call.
-func (d *Dispatcher) Submit(now time.Time, in *Call) []Action {
-	c := &call{Call: in, tried: make(map[string]bool)}
-	d.calls[in.Number] = c
-	d.retry.Admit()
-	d.start(now, c)
-	return d.take()
-}
-
-// Abort ends a call whose caller is gone.
-func (d *Dispatcher) Abort(now time.Time, number uint64) []Action {
-	c, ok := d.calls[number]
-	if !ok {
-		return d.take()
-	}
-	if c.phase == phaseReserving || c.phase == phaseRunning {
-		d.act(Send{Target: c.target, Message: &wire.Cancel{ID: d.id(c)}})
+// sendPool gives a target its pool's row.
+func (d *Dispatcher) sendPool(t *target) {
+	p := t.pool
+	if t.removed {
+		return
 	}
-	d.finish(c, Outcome{Code: result.CallerGone})
-	return d.take()
-}
-
-func (d *Dispatcher) id(c *call) wire.AttemptID {
-	return wire.AttemptID{
-		Request: wire.RequestID{Entry: d.cfg.Entry, Incarnation: d.cfg.Incarnation, Number: c.Number},
-		Attempt: c.attempt,
+	if p.update == nil || p.update.Revision != d.snapshot.Revision {
+		row, err := d.snapshot.PoolRowJSON(p.row.Name)
+		if err != nil {
+			return
+		}
+		p.update = &wire.PoolUpdate{
+			Revision: d.snapshot.Revision, Digest: d.snapshot.PoolDigest(p.row.Name),
+			Row: row, LoadMembers: d.snapshot.LoadMembers(),
+		}
 	}
+	d.send(t, p.update)
 }
 
-// start begins an attempt.
-func (d *Dispatcher) start(now time.Time, c *call) {
-	left := c.firstTokenDeadline().Sub(now)
-	if left <= 0 {
-		d.finish(c, Outcome{Code: result.DeadlinePassed, RetryAfter: c.retryAfter})
+// heard notes the revision that a target holds. Every reply carries one, so
+// the configuration is asked for once a second at most.
+func (d *Dispatcher) heard(now time.Time, revision uint64) {
+	if d.snapshot == nil || revision <= d.snapshot.Revision {
 		return
 	}
-	name, ok := d.pick(now, c)
-	if !ok {
-		code := result.NoTarget
-		if c.lastCode != result.OK {
-			code = c.lastCode
-		}
-		d.finish(c, Outcome{Code: code, RetryAfter: max(c.retryAfter, baseRetryAfter), Detail: "no further target"})
+	if revision <= d.refreshed && now.Sub(d.refreshedAt) < time.Second {
 		return
 	}
-	c.attempt++
-	c.target = name
-	c.tried[name] = true
-	c.phase = phaseReserving
-	c.answer = reassembly.New(c.attempt)
-	c.sentAt = now
-	c.wakeAt = now.Add(min(ReserveTimeout, left))
-	d.targets[name].inFlight++
-	d.act(Send{Target: name, Message: d.reserve(c, left)})
+	d.refreshed, d.refreshedAt = revision, now
+	d.act(Refresh{Revision: revision})
 }
 
-const baseRetryAfter = 200 * time.Millisecond
-
-func (d *Dispatcher) reserve(c *call, left time.Duration) *wire.Reserve {
-	return &wire.Reserve{
-		ID: d.id(c), Pool: c.Pool.Name, Adapter: c.Route.Adapter, Version: c.Route.Version,
-		Class: c.Class.Name, BudgetMS: left.Milliseconds(), Tokens: c.Tokens,
-		Repeatable: c.Route.Repeatable, Key: c.Key, KeyTimeMS: c.KeyTimeMS, BodyDigest: c.BodyDigest,
-		Revision: c.Revision, PoolDigest: c.PoolDigest, PrefixHash: c.PrefixHash,
-	}
-}
-
-// pick chooses a target. A call that may not be repeated goes to the home of
-// its key and nowhere else.
-func (d *Dispatcher) pick(now time.Time, c *call) (string, bool) {
-	ranker, ok := d.rankers[c.Pool.Name]
-	if !ok {
-		return "", false
-	}
-	if !c.Route.Repeatable {
-		home := c.Pool.Targets[ranker.Rank(c.Key, 1)[0]].Name
-		return home, d.members.Usable(home)
-	}
-	key := c.Pool.BaseModel + "/" + c.Route.Adapter
-	if c.Route.Adapter == "" {
-		key = c.Method + c.Path
+// Submit takes a new call.
+func (d *Dispatcher) Submit(now time.Time, in *Call) []Action {
+	if _, ok := d.calls[in.Number]; ok {
+		d.rec.Count("duplicate_submits")
+		return d.take()
 	}
-	candidates := d.candidates(now, c, ranker.Rank(key, len(c.Pool.Targets)))
-	i, ok := picker.New(d.cfg.Pick, d.rng).Pick(&picker.Request{}, candidates)
-	if !ok {
-		return "", false
+	c := &call{Call: *in, heapIndex: -1}
+	d.calls[c.Number] = c
+	if p := d.poolOf(c); p != nil {
+		p.retry.Admit()
+		p.hedger.Admit()
+		c.placementKey = d.placementKey(p, c)
+		p.homes.Arrived(now, c.placementKey)
 	}
-	return candidates[i].Name, true
+	d.start(now, c)
+	return d.take()
 }
 
-// candidates describes the first ranks that are usable.
-func (d *Dispatcher) candidates(now time.Time, c *call, ranks []int) []picker.Candidate {
-	list := make([]picker.Candidate, 0, candidateCount)
-	for _, index := range ranks {
-		row := c.Pool.Targets[index]
-		t, ok := d.targets[row.Name]
-		if !ok || row.Draining || !d.members.Usable(row.Name) || c.tried[row.Name] {
-			continue
-		}
-		_, resident := t.resident[residencyKey(c.Route)]
-		list = append(list, picker.Candidate{
-			Name: row.Name, Home: len(list) == 0, Usable: true, Warmth: 1,
-			Load: float64(max(t.inFlight, t.load.Queued+t.load.Running)), Limit: t.load.Limit,
-			Resident: resident,
-		})
-		if len(list) == candidateCount {
-			break
-		}
+// Abort ends a call whose caller is gone.
+func (d *Dispatcher) Abort(now time.Time, number uint64) []Action {
+	if c, ok := d.calls[number]; ok {
+		d.finish(now, c, Outcome{Code: callerGone})
 	}
-	return list
+	return d.take()
 }
 
-func residencyKey(r *tables.Route) string { return r.Adapter + "@" + r.Version }
+func (d *Dispatcher) poolOf(c *call) *pool { return d.pools[c.Pool.Name] }
--- /dev/null
+++ b/internal/decide/dispatch/fake_test.go
@@ -0,0 +1,230 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand"
+
+	"agatelanding.example/agatelanding/internal/decide/reassembly"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+// fakeJob is a reservation or an execution at a fake target.
+type fakeJob struct {
+	reserve *wire.Reserve
+	running bool
+	chunks  [][]byte
+	end     *wire.End
+}
+
+// fakeTarget is a small target process. It is honest: it says that a request
+// was not run only if it did not run it and is the process that would know.
+type fakeTarget struct {
+	name        string
+	incarnation int64
+	up          bool
+	jobs        map[wire.AttemptID]*fakeJob
+	// order holds the attempts in the order of their reservations, so that
+	// a failing run can be repeated.
+	order []wire.AttemptID
+	// records holds the answers by key; keys of a process before are unknown.
+	records map[string]*fakeJob
+	lost    map[string]bool
+	// toTarget and toEntry are the messages under way on the session, and
+	// old are those of sessions that ended.
+	toTarget, toEntry, old []any
+	// calm is true while the target refuses nothing.
+	calm bool
+	// executed is called for each execution.
+	executed func(*wire.Reserve)
+}
+
+func newFake(name string, executed func(*wire.Reserve)) *fakeTarget {
+	return &fakeTarget{name: name, incarnation: 1, calm: true, jobs: make(map[wire.AttemptID]*fakeJob),
+		records: make(map[string]*fakeJob), lost: make(map[string]bool), executed: executed}
+}
+
+func (f *fakeTarget) reply(message any) {
+	if f.up {
+		f.toEntry = append(f.toEntry, message)
+	}
+}
+
+// sessionEnds drops unused reservations and keeps what was under way as late
+// messages.
+func (f *fakeTarget) sessionEnds() {
+	f.up = false
+	f.old = append(f.old, f.toEntry...)
+	f.toEntry, f.toTarget = nil, nil
+	for id, j := range f.jobs {
+		if !j.running && j.end == nil {
+			f.drop(id, j)
+		}
+	}
+}
+
+func (f *fakeTarget) drop(id wire.AttemptID, j *fakeJob) {
+	delete(f.jobs, id)
+	if f.records[j.reserve.Key] == j {
+		delete(f.records, j.reserve.Key)
+	}
+}
+
+func (f *fakeTarget) restarts() {
+	f.sessionEnds()
+	f.incarnation++
+	clear(f.jobs)
+	f.order = nil
+	for key := range f.records {
+		f.lost[key] = true
+	}
+	clear(f.records)
+}
+
+var fakeRefusals = []result.Code{result.QueueFull, result.BudgetExceeded, result.AdapterLoadFailed, result.TargetLeaving, result.StaleConfiguration}
+
+// draw returns a number up to limit, and 0 while the target is calm.
+func (f *fakeTarget) draw(rng *rand.Rand, limit int) int {
+	if f.calm {
+		return 0
+	}
+	return rng.Intn(limit + 1)
+}
+
+// take handles a message from the entry.
+func (f *fakeTarget) take(rng *rand.Rand, message any) {
+	switch m := message.(type) {
+	case *wire.Reserve:
+		f.reserve(rng, m)
+	case *wire.Run:
+		f.run(rng, m)
+	case *wire.Cancel:
+		f.cancel(m)
+	case *wire.Resume:
+		f.resume(m)
+	}
+}
+
+func (f *fakeTarget) reserve(rng *rand.Rand, m *wire.Reserve) {
+	if f.jobs[m.ID] != nil {
+		return
+	}
+	j := &fakeJob{reserve: m}
+	if !m.Repeatable {
+		if f.lost[m.Key] {
+			f.reply(&wire.Refused{ID: m.ID, Code: result.KeyUnknown})
+			return
+		}
+		if r := f.records[m.Key]; r != nil {
+			f.replay(m, r)
+			return
+		}
+	}
+	if pick := f.draw(rng, 19) - 15; pick >= 0 {
+		f.reply(&wire.Refused{ID: m.ID, Code: fakeRefusals[pick], RetryAfterMS: 5})
+		return
+	}
+	f.jobs[m.ID] = j
+	f.order = append(f.order, m.ID)
+	if !m.Repeatable {
+		f.records[m.Key] = j
+	}
+	f.reply(&wire.Reserved{ID: m.ID})
+}
+
+func (f *fakeTarget) replay(m *wire.Reserve, r *fakeJob) {
+	if r.end == nil {
+		f.reply(&wire.Refused{ID: m.ID, Code: result.KeyInProgress})
+		return
+	}
+	for i, data := range r.chunks {
+		f.reply(&wire.Chunk{ID: m.ID, Sequence: uint32(i), Data: data})
+	}
+	end := *r.end
+	end.ID = m.ID
+	f.reply(&end)
+}
+
+func (f *fakeTarget) run(rng *rand.Rand, m *wire.Run) {
+	j := f.jobs[m.ID]
+	if j == nil {
+		f.reply(&wire.End{ID: m.ID, Code: result.UnknownReservation})
+		return
+	}
+	if j.running || j.end != nil {
+		return
+	}
+	if f.draw(rng, 9) == 9 {
+		f.drop(m.ID, j)
+		f.reply(&wire.End{ID: m.ID, Code: []result.Code{result.DeadlinePassed, result.ReservationExpired}[rng.Intn(2)]})
+		return
+	}
+	j.running = true
+	f.executed(j.reserve)
+}
+
+func (f *fakeTarget) cancel(m *wire.Cancel) {
+	j := f.jobs[m.ID]
+	switch {
+	case j == nil || j.end != nil:
+	case !j.running:
+		f.drop(m.ID, j)
+		f.reply(&wire.End{ID: m.ID, Code: result.CancelledNotRun})
+	case j.reserve.Repeatable:
+		f.finish(j, result.Cancelled)
+	}
+}
+
+func (f *fakeTarget) resume(m *wire.Resume) {
+	j := f.jobs[m.ID]
+	if j == nil || int(m.From) > len(j.chunks) {
+		f.reply(&wire.End{ID: m.ID, Code: result.UnknownReservation})
+		return
+	}
+	for i := int(m.From); i < len(j.chunks); i++ {
+		f.reply(&wire.Chunk{ID: m.ID, Sequence: uint32(i), Data: j.chunks[i]})
+	}
+	if j.end != nil {
+		f.reply(j.end)
+	}
+}
+
+func (f *fakeTarget) finish(j *fakeJob, code result.Code) {
+	sum := uint32(0)
+	for _, data := range j.chunks {
+		sum = reassembly.Checksum(sum, data)
+	}
+	j.running = false
+	j.end = &wire.End{ID: j.reserve.ID, Code: code, Chunks: uint32(len(j.chunks)), Checksum: sum,
+		Adapter: j.reserve.Adapter, Version: j.reserve.Version}
+	f.reply(j.end)
+}
+
+// chunk sends a piece of an answer that no other attempt has.
+func (f *fakeTarget) chunk(id wire.AttemptID, j *fakeJob) {
+	data := fmt.Appendf(nil, "<%s %d %d.%d>", f.name, f.incarnation, id.Attempt, len(j.chunks))
+	f.reply(&wire.Chunk{ID: id, Sequence: uint32(len(j.chunks)), Data: data})
+	j.chunks = append(j.chunks, data)
+}
+
+// work advances one running job by a chunk or to its end.
+func (f *fakeTarget) work(rng *rand.Rand) {
+	for _, id := range f.order {
+		j := f.jobs[id]
+		if j == nil || !j.running {
+			continue
+		}
+		switch step := rng.Intn(10); {
+		case step < 5:
+			f.chunk(id, j)
+		case step < 8:
+			f.finish(j, result.OK)
+		case step == 8 && j.reserve.Repeatable:
+			f.finish(j, result.EngineFailed)
+		case step == 9 && j.reserve.Adapter != "":
+			f.finish(j, result.OK)
+			j.end.Adapter = "another"
+		}
+		return
+	}
+}
--- a/internal/decide/dispatch/replies.go
+++ b/internal/decide/dispatch/replies.go
@@ -1,42 +1,47 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/reassembly"
-	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
-const (
-	// maxResident bounds the residency hints kept for one target.
-	maxResident = 256
-)
+// latencyUnit is the latency that stands for the median of a kind of request,
+// so that targets are comparable whatever mix of requests they got.
+const latencyUnit = 100 * time.Millisecond
 
-// find returns the call that a frame belongs to, or nil for a late, crossed
-// or duplicated one.
-func (d *Dispatcher) find(name string, id wire.AttemptID) *call {
+// find returns the attempt that a frame belongs to, or nil for a late,
+// crossed or duplicated one.
+func (d *Dispatcher) find(name string, id wire.AttemptID) *attempt {
 	if id.Request.Entry != d.cfg.Entry || id.Request.Incarnation != d.cfg.Incarnation {
 		return nil
 	}
 	c, ok := d.calls[id.Request.Number]
-	if !ok || c.attempt != id.Attempt || c.target != name {
+	if !ok {
 		return nil
 	}
-	return c
+	for _, a := range c.attempts {
+		if a.number == id.Attempt && a.target.Name == name {
+			return a
+		}
+	}
+	return nil
 }
 
 // Message takes a message from a target.
 func (d *Dispatcher) Message(now time.Time, name string, message any) []Action {
+	d.members.Heard(name)
 	switch m := message.(type) {
 	case *wire.Reserved:
 		d.observe(now, name, m.Load)
 		d.reserved(now, name, m)
 	case *wire.Refused:
 		d.observe(now, name, m.Load)
-		if c := d.find(name, m.ID); c != nil && c.phase == phaseReserving {
-			d.failed(now, c, m.Code, time.Duration(m.RetryAfterMS)*time.Millisecond, m.Detail)
+		if a := d.find(name, m.ID); a != nil && a.phase == phaseReserving {
+			d.failed(now, a, d.codeOf(a, m.Code), time.Duration(m.RetryAfterMS)*time.Millisecond, m.Detail)
 		}
 	case *wire.Chunk:
 		d.chunk(now, name, m)
@@ -46,153 +51,147 @@
 	case *wire.Pong:
 		d.observe(now, name, m.Load)
 	case *wire.LoadGrant:
-		d.grants = append(d.grants, *m)
-		d.forwardGrants(now)
+		d.grant(now, m)
 	case *wire.Leaving:
-		d.members.Leaving(name)
+		d.leaving(name)
 	}
 	return d.take()
 }
 
 func (d *Dispatcher) reserved(now time.Time, name string, m *wire.Reserved) {
-	c := d.find(name, m.ID)
-	if c == nil || c.phase != phaseReserving {
+	a := d.find(name, m.ID)
+	if a == nil {
 		// The call is over or elsewhere; the target need not wait for the
 		// end of the reservation.
 		d.act(Send{Target: name, Message: &wire.Cancel{ID: m.ID}})
 		return
 	}
-	c.phase = phaseRunning
-	c.wakeAt = c.totalDeadline()
-	d.act(Send{Target: name, Message: &wire.Run{ID: m.ID, Method: c.Method, Path: c.Path, Body: c.Body, Stream: c.Stream}})
+	if a.phase != phaseReserving {
+		// A duplicated answer. The attempt runs and must not be cancelled.
+		return
+	}
+	c := a.call
+	a.phase = phaseRunning
+	a.sent = true
+	a.incarnation = d.members.Status(name).Incarnation
+	a.wakeAt = c.totalDeadline()
+	if key := c.residencyKey(); key != "" {
+		// The target loads the adapter now if it was absent, so the next
+		// request for it belongs there too.
+		a.target.resident.Confirm(key)
+	}
+	d.send(a.target, &wire.Run{ID: m.ID, Method: c.Method, Path: c.Path, Body: c.Body, Stream: c.Stream})
+	d.schedule(c)
+}
+
+// codeOf returns the code to use for a code that a target sent. After Run has
+// left, only the process that got it can say that it did not run; a process
+// that does not know the request cannot.
+func (d *Dispatcher) codeOf(a *attempt, code result.Code) result.Code {
+	execution := code.Info().Execution
+	switch {
+	case code == result.OK || execution == result.NotARequest:
+		return result.Internal
+	case execution != result.NotRun:
+		return code
+	case code == result.UnknownReservation || code == result.SessionLost || a.call.answer.Winner() == a.number:
+		if lost := d.lostCode(a); lost != result.SessionLost {
+			return lost
+		}
+	}
+	return code
 }
 
 func (d *Dispatcher) chunk(now time.Time, name string, m *wire.Chunk) {
-	c := d.find(name, m.ID)
-	if c == nil {
+	a := d.find(name, m.ID)
+	if a == nil {
 		d.rec.Count("late_chunks_dropped")
 		return
 	}
+	c := a.call
 	first := !c.answer.Started()
 	switch c.answer.Chunk(m.ID.Attempt, m.Sequence, m.Data) {
 	case reassembly.Accept:
 		if first {
-			d.observeLatency(name, now.Sub(c.sentAt))
+			d.won(now, a)
 		}
 		d.act(Deliver{Number: c.Number, Data: m.Data})
 	case reassembly.Gap:
 		d.rec.Count("chunk_gaps")
-		d.act(Send{Target: name, Message: &wire.Resume{ID: m.ID, From: c.answer.Next()}})
+		d.send(a.target, &wire.Resume{ID: m.ID, From: c.answer.Next(a.number)})
 	default:
 		d.rec.Count("late_chunks_dropped")
 	}
 }
 
-func (d *Dispatcher) end(now time.Time, name string, m *wire.End) {
-	c := d.find(name, m.ID)
-	if c == nil {
-		d.rec.Count("late_ends_dropped")
-		return
-	}
-	code := m.Code
-	if code == result.UnknownReservation && c.phase == phaseRunning && c.answer.Started() {
-		code = d.lostCode(c)
-	}
-	if code == result.OK {
-		whole, mine := c.answer.End(m.ID.Attempt, m.Chunks, m.Checksum)
-		if !mine {
-			return
+// won records that an attempt began to answer, and cancels the other one.
+func (d *Dispatcher) won(now time.Time, a *attempt) {
+	c := a.call
+	d.firstToken(now, a)
+	c.target = a.target.Name
+	for _, other := range slices.Clone(c.attempts) {
+		if other == a {
+			continue
+		}
+		d.cancel(other)
+		d.release(now, other)
+		if a.hedge {
+			d.rec.Count("hedges_won")
+		} else {
+			d.rec.Count("hedges_lost")
 		}
-		code = whole
-	}
-	if code != result.OK {
-		d.failed(now, c, code, time.Duration(m.RetryAfterMS)*time.Millisecond, m.Detail)
-		return
-	}
-	if m.Adapter != "" {
-		d.noteResident(now, name, m.Adapter+"@"+m.Version)
 	}
-	d.finish(c, Outcome{
-		Code: result.OK, Status: m.Status, ContentType: m.ContentType, Adapter: m.Adapter, Version: m.Version,
-	})
+	d.schedule(c)
 }
 
-// failed ends an attempt and decides whether another one follows.
-func (d *Dispatcher) failed(now time.Time, c *call, code result.Code, after time.Duration, detail string) {
-	d.release(c)
-	c.retryAfter = max(c.retryAfter, after)
-	c.lastCode = code
-	decision := d.retry.Next(retry.Attempt{
-		Code: code, Number: int(c.attempt), Repeatable: c.Route.Repeatable,
-		Delivered: c.Stream && c.answer.Started(), Left: c.firstTokenDeadline().Sub(now),
-	})
-	if decision.Stop != retry.Retry {
-		d.rec.NotRetried(decision.Stop)
-		d.finish(c, Outcome{Code: code, Detail: detail, RetryAfter: c.retryAfter})
+func (d *Dispatcher) end(now time.Time, name string, m *wire.End) {
+	a := d.find(name, m.ID)
+	if a == nil {
+		d.rec.Count("late_ends_dropped")
 		return
 	}
-	d.rec.Retried(code)
-	if c.answer.Started() {
-		d.act(Discard{Number: c.Number})
-	}
-	c.phase = phaseWaiting
-	c.wakeAt = now.Add(decision.Delay)
-	if decision.Delay == 0 {
-		d.start(now, c)
+	c := a.call
+	after := time.Duration(m.RetryAfterMS) * time.Millisecond
+	if m.Code != result.OK {
+		d.failed(now, a, d.codeOf(a, m.Code), after, m.Detail)
+		return
 	}
-}
-
-// release takes an attempt off its target's count.
-func (d *Dispatcher) release(c *call) {
-	if c.phase == phaseWaiting {
+	if c.Route.Adapter != "" && (m.Adapter != c.Route.Adapter || m.Version != c.Route.Version) {
+		d.failed(now, a, result.WrongAdapter, 0, "answered with "+m.Adapter+"@"+m.Version)
 		return
 	}
-	if t, ok := d.targets[c.target]; ok && t.inFlight > 0 {
-		t.inFlight--
+	first := !c.answer.Started()
+	switch c.answer.End(m.ID.Attempt, m.Chunks, m.Checksum) {
+	case reassembly.Whole:
+		if first {
+			d.won(now, a)
+		}
+		d.succeed(now, a, m)
+	case reassembly.Cut:
+		d.failed(now, a, result.AnswerCut, 0, "chunks are missing or damaged")
+	case reassembly.Gap:
+		d.rec.Count("chunk_gaps")
+		d.send(a.target, &wire.Resume{ID: m.ID, From: c.answer.Next(a.number)})
+	default:
+		d.rec.Count("late_ends_dropped")
 	}
-	c.phase = phaseWaiting
 }
 
-func (d *Dispatcher) finish(c *call, o Outcome) {
-	d.release(c)
-	delete(d.calls, c.Number)
-	o.Attempts = int(c.attempt)
-	o.Target = c.target
-	if o.Code != result.OK {
-		d.rec.Refused(o.Code)
+func (d *Dispatcher) succeed(now time.Time, a *attempt, m *wire.End) {
+	c := a.call
+	if key := residencyKey(m.Adapter, m.Version); key != "" {
+		a.target.resident.Confirm(key)
 	}
-	d.act(Finish{Number: c.Number, Outcome: o})
-}
-
-// Tick runs everything that depends on time.
-func (d *Dispatcher) Tick(now time.Time) []Action {
-	for _, c := range d.calls {
-		if now.Before(c.wakeAt) {
-			continue
-		}
-		d.wake(now, c)
+	if c.PrefixHash != 0 {
+		a.target.prefixes.Served(c.PrefixHash)
 	}
-	d.forwardGrants(now)
-	return d.take()
-}
-
-func (d *Dispatcher) wake(now time.Time, c *call) {
-	switch c.phase {
-	case phaseWaiting:
-		d.start(now, c)
-	case phaseReserving:
-		d.act(Send{Target: c.target, Message: &wire.Cancel{ID: d.id(c)}})
-		d.failed(now, c, result.SessionLost, 0, "no answer to the reservation")
-	case phaseResuming:
-		d.failed(now, c, d.lostCode(c), 0, "the session was lost")
-	case phaseRunning:
-		d.act(Send{Target: c.target, Message: &wire.Cancel{ID: d.id(c)}})
-		code := result.Cancelled
-		if !c.Route.Repeatable {
-			code = result.OutcomeUnknown
-		}
-		d.finish(c, Outcome{Code: code, Detail: "the total budget of the class ended"})
+	if p := d.poolOf(c); p != nil {
+		p.retry.Ended(result.OK)
 	}
+	d.release(now, a)
+	d.finish(now, c, Outcome{
+		Code: result.OK, Status: m.Status, ContentType: m.ContentType, Adapter: m.Adapter, Version: m.Version,
+	})
 }
 
 // observe takes a load report into account.
@@ -201,74 +200,62 @@
 	if !ok {
 		return
 	}
-	if load.Incarnation != t.load.Incarnation {
-		clear(t.resident)
+	if load.Incarnation != t.report.Incarnation {
+		if t.report.Incarnation != 0 {
+			t.restarted = now
+		}
+		t.forget()
+	}
+	t.report = load
+	if d.connected(t) {
+		t.pool.others -= t.load.Others()
+		t.load.Report(now, load.Queued+load.Running)
+		t.pool.others += t.load.Others()
 	}
-	t.load = load
 	if load.State == wire.StateLeaving {
 		d.members.Leaving(name)
 	}
-	d.heard(load.Revision)
+	d.heard(now, load.Revision)
 	d.forwardGrants(now)
 }
 
-func (d *Dispatcher) observeLatency(name string, sample time.Duration) {
-	t, ok := d.targets[name]
-	if !ok {
+// firstToken takes the latency of the first token of an attempt. One that
+// waited for an adapter load says nothing about the target's speed.
+func (d *Dispatcher) firstToken(now time.Time, a *attempt) {
+	if !a.resident {
 		return
 	}
-	if sample > t.latency {
-		t.latency = sample
-		return
+	p, kind, sample := a.target.pool, a.call.kind(), now.Sub(a.started)
+	p.hedger.Observe(kind, sample)
+	if relative, ok := p.hedger.Relative(kind, sample); ok {
+		latency := time.Duration(relative * float64(latencyUnit))
+		a.target.latency.Observe(now, latency)
+		d.stateChanged(p.outliers.Observe(now, a.target.Name, latency))
 	}
-	t.latency += (sample - t.latency) / 8
 }
 
-func (d *Dispatcher) noteResident(now time.Time, name, key string) {
-	t, ok := d.targets[name]
-	if !ok {
+// overdue takes the age of an attempt that has no first token yet.
+func (d *Dispatcher) overdue(now time.Time, a *attempt) {
+	if !a.resident {
 		return
 	}
-	if len(t.resident) >= maxResident {
-		clear(t.resident)
+	p := a.target.pool
+	if relative, ok := p.hedger.Relative(a.call.kind(), now.Sub(a.started)); ok {
+		latency := time.Duration(relative * float64(latencyUnit))
+		d.stateChanged(p.outliers.Overdue(now, a.target.Name, latency))
 	}
-	t.resident[key] = now
 }
 
-// forwardGrants passes load tokens to the target with the most urgent need.
-func (d *Dispatcher) forwardGrants(now time.Time) {
-	kept := d.grants[:0]
-	for _, g := range d.grants {
-		if g.ExpiresMS <= now.UnixMilli() {
-			d.rec.Count("load_grants_expired")
-			continue
-		}
-		needy := d.needy(g.Minter)
-		if needy == nil {
-			kept = append(kept, g)
-			continue
-		}
-		needy.load.LoadsWaiting--
-		grant := g
-		d.rec.Count("load_grants_forwarded")
-		d.act(Send{Target: needy.Name, Message: &grant})
+func (d *Dispatcher) stateChanged(changed bool) {
+	if changed {
+		d.rec.Count("straggler_changes")
 	}
-	d.grants = kept
 }
 
-func (d *Dispatcher) needy(minter string) *target {
-	var best *target
-	for name, t := range d.targets {
-		if name == minter || t.load.LoadsWaiting <= 0 || !d.members.Usable(name) {
-			continue
-		}
-		if best == nil || t.load.LoadUrgency > best.load.LoadUrgency ||
-			(t.load.LoadUrgency == best.load.LoadUrgency && name < best.Name) {
-			best = t
-		}
+// CacheEvent takes a target's report of prompt prefixes that its engine began
+// or ceased to cache. Events may be late, and gaps in sequence are tolerated.
+func (d *Dispatcher) CacheEvent(name string, sequence uint64, stored, evicted []uint64) {
+	if t, ok := d.targets[name]; ok {
+		t.prefixes.Event(sequence, stored, evicted)
 	}
-	return best
 }
-
-// InFlight returns the number of open calls.
-func (d *Dispatcher) InFlight() int { return len(d.calls) }
--- a/internal/decide/dispatch/types.go
+++ b/internal/decide/dispatch/types.go
@@ -3,18 +3,16 @@
 //
 // A Dispatcher is a pure state machine: events go in as method calls with the
 // time, and actions come out for the caller to perform. It is used by one
-// goroutine.
+// goroutine. The same events with the same seed give the same actions.
 package dispatch
 
 import (
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/picker"
-	"agatelanding.example/agatelanding/internal/decide/reassembly"
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
-	"agatelanding.example/agatelanding/internal/wire"
 )
 
 const (
@@ -23,8 +21,24 @@
 	// ResumeWait is how long a running attempt waits for a new session to
 	// the same target process.
 	ResumeWait = 3 * time.Second
+	// ConnectTimeout is how long an attempt waits for a first session. A
+	// connection within a region takes a few milliseconds.
+	ConnectTimeout = 250 * time.Millisecond
+	// FirstTokenGrace is how long after the first-token deadline the entry
+	// waits for the target's own refusal before it gives up.
+	FirstTokenGrace = 100 * time.Millisecond
+	// IdleSession is how long an unused session on demand is kept.
+	IdleSession = 60 * time.Second
+	// AllToAllTargets is the size of a pool up to which the entry keeps a
+	// session with every target.
+	AllToAllTargets = 32
+	// DefaultMaxSessions bounds the sessions on demand. With 340 entries
+	// and 1,100 targets it is about 40 sessions at a target.
+	DefaultMaxSessions = 128
 	// candidateCount is the number of ranks considered for one request.
 	candidateCount = 4
+	// spareCandidates is the number of ranks considered beyond the homes.
+	spareCandidates = 2
 )
 
 // Call is a request of a caller, joined with its route.
@@ -85,7 +99,7 @@
 	Outcome Outcome
 }
 
-// Connect asks for a session with a target.
+// Connect asks for a session with a target, to be kept up until Disconnect.
 type Connect struct {
 	Target  string
 	Address string
@@ -125,42 +139,20 @@
 	Retry       retry.Config
 	Pick        picker.Policy
 	Seed        int64
+	// MaxSessions bounds the sessions with targets of pools larger than
+	// AllToAllTargets; 0 means DefaultMaxSessions.
+	MaxSessions int
 }
 
-type phase uint8
-
-const (
-	phaseWaiting phase = iota
-	phaseReserving
-	phaseRunning
-	phaseResuming
-)
-
-type call struct {
-	*Call
-	phase   phase
-	attempt uint32
-	target  string
-	answer  *reassembly.Answer
-	tried   map[string]bool
-	// wakeAt is when the phase ends by itself.
-	wakeAt     time.Time
-	retryAfter time.Duration
-	lastCode   result.Code
-	sentAt     time.Time
-}
-
-func (c *call) firstTokenDeadline() time.Time { return c.Arrived.Add(c.Class.FirstTokenBudget()) }
-
-func (c *call) totalDeadline() time.Time { return c.Arrived.Add(c.Class.TotalBudget()) }
-
-// target is what the entry knows of one target.
-type target struct {
-	tables.Target
-	pool        string
-	inFlight    int
-	load        wire.LoadReport
-	latency     time.Duration
-	resident    map[string]time.Time
-	incarnation int64
+// TargetView is what the entry believes of one target, for operators.
+type TargetView struct {
+	Name      string
+	Pool      string
+	Connected bool
+	Usable    bool
+	Ejected   bool
+	// InFlight counts this entry's attempts at the target.
+	InFlight int
+	Resident int
+	Latency  time.Duration
 }
--- a/internal/decide/placement/directory.go
+++ b/internal/decide/placement/directory.go
@@ -205,3 +205,6 @@
 		rec.busy = now
 	}
 }
+
+// Homes returns how many of the first ranks are homes of an adapter now.
+func (d *Directory) Homes(key string) int { return d.lookup(key).copies }
--- /dev/null
+++ b/internal/decide/reassembly/reassembly_suite_test.go
@@ -0,0 +1,121 @@
+package reassembly_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/reassembly"
+)
+
+func TestReassembly(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reassembly")
+}
+
+const (
+	accept = reassembly.Accept
+	drop   = reassembly.Drop
+	gap    = reassembly.Gap
+	whole  = reassembly.Whole
+	cut    = reassembly.Cut
+)
+
+// data is the chunk of an attempt; attempts answer differently.
+func data(attempt, sequence uint32) []byte { return []byte{byte(attempt), byte(sequence)} }
+
+func sum(attempt, chunks uint32) (s uint32) {
+	for i := range chunks {
+		s = reassembly.Checksum(s, data(attempt, i))
+	}
+	return s
+}
+
+type event struct {
+	do      func(a *reassembly.Answer) reassembly.Verdict
+	verdict reassembly.Verdict
+}
+
+func chunk(attempt, sequence uint32, v reassembly.Verdict) event {
+	return event{func(a *reassembly.Answer) reassembly.Verdict {
+		return a.Chunk(attempt, sequence, data(attempt, sequence))
+	}, v}
+}
+
+func end(attempt, chunks uint32, v reassembly.Verdict) event {
+	return event{func(a *reassembly.Answer) reassembly.Verdict { return a.End(attempt, chunks, sum(attempt, chunks)) }, v}
+}
+
+func call(f func(a *reassembly.Answer)) event {
+	return event{func(a *reassembly.Answer) reassembly.Verdict { f(a); return 0 }, 0}
+}
+
+func damaged(attempt, chunks uint32) event {
+	return event{func(a *reassembly.Answer) reassembly.Verdict { return a.End(attempt, chunks, 1) }, cut}
+}
+
+var (
+	hedge   = call(func(a *reassembly.Answer) { a.Open(2) })
+	resumed = call(func(a *reassembly.Answer) { a.Resumed() })
+	closed  = call(func(a *reassembly.Answer) { a.Close(1) })
+)
+
+var _ = Describe("Answer", func() {
+	DescribeTable("decides about", func(events ...event) {
+		a := reassembly.New(1)
+		for i, e := range events {
+			Expect(e.do(a)).To(Equal(e.verdict), "event %d", i)
+		}
+	},
+		Entry("a whole answer", chunk(1, 0, accept), chunk(1, 1, accept), end(1, 2, whole)),
+		Entry("an empty answer", end(1, 0, whole)),
+		Entry("a duplicated chunk", chunk(1, 0, accept), chunk(1, 0, drop), end(1, 1, whole)),
+		Entry("a crossed attempt", chunk(2, 0, drop), chunk(1, 0, accept), end(2, 1, drop), end(1, 1, whole)),
+		Entry("frames after the end", chunk(1, 0, accept), end(1, 1, whole), chunk(1, 1, drop), end(1, 1, drop)),
+		Entry("a damaged answer", chunk(1, 0, accept), damaged(1, 1)),
+		Entry("an end with fewer chunks than arrived", chunk(1, 0, accept), chunk(1, 1, accept), end(1, 1, cut)),
+		Entry("a gap, asked for once", chunk(1, 1, gap), chunk(1, 2, drop), chunk(1, 0, accept), chunk(1, 1, accept),
+			chunk(1, 2, accept), end(1, 3, whole)),
+		Entry("an end that overtook a chunk", chunk(1, 0, accept), end(1, 2, gap), end(1, 2, drop),
+			chunk(1, 1, accept), end(1, 2, whole)),
+		Entry("a gap again after a new session", chunk(1, 1, gap), resumed, chunk(1, 1, gap)),
+		Entry("chunks behind a gap that is never filled", chunk(1, 1, gap), resumed, chunk(1, 1, gap), resumed,
+			chunk(1, 1, gap), resumed, chunk(1, 1, drop)),
+		Entry("chunks that never come", end(1, 1, gap), resumed, end(1, 1, gap), resumed, end(1, 1, gap), resumed, end(1, 1, cut)),
+		Entry("the last time that chunks are asked for", end(1, 1, gap), resumed, end(1, 1, gap), resumed, end(1, 1, gap),
+			end(1, 1, drop), chunk(1, 0, accept), end(1, 1, whole)),
+		Entry("the first attempt winning", hedge, chunk(1, 0, accept), chunk(2, 0, drop), end(2, 1, drop), end(1, 1, whole)),
+		Entry("the second attempt winning", hedge, chunk(2, 0, accept), chunk(1, 0, drop), end(1, 1, drop), end(2, 1, whole)),
+		Entry("a second attempt opened too late", chunk(1, 0, accept), hedge, chunk(2, 1, drop), end(1, 1, whole)),
+		Entry("a closed attempt", hedge, closed, chunk(1, 0, drop), end(1, 0, drop), chunk(2, 0, accept)),
+	)
+
+	// A caller must never get bytes of two attempts, nor an answer that is
+	// reported whole and is not.
+	It("accepts a prefix of one attempt, whole when it says so", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			a := reassembly.New(1)
+			a.Open(2)
+			lengths := map[uint32]uint32{1: rapid.Uint32Range(0, 4).Draw(t, "n1"), 2: rapid.Uint32Range(0, 4).Draw(t, "n2")}
+			var got []byte
+			for range rapid.IntRange(1, 40).Draw(t, "frames") {
+				attempt := rapid.Uint32Range(1, 2).Draw(t, "attempt")
+				n := lengths[attempt]
+				if sequence := rapid.Uint32Range(0, n).Draw(t, "sequence"); sequence < n {
+					if a.Chunk(attempt, sequence, data(attempt, sequence)) == accept {
+						got = append(got, data(attempt, sequence)...)
+					}
+				} else if v := a.End(attempt, n, sum(attempt, n)); v == whole && uint32(len(got)) != 2*n {
+					t.Fatalf("attempt %d whole with %v of %d chunks", attempt, got, n)
+				}
+				for i, b := range got {
+					if i%2 == 0 && uint32(b) != a.Winner() || i%2 == 1 && int(b) != i/2 {
+						t.Fatalf("got %v of attempt %d", got, a.Winner())
+					}
+				}
+			}
+		})
+	})
+})
