--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -118,7 +118,7 @@
 func (s *Scheduler) recorded(session SessionID, m *wire.Reserve) bool {
 	verdict, outcome, ok := s.records.Lookup(idempotency.Call{Key: m.Key, Digest: m.BodyDigest})
 	if ok {
-		s.answerVerdict(session, m.ID, verdict, outcome)
+		s.answerVerdict(session, m.ID, verdict, outcome, 0)
 	}
 	return ok
 }
@@ -132,13 +132,14 @@
 	verdict, outcome := s.records.Begin(now, call)
 	j.recorded = verdict == idempotency.Run
 	if !j.recorded {
-		s.answerVerdict(j.session, j.id, verdict, outcome)
+		s.answerVerdict(j.session, j.id, verdict, outcome, call.KnownIn(now))
 	}
 	return j.recorded
 }
 
-// answerVerdict answers a call that is not run.
-func (s *Scheduler) answerVerdict(session SessionID, id wire.AttemptID, verdict idempotency.Verdict, outcome idempotency.Outcome) {
+// answerVerdict answers a call that is not run. knownIn is when a new key will
+// be run.
+func (s *Scheduler) answerVerdict(session SessionID, id wire.AttemptID, verdict idempotency.Verdict, outcome idempotency.Outcome, knownIn time.Duration) {
 	switch verdict {
 	case idempotency.Replay:
 		s.replay(session, id, outcome)
@@ -149,14 +150,14 @@
 	case idempotency.Mismatch:
 		s.refuse(session, id, result.KeyReused, 0, "")
 	default:
-		s.refuse(session, id, result.KeyUnknown, 0, "")
+		s.refuse(session, id, result.KeyUnknown, knownIn, "")
 	}
 }
 
 func (s *Scheduler) admit(now time.Time, j *job, class tables.Class, revision uint64) {
 	item := admission.Item{
 		ID: j.id, Adapter: j.adapter, Class: class.Name, Long: class.Long,
-		Deadline: j.deadline, Tokens: j.tokens,
+		Deadline: j.deadline, Tokens: j.tokens, Held: true,
 	}
 	if j.usesAdapter() {
 		s.parts.slots.Touch(now, j.adapter, revision)
@@ -201,6 +202,7 @@
 	j.run = m
 	j.phase = phaseQueued
 	s.arm(j, time.Time{})
+	s.parts.queue.Release(j.id)
 	s.pump(now)
 	return s.take()
 }
@@ -253,7 +255,7 @@
 }
 
 func (s *Scheduler) complete(now time.Time, j *job, c Completion) {
-	s.parts.queue.Finished(now, j.id)
+	s.parts.queue.Finished(now, j.id, admission.Outcome{Tokens: c.Tokens, Failed: c.Code != result.OK})
 	if c.Code == result.OK && j.usesAdapter() && (c.Adapter != j.adapter.Adapter || c.Version != j.adapter.Version) {
 		s.rec.Count("wrong_adapter_answers")
 		c.Code = result.WrongAdapter
--- a/internal/decide/scheduler/pump.go
+++ b/internal/decide/scheduler/pump.go
@@ -11,8 +11,10 @@
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
-// pump starts what can start: adapter loads and requests.
+// pump ends what has waited too long and starts what can start: adapter loads
+// and requests.
 func (s *Scheduler) pump(now time.Time) {
+	s.endOverdue(now)
 	if !s.holdsAuthority() {
 		return
 	}
@@ -29,6 +31,19 @@
 	}
 }
 
+// endOverdue ends admitted requests whose budget ended in the queue. It runs on
+// every event, so that callers do not wait for the next tick.
+func (s *Scheduler) endOverdue(now time.Time) {
+	for _, item := range s.parts.queue.Expired(now) {
+		if j, ok := s.jobs[item.ID]; ok {
+			s.refuseJob(now, j, result.DeadlinePassed, "the budget ended in the queue")
+		}
+	}
+}
+
+// canStart reports whether an item's adapter is resident. Items without a Run
+// are held by the queue; the phase is checked as well, because only a queued
+// job has a body to execute.
 func (s *Scheduler) canStart(item *admission.Item) bool {
 	j, ok := s.jobs[item.ID]
 	if !ok || j.phase != phaseQueued {
@@ -175,6 +190,7 @@
 	case s.parts.slots.Settle(key):
 		// The order was given to the engine as it was before a restart.
 	case failure == nil && s.parts.slots.Loaded(key):
+		s.parts.queue.AdapterReady(key)
 		s.learnLoadWait(now, key)
 	case failure != nil && s.parts.slots.LoadFailed(now, key):
 		s.rec.Count("loads_failed")
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -66,7 +66,7 @@
 		parts: parts{
 			slots:  slots.New(0, cfg.SlotPolicy),
 			budget: loadbudget.New(cfg.Name),
-			queue:  admission.New(admission.Config{}),
+			queue:  admission.New(admission.Config{}, cfg.Rand),
 			guard:  authority.New(now),
 		},
 		records:   idempotency.New(now, idempotency.MaxRecords),
@@ -185,6 +185,8 @@
 		QueueLimit: row.Pool.QueueLimit,
 		LongShare:  row.Pool.LongShare,
 		FIFO:       s.cfg.FIFO,
+
+		StaticLimit: s.cfg.StaticLimit,
 	})
 }
 
@@ -203,13 +205,6 @@
 }
 
 func (s *Scheduler) expire(now time.Time) {
-	if s.parts.queue.Waiting() > 0 {
-		for _, item := range s.parts.queue.Expired(now) {
-			if j, ok := s.jobs[item.ID]; ok {
-				s.refuseJob(now, j, result.DeadlinePassed, "the budget ended in the queue")
-			}
-		}
-	}
 	for j := s.nextDue(now); j != nil; j = s.nextDue(now) {
 		switch {
 		case j.phase == phaseReserved:
--- a/internal/e2e/fleet.go
+++ b/internal/e2e/fleet.go
@@ -107,7 +107,7 @@
 	var s target.Settings
 	s.SetDefaults()
 	s.Name, s.FailureDomain, s.Kind, s.Backend = row.Name, row.FailureDomain, kind, backend
-	s.Listen, s.AdminListen = row.Address, fixture.FreeAddress()
+	s.Listen, s.AdminListen, s.HomeGraceMS = row.Address, fixture.FreeAddress(), 100
 	t := target.New(s)
 	if err := t.Provision(); err != nil {
 		return err
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -40,11 +40,10 @@
 	Running     []string `json:"running"`
 }
 
-// Adapters returns the resident adapters and those that are being loaded. A
-// load that another process ordered occupies a slot as well.
+// Adapters returns the resident adapters; it is not nil.
 func (s *EngineState) Adapters() []slots.Key {
-	var keys []slots.Key
-	for _, model := range append(append([]string{}, s.Resident...), s.Loading...) {
+	keys := make([]slots.Key, 0, len(s.Resident))
+	for _, model := range s.Resident {
 		name, version, ok := strings.Cut(model, "@")
 		if ok {
 			keys = append(keys, slots.Key{Adapter: name, Version: version})
--- a/internal/procfleet/fleet.go
+++ b/internal/procfleet/fleet.go
@@ -175,7 +175,7 @@
 	var s target.Settings
 	s.SetDefaults()
 	s.Name, s.FailureDomain, s.Kind, s.Backend = name, fixture.Domain(i), kind, u.BackendURL
-	s.Listen, s.AdminListen = fixture.FreeAddress(), fixture.FreeAddress()
+	s.Listen, s.AdminListen, s.HomeGraceMS = fixture.FreeAddress(), fixture.FreeAddress(), 1000
 	u.AdminURL = "http://" + s.AdminListen
 	u.Row = tables.Target{Name: name, Address: s.Listen, FailureDomain: s.FailureDomain}
 	path, err := f.writeJSON(name, s)
--- a/target/core/core.go
+++ b/target/core/core.go
@@ -33,18 +33,20 @@
 	scheduler *scheduler.Scheduler
 	driver    *driver.Driver
 	// onView publishes revision and state for the sessions' hellos.
-	onView  func(scheduler.Status)
-	writers map[scheduler.SessionID]*actor.PID
-	log     *telemetry.Logger
-	probeOK bool
-	pacer   *runtime.Pacer
+	onView func(scheduler.Status)
+	// stepDown starts a planned stop of the process; it must not block.
+	stepDown func()
+	writers  map[scheduler.SessionID]*actor.PID
+	log      *telemetry.Logger
+	probeOK  bool
+	pacer    *runtime.Pacer
 }
 
 // Props returns the properties of the actor.
-func Props(s *scheduler.Scheduler, d *driver.Driver, onView func(scheduler.Status)) *actor.Props {
+func Props(s *scheduler.Scheduler, d *driver.Driver, onView func(scheduler.Status), stepDown func()) *actor.Props {
 	return actor.PropsFromProducer(func() actor.Actor {
 		return &Core{
-			scheduler: s, driver: d, onView: onView,
+			scheduler: s, driver: d, onView: onView, stepDown: stepDown,
 			writers: make(map[scheduler.SessionID]*actor.PID), log: telemetry.For("core"), probeOK: true,
 			pacer: runtime.NewPacer(&Tick{}),
 		}
@@ -166,11 +168,15 @@
 
 func (c *Core) perform(ctx actor.Context, actions []scheduler.Action) {
 	for _, action := range actions {
-		if m, ok := action.(scheduler.ToSession); ok {
-			c.write(ctx, m.Session, m.Message)
-			continue
+		switch a := action.(type) {
+		case scheduler.ToSession:
+			c.write(ctx, a.Session, a.Message)
+		case scheduler.StepDown:
+			c.log.Warn("another process has taken over the engine; stopping")
+			c.stepDown()
+		default:
+			c.driver.Perform(action)
 		}
-		c.driver.Perform(action)
 	}
 }
 
--- a/target/driver/execute.go
+++ b/target/driver/execute.go
@@ -94,13 +94,14 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 		return failure(result.Newf(result.EngineFailed, "engine answered %d %s", resp.StatusCode, bytes.TrimSpace(text)))
 	}
-	if err := d.relayAnswer(ctx, a, model, resp); err != nil {
+	tokens, err := d.relayAnswer(ctx, a, model, resp)
+	if err != nil {
 		d.Engine.Cancel(context.Background(), id)
 		return interrupted(ctx, err)
 	}
 	return scheduler.Completion{
 		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"),
-		Adapter: a.Adapter.Adapter, Version: a.Adapter.Version,
+		Adapter: a.Adapter.Adapter, Version: a.Adapter.Version, Tokens: tokens,
 	}
 }
 
@@ -124,25 +125,26 @@
 }
 
 // relayAnswer passes the answer on. An answer that names another model, or
-// that ends without its end marker, is an error.
-func (d *Driver) relayAnswer(ctx context.Context, a scheduler.Execute, model string, resp *http.Response) error {
+// that ends without its end marker, is an error. It returns the number of
+// tokens of a streamed answer, which has one event for each and an end marker.
+func (d *Driver) relayAnswer(ctx context.Context, a scheduler.Execute, model string, resp *http.Response) (int, error) {
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return d.relayWhole(a.ID, model, resp.Body)
+		return 0, d.relayWhole(a.ID, model, resp.Body)
 	}
 	events := 0
 	err := d.relayEvents(a.ID, model, resp.Body, &events)
 	for range maxResumes {
 		if result.CodeOf(err) != result.AnswerCut || ctx.Err() != nil {
-			return err
+			return 0, err
 		}
 		again, resumeErr := d.Engine.Resume(ctx, runID(a.ID), events)
 		if resumeErr != nil {
-			return err
+			return 0, err
 		}
 		err = d.relayEvents(a.ID, model, again.Body, &events)
 		_ = again.Body.Close()
 	}
-	return err
+	return events - 1, err
 }
 
 func (d *Driver) relayWhole(id wire.AttemptID, model string, body io.Reader) error {
