--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -260,6 +260,9 @@
 		home := c.Pool.Targets[ranker.Rank(c.Key, 1)[0]].Name
 		return home, d.members.Usable(home)
 	}
+	if d.cfg.Pick == picker.Random {
+		return d.pickRandom(c)
+	}
 	key := c.Pool.BaseModel + "/" + c.Route.Adapter
 	if c.Route.Adapter == "" {
 		key = c.Method + c.Path
