experiment: run the decision code in virtual time

An event heap drives unchanged dispatchers and schedulers against a model of engines with continuous batching and of the weight store. Each answer names adapter and version and is verified.

--- /dev/null
+++ b/internal/experiment/loop.go
@@ -0,0 +1,76 @@
+package experiment
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the start of virtual time. A fixed value keeps the load budget's
+// phases, which follow the wall clock, the same in every run.
+var epoch = time.Unix(1_800_000_000, 0)
+
+type event struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return e
+}
+
+// loop runs events in order of time, and those of the same time in the order
+// in which they were added.
+type loop struct {
+	now  time.Time
+	seq  uint64
+	heap eventHeap
+}
+
+func newLoop() *loop { return &loop{now: epoch} }
+
+func (l *loop) at(t time.Time, run func()) {
+	l.seq++
+	heap.Push(&l.heap, event{at: t, seq: l.seq, run: run})
+}
+
+func (l *loop) after(d time.Duration, run func()) { l.at(l.now.Add(d), run) }
+
+// every calls run periodically, first after the offset.
+func (l *loop) every(offset, period time.Duration, run func()) {
+	var next func()
+	next = func() {
+		run()
+		l.after(period, next)
+	}
+	l.after(offset, next)
+}
+
+// runUntil runs all events before end.
+func (l *loop) runUntil(end time.Time) {
+	for len(l.heap) > 0 && l.heap[0].at.Before(end) {
+		e := heap.Pop(&l.heap).(event)
+		l.now = e.at
+		e.run()
+	}
+	l.now = end
+}
--- /dev/null
+++ b/internal/experiment/node.go
@@ -0,0 +1,196 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/dispatch"
+	"agatelanding.example/agatelanding/internal/decide/scheduler"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const (
+	// messageDelay is the one-way delay between an entry and a target.
+	messageDelay = time.Millisecond
+	// tickPeriod is the time between two ticks of a process.
+	tickPeriod = 20 * time.Millisecond
+	// pongPeriod is the time between two load reports on an idle session.
+	pongPeriod = time.Second
+)
+
+// entryNode drives the dispatcher of one entry.
+type entryNode struct {
+	fleet *fleet
+	index int
+	core  *dispatch.Dispatcher
+}
+
+func (n *entryNode) perform(actions []dispatch.Action) {
+	f := n.fleet
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.Send:
+			t := f.targetByName[a.Target]
+			f.loop.after(messageDelay, func() { t.receive(n.session(), a.Message) })
+		case dispatch.Deliver:
+			f.deliver(a.Number, a.Data)
+		case dispatch.Discard:
+			f.discard(a.Number)
+		case dispatch.Finish:
+			f.finish(a.Number, a.Outcome)
+		case dispatch.Connect:
+			n.connect(f.targetByName[a.Target])
+		}
+	}
+}
+
+// session is the number of this entry's session at every target.
+func (n *entryNode) session() scheduler.SessionID { return scheduler.SessionID(n.index + 1) }
+
+func (n *entryNode) connect(t *targetNode) {
+	n.fleet.loop.after(messageDelay, func() {
+		now := n.fleet.loop.now
+		t.perform(t.core.SessionUp(now, n.session()))
+		n.perform(n.core.SessionUp(now, t.name, &wire.Hello{
+			Protocol: wire.ProtocolVersion, Process: t.name, Role: wire.RoleTarget, Incarnation: 1,
+			Revision: revision, State: wire.StateServing,
+		}))
+	})
+}
+
+// targetNode drives the scheduler of one target process and its engine.
+type targetNode struct {
+	fleet  *fleet
+	name   string
+	core   *scheduler.Scheduler
+	engine *engine
+	// reports holds past load reports while reports lag.
+	reports []timedReport
+	// executed counts the requests that were given to the engine in the
+	// measured window.
+	executed int
+}
+
+type timedReport struct {
+	at   time.Time
+	load wire.LoadReport
+}
+
+func (t *targetNode) receive(session scheduler.SessionID, message any) {
+	now := t.fleet.loop.now
+	switch m := message.(type) {
+	case *wire.Reserve:
+		t.fleet.reserveArrived(t, m)
+		t.perform(t.core.Reserve(now, session, m))
+	case *wire.Run:
+		t.perform(t.core.Run(now, session, m))
+	case *wire.Cancel:
+		t.perform(t.core.Cancel(now, session, m))
+	case *wire.Resume:
+		t.perform(t.core.Resume(now, session, m))
+	case *wire.PoolUpdate:
+		t.perform(t.core.PoolUpdate(now, m))
+	case *wire.LoadGrant:
+		t.perform(t.core.Grant(now, m))
+	default:
+		panic(fmt.Sprintf("experiment: no target handler for %T", m))
+	}
+}
+
+func (t *targetNode) perform(actions []scheduler.Action) {
+	l := t.fleet.loop
+	for _, a := range actions {
+		switch a := a.(type) {
+		case scheduler.ToSession:
+			t.toEntry(a.Session, a.Message)
+		case scheduler.LoadAdapter:
+			t.engine.load(a.Key, func(err error) {
+				t.fleet.adapterLoaded(t, a.Key)
+				t.perform(t.core.AdapterLoaded(l.now, a.Key, err))
+			})
+		case scheduler.UnloadAdapter:
+			t.engine.unload(a.Key, func(err error) { t.perform(t.core.AdapterUnloaded(l.now, a.Key, err)) })
+		case scheduler.Execute:
+			t.execute(a)
+		case scheduler.CancelExecution:
+			l.after(orderTime, func() { t.engine.cancel(a.ID) })
+		case scheduler.ProbeEngine:
+			l.after(orderTime, func() { t.perform(t.core.EngineProbed(l.now, t.engine.state())) })
+		case scheduler.TakeFence:
+			l.after(orderTime, func() {
+				t.engine.fence = a.Fence
+				t.perform(t.core.FenceTaken(l.now, t.engine.state(), a.Fence))
+			})
+		default:
+			panic(fmt.Sprintf("experiment: no handler for %T", a))
+		}
+	}
+}
+
+func (t *targetNode) toEntry(session scheduler.SessionID, message any) {
+	entry := t.fleet.entries[session-1]
+	message = t.lagged(message)
+	t.fleet.loop.after(messageDelay, func() {
+		entry.perform(entry.core.Message(t.fleet.loop.now, t.name, message))
+	})
+}
+
+func (t *targetNode) execute(a scheduler.Execute) {
+	r := t.fleet.executing(t, a.ID)
+	t.engine.execute(&sequence{
+		id: a.ID, key: a.Adapter, priority: a.Priority, prefill: r.Prompt, output: r.Output,
+	})
+}
+
+// chunk takes a piece of an answer from the engine.
+func (t *targetNode) chunk(id wire.AttemptID, data string) {
+	t.perform(t.core.ExecutionChunk(t.fleet.loop.now, id, []byte(data)))
+}
+
+// ended takes the end of an execution from the engine.
+func (t *targetNode) ended(c scheduler.Completion) {
+	t.perform(t.core.ExecutionEnded(t.fleet.loop.now, c))
+}
+
+// pong sends a load report on every session, as the answer to a ping.
+func (t *targetNode) pong() {
+	for _, e := range t.fleet.entries {
+		t.toEntry(e.session(), &wire.Pong{Load: t.core.Report()})
+	}
+}
+
+// lagged returns the message with a load report that is ReportLag old.
+func (t *targetNode) lagged(message any) any {
+	if t.fleet.cfg.ReportLag == 0 {
+		return message
+	}
+	switch m := message.(type) {
+	case *wire.Reserved:
+		c := *m
+		c.Load = t.lag(m.Load)
+		return &c
+	case *wire.Refused:
+		c := *m
+		c.Load = t.lag(m.Load)
+		return &c
+	case *wire.End:
+		c := *m
+		c.Load = t.lag(m.Load)
+		return &c
+	case *wire.Pong:
+		c := *m
+		c.Load = t.lag(m.Load)
+		return &c
+	}
+	return message
+}
+
+func (t *targetNode) lag(load wire.LoadReport) wire.LoadReport {
+	now := t.fleet.loop.now
+	t.reports = append(t.reports, timedReport{at: now, load: load})
+	limit := now.Add(-t.fleet.cfg.ReportLag)
+	for len(t.reports) > 1 && !t.reports[1].at.After(limit) {
+		t.reports = t.reports[1:]
+	}
+	return t.reports[0].load
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,298 @@
+package experiment
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+// Record is what happened to one request.
+type Record struct {
+	Request
+	arrived    time.Time
+	attempts   []attempt
+	stall      time.Duration
+	firstToken time.Duration
+	total      time.Duration
+	answer     []byte
+	code       result.Code
+	done       bool
+}
+
+type attempt struct {
+	target  string
+	at      time.Time
+	started time.Time
+}
+
+// budgets returns the time budgets of the request's class.
+func (r *Record) budgets() (first, total time.Duration) {
+	if r.Long {
+		return longClass.FirstTokenBudget(), longClass.TotalBudget()
+	}
+	return shortClass.FirstTokenBudget(), shortClass.TotalBudget()
+}
+
+// answered reports whether the whole answer arrived within the class.
+func (r *Record) answered() bool {
+	first, total := r.budgets()
+	return r.code == result.OK && r.firstToken <= first && r.total <= total
+}
+
+// Report is the result of a run, over the requests that arrived in the
+// measured window.
+type Report struct {
+	Policy   string
+	Requests int
+	// Answered counts requests answered within the budgets of their class;
+	// Completed counts all whole answers.
+	Answered  int
+	Completed int
+	// Loads counts adapter loads started in the window.
+	Loads         int
+	LoadsASecond  float64
+	MaxInFlight   int
+	StoreExceeded bool
+	// StallShare is the share of request time spent waiting for an adapter.
+	StallShare float64
+	// Busiest is the number of executions at the busiest target over the
+	// mean.
+	Busiest       float64
+	MeanBatch     float64
+	MeanDistinct  float64
+	TokensASecond float64
+	Goodput       float64
+	// Short holds the time to the whole answer of short requests; a request
+	// without an answer counts with the total budget of its class.
+	Short Quantiles
+	// ShortFirst is the same for the first token.
+	ShortFirst Quantiles
+	// ShortP99 is the p99 of Short in seconds, or infinite if more than 1%
+	// of the short requests have no answer.
+	ShortP99 float64
+	Counters map[string]int
+	// Faults lists wrong answers and orders that a real engine would fail
+	// on.
+	Faults []string
+
+	records []Record
+	window  time.Duration
+	from    time.Duration
+	starts  []time.Duration
+}
+
+// Quantiles summarises latencies.
+type Quantiles struct {
+	P50, P90, P95, P99, Max time.Duration
+}
+
+// drain bounds the time after the last arrival in which requests end.
+const drain = 200 * time.Second
+
+// Run runs a trace under a policy.
+func Run(cfg Config, policy Policy, trace []Request) (*Report, error) {
+	f, err := newFleet(cfg, policy)
+	if err != nil {
+		return nil, err
+	}
+	f.submit(trace)
+	start := epoch.Add(startUp)
+	f.loop.runUntil(start.Add(cfg.From))
+	before := f.engineStats()
+	f.loop.runUntil(start.Add(cfg.To))
+	after := f.engineStats()
+	for end := f.loop.now.Add(drain); f.open > 0 && f.loop.now.Before(end); {
+		f.loop.runUntil(f.loop.now.Add(time.Second))
+	}
+	if f.open > 0 {
+		f.fault("%d requests never ended", f.open)
+	}
+	return f.report(policy, before, after), nil
+}
+
+func (f *fleet) engineStats() engineStats {
+	var sum engineStats
+	for _, t := range f.targets {
+		sum.steps += t.engine.stats.steps
+		sum.batch += t.engine.stats.batch
+		sum.distinct += t.engine.stats.distinct
+		sum.tokens += t.engine.stats.tokens
+		sum.violations = append(sum.violations, t.engine.stats.violations...)
+	}
+	return sum
+}
+
+func (f *fleet) report(policy Policy, before, after engineStats) *Report {
+	start := epoch.Add(startUp)
+	window := f.cfg.To - f.cfg.From
+	r := &Report{
+		Policy: policy.Name, Loads: f.store.loads(start.Add(f.cfg.From), start.Add(f.cfg.To)),
+		MaxInFlight: f.store.maxInFlight, StoreExceeded: f.store.exceeded(), Counters: f.counters,
+		Faults: append(f.faults, f.engineStats().violations...), records: f.records, window: window, from: f.cfg.From,
+	}
+	steps := float64(max(after.steps-before.steps, 1))
+	r.MeanBatch = float64(after.batch-before.batch) / steps
+	r.MeanDistinct = float64(after.distinct-before.distinct) / steps
+	r.TokensASecond = float64(after.tokens-before.tokens) / window.Seconds()
+	r.LoadsASecond = float64(r.Loads) / window.Seconds()
+	r.Busiest = f.busiest()
+	for _, t := range f.store.starts {
+		r.starts = append(r.starts, t.Sub(start))
+	}
+	r.count()
+	return r
+}
+
+func (f *fleet) busiest() float64 {
+	sum, most := 0, 0
+	for _, t := range f.targets {
+		sum += t.executed
+		most = max(most, t.executed)
+	}
+	return float64(most) * float64(len(f.targets)) / float64(max(sum, 1))
+}
+
+func (r *Report) count() {
+	short, first := newHistogram(), newHistogram()
+	var stall, total time.Duration
+	shorts, unanswered := 0, 0
+	for i := range r.records {
+		rec := &r.records[i]
+		if rec.At < r.from || rec.At >= r.from+r.window {
+			continue
+		}
+		r.Requests++
+		stall += rec.stall
+		total += rec.total
+		if rec.code == result.OK {
+			r.Completed++
+		}
+		if rec.answered() {
+			r.Answered++
+		}
+		if rec.Long {
+			continue
+		}
+		shorts++
+		firstToken, whole := rec.firstToken, rec.total
+		if rec.code != result.OK {
+			unanswered++
+			firstToken, whole = shortClass.TotalBudget(), shortClass.TotalBudget()
+		}
+		_ = short.RecordValue(whole.Microseconds())
+		_ = first.RecordValue(firstToken.Microseconds())
+	}
+	r.StallShare = float64(stall) / float64(max(total, 1))
+	r.Goodput = float64(r.Answered) / r.window.Seconds()
+	r.Short, r.ShortFirst = quantiles(short), quantiles(first)
+	r.ShortP99 = r.Short.P99.Seconds()
+	if unanswered*100 > shorts {
+		r.ShortP99 = math.Inf(1)
+	}
+}
+
+// newHistogram records microseconds up to 10 minutes with three digits.
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return Quantiles{P50: at(50), P90: at(90), P95: at(95), P99: at(99), Max: at(100)}
+}
+
+// AnsweredShare returns the share of requests answered within their class.
+func (r *Report) AnsweredShare() float64 { return float64(r.Answered) / float64(max(r.Requests, 1)) }
+
+// LoadsPerRequest returns the loads per request that was run to its end, so
+// that refusing requests does not improve the figure.
+func (r *Report) LoadsPerRequest() float64 { return float64(r.Loads) / float64(max(r.Completed, 1)) }
+
+// LoadsPerRequestIn is LoadsPerRequest over [from, to) since the first arrival.
+func (r *Report) LoadsPerRequestIn(from, to time.Duration) float64 {
+	loads, completed := 0, 0
+	for _, t := range r.starts {
+		if t >= from && t < to {
+			loads++
+		}
+	}
+	for i := range r.records {
+		if rec := &r.records[i]; rec.At >= from && rec.At < to && rec.code == result.OK {
+			completed++
+		}
+	}
+	return float64(loads) / float64(max(completed, 1))
+}
+
+// WriteSlowest writes the timeline of the n slowest short requests.
+func (r *Report) WriteSlowest(w io.Writer, n int) error {
+	var list []*Record
+	for i := range r.records {
+		rec := &r.records[i]
+		if !rec.Long && rec.At >= r.from && rec.At < r.from+r.window {
+			list = append(list, rec)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Record) int { return cmp.Compare(b.cost(), a.cost()) })
+	for _, rec := range list[:min(n, len(list))] {
+		if _, err := fmt.Fprintln(w, rec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Record) cost() time.Duration {
+	if r.code != result.OK {
+		return shortClass.TotalBudget()
+	}
+	return r.total
+}
+
+// Digest identifies everything that happened in the run.
+func (r *Report) Digest() string {
+	h := sha256.New()
+	fmt.Fprintln(h, r.Summary())
+	for i := range r.records {
+		fmt.Fprintln(h, &r.records[i])
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// String returns the timeline of the request.
+func (r *Record) String() string {
+	s := fmt.Sprintf("%9.3fs %s out=%d code=%d first=%s total=%s stall=%s", r.At.Seconds(),
+		adapterName(r.Adapter), r.Output, r.code, ms(r.firstToken), ms(r.total), ms(r.stall))
+	for _, a := range r.attempts {
+		s += fmt.Sprintf(" [%s at +%s", a.target, ms(a.at.Sub(r.arrived)))
+		if !a.started.IsZero() {
+			s += " started +" + ms(a.started.Sub(r.arrived))
+		}
+		s += "]"
+	}
+	return s
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1fms", d.Seconds()*1000) }
+
+// Summary returns the figures and counters of the run on one line.
+func (r *Report) Summary() string {
+	s := fmt.Sprintf("requests=%d answered=%.3f completed=%.3f loads/s=%.2f loads/answer=%.3f stall=%.3f busiest=%.2f "+
+		"batch=%.2f distinct=%.2f tokens/s=%.0f in-flight=%d first p50=%s p99=%s whole p50=%s p99=%s",
+		r.Requests, r.AnsweredShare(), float64(r.Completed)/float64(max(r.Requests, 1)), r.LoadsASecond,
+		r.LoadsPerRequest(), r.StallShare, r.Busiest, r.MeanBatch, r.MeanDistinct, r.TokensASecond, r.MaxInFlight,
+		ms(r.ShortFirst.P50), ms(r.ShortFirst.P99), ms(r.Short.P50), ms(r.Short.P99))
+	names := slices.Sorted(maps.Keys(r.Counters))
+	for _, name := range names {
+		s += fmt.Sprintf(" %q=%d", name, r.Counters[name])
+	}
+	return s
+}
