load: add agate-load bench and make bench

Prints a row for each measure with the naive and the chosen policy of the same trace, the bound, whether it is met, and the ratio.

--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,7 @@
 
 build:
 	$(GO) build -o bin/ ./cmd/...
+
+# bench prints the table of docs/MEASUREMENTS.md from virtual time.
+bench:
+	$(GO) run ./cmd/agate-load bench
