--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -72,8 +72,10 @@
 	// the run goes on until every request has ended.
 	From time.Duration
 	To   time.Duration
-	// ReportLag delays the load reports of target processes.
+	// ReportLag delays the load reports of target processes; with LagTokens
+	// also their need for load tokens.
 	ReportLag time.Duration
+	LagTokens bool
 	// SlowTargets is the number of targets that run SlowFactor times slower
 	// from SlowFrom on.
 	SlowTargets int
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -29,7 +29,9 @@
 	// waiting holds the attempts that wait for an adapter.
 	waiting  map[waitKey]time.Time
 	counters map[string]int
-	faults   []string
+	// duplicateLoads counts loads of adapters that another target held.
+	duplicateLoads int
+	faults         []string
 }
 
 type waitKey struct {
@@ -157,6 +159,19 @@
 	}
 }
 
+// loadStarted notes whether another target holds or loads the same adapter.
+func (f *fleet) loadStarted(t *targetNode, key slots.Key) {
+	if !f.measured(f.loop.now) {
+		return
+	}
+	for _, other := range f.targets {
+		if other != t && (other.engine.resident[key] || other.engine.loading[key]) {
+			f.duplicateLoads++
+			return
+		}
+	}
+}
+
 // adapterLoaded ends the wait of all attempts for that adapter.
 func (f *fleet) adapterLoaded(t *targetNode, key slots.Key) {
 	for w, since := range f.waiting {
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -104,6 +104,7 @@
 		case scheduler.ToSession:
 			t.toEntry(a.Session, a.Message)
 		case scheduler.LoadAdapter:
+			t.fleet.loadStarted(t, a.Key)
 			t.engine.load(a.Key, func(err error) {
 				t.fleet.adapterLoaded(t, a.Key)
 				t.perform(t.core.AdapterLoaded(l.now, a.Key, err))
@@ -185,6 +186,9 @@
 	return message
 }
 
+// lag returns a report whose load is ReportLag old. The need for load tokens
+// stays fresh unless LagTokens is set: it is a question of the target process
+// to the entries and no measurement of a load.
 func (t *targetNode) lag(load wire.LoadReport) wire.LoadReport {
 	now := t.fleet.loop.now
 	t.reports = append(t.reports, timedReport{at: now, load: load})
@@ -192,5 +196,9 @@
 	for len(t.reports) > 1 && !t.reports[1].at.After(limit) {
 		t.reports = t.reports[1:]
 	}
-	return t.reports[0].load
+	late := t.reports[0].load
+	if !t.fleet.cfg.LagTokens {
+		late.LoadsWaiting, late.LoadUrgency = load.LoadsWaiting, load.LoadUrgency
+	}
+	return late
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -58,8 +58,10 @@
 	// Completed counts all whole answers.
 	Answered  int
 	Completed int
-	// Loads counts adapter loads started in the window.
+	// Loads counts adapter loads started in the window, Duplicates those of
+	// adapters that another target held or loaded at that time.
 	Loads         int
+	Duplicates    int
 	LoadsASecond  float64
 	MaxInFlight   int
 	StoreExceeded bool
@@ -137,6 +139,7 @@
 	window := f.cfg.To - f.cfg.From
 	r := &Report{
 		Policy: policy.Name, Loads: f.store.loads(start.Add(f.cfg.From), start.Add(f.cfg.To)),
+		Duplicates:  f.duplicateLoads,
 		MaxInFlight: f.store.maxInFlight, StoreExceeded: f.store.exceeded(), Counters: f.counters,
 		Faults: append(f.faults, f.engineStats().violations...), records: f.records, window: window, from: f.cfg.From,
 	}
@@ -285,10 +288,10 @@
 
 // Summary returns the figures and counters of the run on one line.
 func (r *Report) Summary() string {
-	s := fmt.Sprintf("requests=%d answered=%.3f completed=%.3f loads/s=%.2f loads/answer=%.3f stall=%.3f busiest=%.2f "+
+	s := fmt.Sprintf("requests=%d answered=%.3f completed=%.3f loads/s=%.2f loads/answer=%.3f duplicates=%d stall=%.3f busiest=%.2f "+
 		"batch=%.2f distinct=%.2f tokens/s=%.0f in-flight=%d first p50=%s p99=%s whole p50=%s p99=%s",
 		r.Requests, r.AnsweredShare(), float64(r.Completed)/float64(max(r.Requests, 1)), r.LoadsASecond,
-		r.LoadsPerRequest(), r.StallShare, r.Busiest, r.MeanBatch, r.MeanDistinct, r.TokensASecond, r.MaxInFlight,
+		r.LoadsPerRequest(), r.Duplicates, r.StallShare, r.Busiest, r.MeanBatch, r.MeanDistinct, r.TokensASecond, r.MaxInFlight,
 		ms(r.ShortFirst.P50), ms(r.ShortFirst.P99), ms(r.Short.P50), ms(r.Short.P99))
 	names := slices.Sorted(maps.Keys(r.Counters))
 	for _, name := range names {
--- a/internal/experiment/work.go
+++ b/internal/experiment/work.go
@@ -163,6 +163,13 @@
 			return nil, err
 		}
 		rows = append(rows, more...)
+		slow.LagTokens = true
+		name := fmt.Sprintf("stragglers, Zipf %.1f, %g/s, with 2 slow, needs for load tokens also late", tailZipf, rate)
+		naive, chosen, err := pair(o, name, slow, trace)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, info(name+": answered within class", naive.AnsweredShare(), chosen.AnsweredShare()))
 	}
 	return rows, nil
 }
