--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# faults starts real processes on loopback, breaks them and checks every answer.
+faults:
+	$(GO) test -tags faults -count 1 -timeout 30m ./internal/faults -v -ginkgo.v
+
 # bench prints the table of docs/MEASUREMENTS.md from virtual time.
 bench:
 	$(GO) run ./cmd/agate-load bench
--- a/cmd/agate-load/main.go
+++ b/cmd/agate-load/main.go
@@ -1,16 +1,19 @@
-// Command agate-load generates load and runs experiments.
+// Command agate-load sends load and runs experiments. It serves tests and the
+// demo only.
 package main
 
 import (
-	"fmt"
-	"os"
+	"github.com/spf13/cobra"
 
+	"agatelanding.example/agatelanding/internal/daemon"
 	"agatelanding.example/agatelanding/internal/load"
 )
 
 func main() {
-	if err := load.NewCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "agate-load:", err)
-		os.Exit(1)
+	root := &cobra.Command{
+		Use: "agate-load", Short: "Load and experiments", Version: daemon.Version,
+		SilenceUsage: true, SilenceErrors: true,
 	}
+	root.AddCommand(load.RunCommand(), load.BenchCommand())
+	daemon.Main(root)
 }
--- a/internal/load/benchcmd.go
+++ b/internal/load/benchcmd.go
@@ -24,7 +24,8 @@
 // defaultDuration gives a few thousand requests for each steady measure.
 const defaultDuration = 600 * time.Second
 
-func newBenchCommand() *cobra.Command {
+// BenchCommand returns the command that measures policies in virtual time.
+func BenchCommand() *cobra.Command {
 	var f benchFlags
 	cmd := &cobra.Command{
 		Use:   "bench",
