--- a/internal/decide/scheduler/pump.go
+++ b/internal/decide/scheduler/pump.go
@@ -96,6 +96,10 @@
 
 // startLoads starts loads while there are tokens and slots.
 func (s *Scheduler) startLoads(now time.Time) {
+	// Sorting the demands costs most under overload, when tokens are scarce.
+	if s.parts.budget.Available(now) == 0 {
+		return
+	}
 	for _, d := range s.demands() {
 		if s.parts.budget.Available(now) == 0 {
 			return
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -214,7 +214,7 @@
 
 // passTokens gives unused load tokens to entries, which pass them on.
 func (s *Scheduler) passTokens(now time.Time) {
-	if s.cfg.StaticLoadShare || len(s.sessions) == 0 || s.loadsWaiting() > 0 {
+	if s.cfg.StaticLoadShare || len(s.sessions) == 0 || s.parts.budget.Available(now) == 0 || s.loadsWaiting() > 0 {
 		return
 	}
 	for {
