--- a/internal/load/benchcmd.go
+++ b/internal/load/benchcmd.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,8 @@
 	duration time.Duration
 	trace    int
 	detail   bool
+	csv      bool
+	plot     string
 }
 
 // defaultDuration gives a few thousand requests for each steady measure.
@@ -38,6 +41,8 @@
 	cmd.Flags().Int64Var(&f.seed, "seed", 1, "seed of traces and policies")
 	cmd.Flags().StringSliceVar(&f.measures, "measure", nil, "measures to run: "+strings.Join(measureNames(), ", ")+" (default all)")
 	cmd.Flags().DurationVar(&f.duration, "duration", defaultDuration, "measured virtual time of the steady measures")
+	cmd.Flags().BoolVar(&f.csv, "csv", false, "print the table as CSV")
+	cmd.Flags().StringVar(&f.plot, "plot", "", "write the latency quantiles of each run to an SVG `file`")
 	cmd.Flags().IntVar(&f.trace, "trace", 0, "print the timelines of that many slowest short requests of each run")
 	cmd.Flags().BoolVar(&f.detail, "detail", false, "print the figures and counters of each run")
 	return cmd
@@ -57,8 +62,10 @@
 			return result.Newf(result.UsageError, "no measure %q; there are %s", name, strings.Join(measureNames(), ", "))
 		}
 	}
+	var spans []span
 	opts := experiment.Options{Seed: f.seed, Duration: f.duration, Observe: func(measure string, r *experiment.Report) {
 		observe(out, f, measure, r)
+		spans = append(spans, span{measure, r.Policy, r.Short})
 	}}
 	var rows []experiment.Row
 	for _, m := range experiment.Measures() {
@@ -71,9 +78,29 @@
 		}
 		rows = append(rows, more...)
 	}
+	if f.plot != "" {
+		if err := savePlot(f, spans); err != nil {
+			return err
+		}
+	}
+	if f.csv {
+		return writeCSV(out, rows)
+	}
 	return writeTable(out, f, rows)
 }
 
+func savePlot(f benchFlags, spans []span) error {
+	file, err := os.Create(f.plot)
+	if err != nil {
+		return result.Wrap(result.UsageError, err)
+	}
+	if err := writePlot(file, heading(f), spans); err != nil {
+		_ = file.Close()
+		return result.Wrap(result.Internal, err)
+	}
+	return result.Wrap(result.Internal, file.Close())
+}
+
 // observe prints what the flags ask for about one run.
 func observe(out io.Writer, f benchFlags, measure string, r *experiment.Report) {
 	if f.detail || f.trace > 0 {
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"encoding/csv"
 	"fmt"
 	"io"
 	"math"
@@ -9,11 +10,25 @@
 	"agatelanding.example/agatelanding/internal/experiment"
 )
 
-// writeTable prints the heading and a line for each row.
-func writeTable(out io.Writer, f benchFlags, rows []experiment.Row) error {
-	fmt.Fprintf(out, "seed %d, %d targets of %d slots, %d adapters, %d entries, weight store %g loads/s and %d in flight, %s measured\n",
+func heading(f benchFlags) string {
+	return fmt.Sprintf("seed %d, %d targets of %d slots, %d adapters, %d entries, weight store %g loads/s and %d in flight, %s measured",
 		f.seed, experiment.DefaultTargets, experiment.DefaultSlots, experiment.DefaultAdapters, experiment.DefaultEntries,
 		experiment.StoreRate, experiment.StoreInFlight, f.duration)
+}
+
+func writeCSV(out io.Writer, rows []experiment.Row) error {
+	w := csv.NewWriter(out)
+	_ = w.Write([]string{"measure", "naive", "chosen", "bound", "result", "ratio"})
+	for _, r := range rows {
+		_ = w.Write([]string{r.Measure, number(r.Naive), number(r.Chosen), r.Bound, r.Met.String(), number(r.Ratio())})
+	}
+	w.Flush()
+	return w.Error()
+}
+
+// writeTable prints the heading and a line for each row.
+func writeTable(out io.Writer, f benchFlags, rows []experiment.Row) error {
+	fmt.Fprintln(out, heading(f))
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "measure\tnaive\tchosen\tbound\tresult\tratio")
 	for _, r := range rows {
