--- a/target/core/core.go
+++ b/target/core/core.go
@@ -9,6 +9,7 @@
 
 	"agatelanding.example/agatelanding/internal/decide/scheduler"
 	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
 	"agatelanding.example/agatelanding/target/driver"
@@ -36,6 +37,7 @@
 	writers map[scheduler.SessionID]*actor.PID
 	log     *telemetry.Logger
 	probeOK bool
+	pacer   *runtime.Pacer
 }
 
 // Props returns the properties of the actor.
@@ -44,6 +46,7 @@
 		return &Core{
 			scheduler: s, driver: d, onView: onView,
 			writers: make(map[scheduler.SessionID]*actor.PID), log: telemetry.For("core"), probeOK: true,
+			pacer: runtime.NewPacer(&Tick{}),
 		}
 	})
 }
@@ -52,6 +55,9 @@
 func (c *Core) Receive(ctx actor.Context) {
 	now := time.Now()
 	switch m := ctx.Message().(type) {
+	case *actor.Stopping:
+		c.pacer.Stop()
+		return
 	case *Tick:
 		c.perform(ctx, c.scheduler.Tick(now))
 		c.onView(c.scheduler.Status(now))
@@ -74,6 +80,15 @@
 	default:
 		c.perform(ctx, c.result(now, m))
 	}
+	c.pace(ctx, now)
+}
+
+func (c *Core) pace(ctx actor.Context, now time.Time) {
+	interval := runtime.IdleTick
+	if !c.scheduler.Idle() {
+		interval = runtime.BusyTick
+	}
+	c.pacer.Within(ctx, now, interval)
 }
 
 // receive turns a message of an entry into an event.
--- a/target/target.go
+++ b/target/target.go
@@ -29,7 +29,8 @@
 )
 
 const (
-	tickInterval = 20 * time.Millisecond
+	// idlePoll is how often a planned stop looks whether work is left.
+	idlePoll = 20 * time.Millisecond
 	// flushTime lets the last frames leave before the sockets close.
 	flushTime = 200 * time.Millisecond
 )
@@ -47,7 +48,6 @@
 	sessions *actor.PID
 	started  time.Time
 	view     atomic.Pointer[scheduler.Status]
-	stop     chan struct{}
 	failed   chan error
 }
 
@@ -55,7 +55,7 @@
 func New(s Settings) *Target {
 	t := &Target{
 		settings: s, metrics: telemetry.NewMetrics(), log: telemetry.For("target"),
-		stop: make(chan struct{}), failed: make(chan error, 1),
+		failed: make(chan error, 1),
 	}
 	t.view.Store(&scheduler.Status{State: wire.StateStarting})
 	return t
@@ -98,7 +98,6 @@
 	d.Bind(t.system, t.core)
 	t.sessions = root.Spawn(session.Props(t.core, t.hello))
 	go session.Accept(t.system, t.sessions, t.listener)
-	runtime.Ticker(t.system, t.core, tickInterval, &core.Tick{}, t.stop)
 	t.admin.Serve()
 	t.log.With("name", t.settings.Name).With("listen", t.listener.Addr()).Info("target process started")
 }
@@ -160,7 +159,7 @@
 	defer cancel()
 	t.system.Root.Send(t.core, &core.Leave{})
 	for !t.idle() && ctx.Err() == nil {
-		time.Sleep(tickInterval)
+		time.Sleep(idlePoll)
 	}
 	time.Sleep(flushTime)
 	t.Close()
@@ -175,7 +174,6 @@
 
 // Close ends the process's tree at once.
 func (t *Target) Close() {
-	close(t.stop)
 	_ = t.listener.Close()
 	t.admin.Close()
 	_ = t.system.Root.StopFuture(t.sessions).Wait()
