--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 # faults starts real processes on loopback, breaks them and checks every answer.
 faults:
 	$(GO) test -tags faults -count 1 -timeout 30m ./internal/faults -v -ginkgo.v
+
+# bench prints the table of docs/MEASUREMENTS.md from virtual time.
+bench:
+	$(GO) run ./cmd/agate-load bench
--- a/cmd/agate-load/main.go
+++ b/cmd/agate-load/main.go
@@ -15,6 +15,6 @@
 		Use: "agate-load", Short: "Load and experiments", Version: daemon.Version,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(load.RunCommand(), capacity.Command())
+	root.AddCommand(load.RunCommand(), load.BenchCommand(), capacity.Command())
 	daemon.Main(root)
 }
