--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -237,6 +237,7 @@
 	if !ok || j.phase != phaseRunning {
 		return s.take()
 	}
+	s.learnStart(now, j)
 	s.send(j.session, &wire.Chunk{ID: id, Sequence: j.count, Data: data})
 	s.keep(j, data)
 	return s.take()
@@ -255,7 +256,7 @@
 }
 
 func (s *Scheduler) complete(now time.Time, j *job, c Completion) {
-	s.parts.queue.Finished(now, j.id, admission.Outcome{Tokens: c.Tokens, Failed: c.Code != result.OK})
+	s.learnEnd(now, j, c)
 	if c.Code == result.OK && j.usesAdapter() && (c.Adapter != j.adapter.Adapter || c.Version != j.adapter.Version) {
 		s.rec.Count("wrong_adapter_answers")
 		c.Code = result.WrongAdapter
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -176,6 +176,8 @@
 	due      time.Time
 	deadline time.Time
 	limit    time.Duration
+	// streams is set while the first token of a running stream is awaited.
+	streams bool
 	// count and sum describe all chunks of the answer. chunks holds them
 	// for a Resume, unless cut.
 	count  uint32
