Complete the admission decisions of one target

Cause: the first version scanned the whole queue in Offer, Next and Remove, ordered by deadline only, and predicted a start from one average service time.

Short and long work wait in separate lanes. Adapters that are not resident are parked. An item holds its place from Reserve on and may start after Run (Held, Release). The scheduler ends overdue requests on every event, not only on Tick.

--- /dev/null
+++ b/internal/decide/admission/bench_test.go
@@ -0,0 +1,73 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/admission"
+)
+
+// BenchmarkQueue measures one request through a queue that holds n others of
+// 1,000 adapters: Offer, Next and Finished of one item, Offer and Remove of
+// another. In "absent" 8 adapters are resident and nothing of the rest starts.
+func BenchmarkQueue(b *testing.B) {
+	for _, fifo := range []bool{false, true} {
+		for _, resident := range []int{1000, engineSlots} {
+			for _, n := range []int{100, 1000, 10000} {
+				if fifo && resident == engineSlots {
+					continue // A FIFO queue stops at the first absent adapter.
+				}
+				b.Run(fmt.Sprintf("fifo=%t/resident=%d/n=%d", fifo, resident, n), func(b *testing.B) {
+					benchmarkQueue(b, fifo, resident, n)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkQueue(b *testing.B, fifo bool, resident, n int) {
+	const adapters = 1000
+	q := admission.New(admission.Config{
+		MaxRunning: engineRunning, QueueLimit: 1 << 30, FIFO: fifo, StaticLimit: true,
+	}, rand.New(rand.NewSource(1)))
+	residents := make(map[string]bool)
+	for a := range resident {
+		residents[adapter(a).Adapter] = true
+	}
+	ready := func(i *admission.Item) bool { return residents[i.Adapter.Adapter] }
+	keys := make([]admission.Item, adapters)
+	for a := range keys {
+		keys[a] = admission.Item{Adapter: adapter(a), Class: "short"}
+	}
+	next, now := 0, epoch
+	offer := func(a int) {
+		next++
+		now = now.Add(time.Microsecond)
+		item := keys[a]
+		item.ID, item.Deadline = id(next), now.Add(1e6*time.Hour)
+		q.Offer(now, item, 0)
+	}
+	for i := range n {
+		offer(i % adapters)
+	}
+	var started []*admission.Item
+	for item, ok := q.Next(now, ready); ok; item, ok = q.Next(now, ready) {
+		started = append(started, item)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		offer(i % resident)
+		if len(started) > 0 {
+			q.Finished(now, started[0].ID, admission.Outcome{Tokens: 40})
+			started = started[1:]
+		}
+		if item, ok := q.Next(now, ready); ok {
+			started = append(started, item)
+		}
+		offer(i % adapters)
+		q.Remove(id(next))
+	}
+}
--- /dev/null
+++ b/internal/decide/admission/property_test.go
@@ -0,0 +1,207 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/admission"
+	"agatelanding.example/agatelanding/internal/decide/slots"
+)
+
+// model is what a queue must agree with after any interleaving.
+type model struct {
+	t       *rapid.T
+	cfg     admission.Config
+	queue   *admission.Queue
+	at      time.Duration
+	next    int
+	waiting []*admission.Item
+	running []*admission.Item
+	absent  map[slots.Key]bool
+}
+
+func (m *model) now() time.Time { return epoch.Add(m.at) }
+
+func (m *model) ready(i *admission.Item) bool { return !m.absent[i.Adapter] }
+
+func (m *model) waits(match func(*admission.Item) bool) (n int) {
+	for _, i := range m.waiting {
+		if match(i) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) startable(i *admission.Item) bool {
+	return !i.Held && m.ready(i) && !m.now().After(i.Deadline)
+}
+
+// take removes an item from a list and returns whether it was there.
+func take(list *[]*admission.Item, item *admission.Item) bool {
+	for n, i := range *list {
+		if i.ID == item.ID {
+			*list = append((*list)[:n:n], (*list)[n+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) draw(list []*admission.Item) *admission.Item {
+	if len(list) == 0 {
+		m.t.Skip("nothing there")
+	}
+	return rapid.SampledFrom(list).Draw(m.t, "item")
+}
+
+func (m *model) offer(t *rapid.T) {
+	m.next++
+	item := admission.Item{
+		ID: id(m.next), Adapter: adapter(rapid.IntRange(0, 4).Draw(t, "adapter")),
+		Long: rapid.Bool().Draw(t, "long"), Held: rapid.Bool().Draw(t, "held"),
+		Deadline: m.now().Add(time.Duration(rapid.IntRange(-100, 20000).Draw(t, "budget ms")) * time.Millisecond),
+	}
+	item.Class = fmt.Sprint(item.Long)
+	if d := m.queue.Offer(m.now(), item, 0); d.Refusal == admission.Admitted {
+		m.waiting = append(m.waiting, &item)
+	} else if d.RetryAfter <= 0 {
+		t.Fatalf("refusal %d without retry advice", d.Refusal)
+	}
+}
+
+func (m *model) start(t *rapid.T) {
+	longBefore := 0
+	for _, i := range m.running {
+		if i.Long {
+			longBefore++
+		}
+	}
+	shortWaits := m.waits(func(i *admission.Item) bool { return !i.Long })
+	item, ok := m.queue.Next(m.now(), m.ready)
+	if !ok {
+		open := len(m.running) < m.queue.Limit()
+		if open && m.waits(func(i *admission.Item) bool { return !i.Long && m.startable(i) }) > 0 {
+			t.Fatal("a slot stays free while short work could start")
+		}
+		return
+	}
+	// A first token at once keeps the latest start at the deadline.
+	m.queue.FirstToken(m.now(), item.ID)
+	if !take(&m.waiting, item) {
+		t.Fatalf("%v started without waiting", item.ID)
+	}
+	if !m.startable(item) {
+		t.Fatalf("%v started while held, absent or late", item.ID)
+	}
+	slots := int(m.cfg.LongShare * float64(m.cfg.MaxRunning))
+	if m.cfg.LongShare > 0 {
+		slots = max(slots, 1)
+	}
+	if item.Long && shortWaits > 0 && longBefore >= slots {
+		t.Fatalf("%d long items run, %d allowed while short work waits", longBefore+1, slots)
+	}
+	if m.running = append(m.running, item); len(m.running) > m.cfg.MaxRunning {
+		t.Fatalf("%d items run", len(m.running))
+	}
+}
+
+func (m *model) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"offer":  m.offer,
+		"offer2": m.offer,
+		"start":  m.start,
+		"start2": m.start,
+		"finish": func(t *rapid.T) {
+			item := m.draw(m.running)
+			take(&m.running, item)
+			m.queue.Finished(m.now(), item.ID, admission.Outcome{Tokens: 10, Failed: rapid.Bool().Draw(t, "failed")})
+		},
+		"remove": func(t *rapid.T) {
+			item := m.draw(m.waiting)
+			take(&m.waiting, item)
+			if !m.queue.Remove(item.ID) || m.queue.Remove(item.ID) {
+				t.Fatalf("Remove of %v is not true once", item.ID)
+			}
+		},
+		"release": func(t *rapid.T) {
+			item := m.draw(m.waiting)
+			item.Held = false
+			m.queue.Release(item.ID)
+		},
+		"expire": func(t *rapid.T) {
+			for _, item := range m.queue.Expired(m.now()) {
+				if !take(&m.waiting, item) {
+					t.Fatalf("%v expired without waiting", item.ID)
+				}
+			}
+			if m.waits(func(i *admission.Item) bool { return m.now().After(i.Deadline) }) > 0 {
+				t.Fatal("an item stays past its deadline")
+			}
+		},
+		"load or evict": func(t *rapid.T) {
+			key := adapter(rapid.IntRange(0, 4).Draw(t, "adapter"))
+			m.absent[key] = !m.absent[key]
+			if rapid.Bool().Draw(t, "tell") {
+				m.queue.AdapterReady(key)
+			}
+		},
+		"time passes": func(t *rapid.T) {
+			m.at += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+		},
+		"": m.check,
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	n := 0
+	m.queue.Each(func(i *admission.Item) {
+		if n >= len(m.waiting) || m.waiting[n].ID != i.ID {
+			t.Fatalf("item %d of Each is %v", n, i.ID)
+		}
+		n++
+	})
+	if n != len(m.waiting) || m.queue.Waiting() != n || m.queue.Running() != len(m.running) {
+		t.Fatalf("%d listed, %d waiting of %d, %d running of %d",
+			n, m.queue.Waiting(), len(m.waiting), m.queue.Running(), len(m.running))
+	}
+}
+
+// Interleavings must not lose an item, start it twice, early or late, leave a
+// slot empty or let long work take the slots of short work.
+func TestInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := admission.Config{
+			MaxRunning: rapid.IntRange(1, 6).Draw(t, "running"),
+			QueueLimit: rapid.IntRange(1, 40).Draw(t, "queue"),
+			LongShare:  rapid.SampledFrom([]float64{0, 0.25, 0.5, 1}).Draw(t, "long share"),
+		}
+		m := &model{t: t, cfg: cfg, absent: make(map[slots.Key]bool), queue: admission.New(cfg, rand.New(rand.NewSource(1)))}
+		// Short runs hardly ever hold enough long items to exceed their share.
+		for range 10 {
+			t.Repeat(m.actions())
+		}
+	})
+}
+
+// A hot adapter that floods the target must not take the starts of adapters
+// that ask for less than their share.
+func TestHotAdapterStarvesNone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := load{
+			seed: rapid.Int64Range(1, 1<<30).Draw(t, "seed"), length: 80 * time.Second, adapters: engineSlots,
+			rate: steady(rapid.Float64Range(20, 100).Draw(t, "rate")), hot: 0.97,
+			budget: time.Duration(rapid.IntRange(1000, 10000).Draw(t, "budget ms")) * time.Millisecond,
+		}
+		o := runTrace(static, l.trace(), 20*time.Second, l.length)
+		for a := 1; a < l.adapters; a++ {
+			if o.byAdapter[a]*10 < o.offeredBy[a]*9-20 {
+				t.Fatalf("adapter %d: %d of %d answered; hot: %d of %d", a, o.byAdapter[a], o.offeredBy[a], o.byAdapter[0], o.offeredBy[0])
+			}
+		}
+	})
+}
--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -115,7 +115,7 @@
 	class, _ := s.row.Pool.ClassByName(j.reserve.Class)
 	item := admission.Item{
 		ID: j.id, Adapter: j.adapter, Class: class.Name, Long: class.Long,
-		Deadline: j.deadline, Tokens: j.reserve.Tokens,
+		Deadline: j.deadline, Tokens: j.reserve.Tokens, Held: true,
 	}
 	if j.usesAdapter() {
 		s.parts.slots.Touch(now, j.adapter)
@@ -156,6 +156,7 @@
 	}
 	j.run = m
 	j.phase = phaseQueued
+	s.parts.queue.Release(j.id)
 	s.pump(now)
 	return s.take()
 }
@@ -212,7 +213,7 @@
 	if !ok || j.phase != phaseRunning {
 		return s.take()
 	}
-	s.parts.queue.Finished(now, c.ID)
+	s.parts.queue.Finished(now, c.ID, admission.Outcome{Tokens: c.Tokens, Failed: c.Code != result.OK})
 	if c.Code == result.OK && j.usesAdapter() && (c.Adapter != j.adapter.Adapter || c.Version != j.adapter.Version) {
 		c.Code = result.WrongAdapter
 	}
--- a/internal/decide/scheduler/pump.go
+++ b/internal/decide/scheduler/pump.go
@@ -11,8 +11,10 @@
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
-// pump starts what can start: adapter loads and requests.
+// pump ends what has waited too long and starts what can start: adapter loads
+// and requests.
 func (s *Scheduler) pump(now time.Time) {
+	s.endOverdue(now)
 	if !s.holdsAuthority() {
 		return
 	}
@@ -26,6 +28,19 @@
 	}
 }
 
+// endOverdue ends admitted requests whose budget ended in the queue. It runs on
+// every event, so that callers do not wait for the next tick.
+func (s *Scheduler) endOverdue(now time.Time) {
+	for _, item := range s.parts.queue.Expired(now) {
+		if j, ok := s.jobs[item.ID]; ok {
+			s.refuseJob(now, j, result.DeadlinePassed, "the budget ended in the queue")
+		}
+	}
+}
+
+// canStart reports whether an item's adapter is resident. Items without a Run
+// are held by the queue; the phase is checked as well, because only a queued
+// job has a body to execute.
 func (s *Scheduler) canStart(item *admission.Item) bool {
 	j, ok := s.jobs[item.ID]
 	if !ok || j.phase != phaseQueued {
@@ -145,6 +160,7 @@
 		s.refuseWaiters(now, key, failure.Error())
 	} else {
 		s.parts.slots.Loaded(key)
+		s.parts.queue.AdapterReady(key)
 		s.learnLoadWait(now, key)
 	}
 	s.pump(now)
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -50,7 +50,7 @@
 		parts: parts{
 			slots:  slots.New(0, cfg.SlotPolicy),
 			budget: loadbudget.New(cfg.Name),
-			queue:  admission.New(admission.Config{}),
+			queue:  admission.New(admission.Config{}, cfg.Rand),
 			guard:  authority.New(now),
 		},
 		records:  idempotency.New(now, idempotency.MaxRecords),
@@ -145,6 +145,8 @@
 		QueueLimit: row.Pool.QueueLimit,
 		LongShare:  row.Pool.LongShare,
 		FIFO:       s.cfg.FIFO,
+
+		StaticLimit: s.cfg.StaticLimit,
 	})
 	s.pump(now)
 	return s.take()
@@ -195,11 +197,6 @@
 }
 
 func (s *Scheduler) expire(now time.Time) {
-	for _, item := range s.parts.queue.Expired(now) {
-		if j, ok := s.jobs[item.ID]; ok {
-			s.refuseJob(now, j, result.DeadlinePassed, "the budget ended in the queue")
-		}
-	}
 	for id, j := range s.jobs {
 		switch {
 		case j.phase == phaseReserved && now.After(j.expires):
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -7,6 +7,7 @@
 package scheduler
 
 import (
+	"math/rand"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/admission"
@@ -98,6 +99,8 @@
 	ContentType string
 	Adapter     string
 	Version     string
+	// Tokens is the length of the answer; 0 means unknown.
+	Tokens int
 }
 
 // Recorder counts decisions.
@@ -115,6 +118,11 @@
 	// SlotPolicy and FIFO select naive decisions for measurements.
 	SlotPolicy slots.Policy
 	FIFO       bool
+	// StaticLimit keeps the number of running requests at the pool's
+	// max_running instead of adapting it to what the engine sustains.
+	StaticLimit bool
+	// Rand spreads the retry advice over time; nil leaves it without spread.
+	Rand *rand.Rand
 	// StaticLoadShare keeps each target to its own load tokens.
 	StaticLoadShare bool
 }
