--- a/internal/decide/admission/bench_test.go
+++ b/internal/decide/admission/bench_test.go
@@ -11,26 +11,34 @@
 
 // BenchmarkQueue measures one request through a queue that holds n others of
 // 1,000 adapters: Offer, Next and Finished of one item, Offer and Remove of
-// another. In "absent" 8 adapters are resident and nothing of the rest starts.
+// another. With 8 resident adapters nothing of the rest starts; "idle" adds the
+// Next that ends a pump while slots are free and every other adapter is absent,
+// which asks for each of them.
 func BenchmarkQueue(b *testing.B) {
 	for _, fifo := range []bool{false, true} {
 		for _, resident := range []int{1000, engineSlots} {
-			for _, n := range []int{100, 1000, 10000} {
-				if fifo && resident == engineSlots {
+			for _, idle := range []bool{false, true} {
+				if resident != engineSlots && idle || resident == engineSlots && fifo {
 					continue // A FIFO queue stops at the first absent adapter.
 				}
-				b.Run(fmt.Sprintf("fifo=%t/resident=%d/n=%d", fifo, resident, n), func(b *testing.B) {
-					benchmarkQueue(b, fifo, resident, n)
-				})
+				for _, n := range []int{100, 1000, 10000} {
+					b.Run(fmt.Sprintf("fifo=%t/resident=%d/idle=%t/n=%d", fifo, resident, idle, n), func(b *testing.B) {
+						benchmarkQueue(b, fifo, idle, resident, n)
+					})
+				}
 			}
 		}
 	}
 }
 
-func benchmarkQueue(b *testing.B, fifo bool, resident, n int) {
+func benchmarkQueue(b *testing.B, fifo, idle bool, resident, n int) {
 	const adapters = 1000
+	running := engineRunning
+	if idle {
+		running = 1 << 30
+	}
 	q := admission.New(admission.Config{
-		MaxRunning: engineRunning, QueueLimit: 1 << 30, FIFO: fifo, StaticLimit: true,
+		MaxRunning: running, QueueLimit: 1 << 30, FIFO: fifo, StaticLimit: true,
 	}, rand.New(rand.NewSource(1)))
 	residents := make(map[string]bool)
 	for a := range resident {
@@ -67,6 +75,9 @@
 		if item, ok := q.Next(now, ready); ok {
 			started = append(started, item)
 		}
+		if idle {
+			q.Next(now, ready)
+		}
 		offer(i % adapters)
 		q.Remove(id(next))
 	}
--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -200,6 +200,7 @@
 	if !ok || j.phase != phaseRunning {
 		return s.take()
 	}
+	s.learnStart(now, j)
 	sequence := uint32(len(j.chunks))
 	j.chunks = append(j.chunks, data)
 	j.sum = reassembly.Checksum(j.sum, data)
@@ -213,7 +214,7 @@
 	if !ok || j.phase != phaseRunning {
 		return s.take()
 	}
-	s.parts.queue.Finished(now, c.ID, admission.Outcome{Tokens: c.Tokens, Failed: c.Code != result.OK})
+	s.learnEnd(now, j, c)
 	if c.Code == result.OK && j.usesAdapter() && (c.Adapter != j.adapter.Adapter || c.Version != j.adapter.Version) {
 		c.Code = result.WrongAdapter
 	}
--- a/internal/decide/scheduler/pump.go
+++ b/internal/decide/scheduler/pump.go
@@ -52,6 +52,7 @@
 func (s *Scheduler) execute(item *admission.Item) {
 	j := s.jobs[item.ID]
 	j.phase = phaseRunning
+	j.streams = s.isEngine() && j.run.Stream
 	priority := shortPriority
 	if item.Long {
 		priority = longPriority
@@ -62,6 +63,25 @@
 	})
 }
 
+// learnStart tells the queue when a running request gave its first token.
+func (s *Scheduler) learnStart(now time.Time, j *job) {
+	if j.streams {
+		j.streams = false
+		s.parts.queue.FirstToken(now, j.id)
+	}
+}
+
+// learnEnd tells the queue of the end of a running request. The budget of a
+// plain service runs until the whole answer, so its end counts as its first
+// token.
+func (s *Scheduler) learnEnd(now time.Time, j *job, c Completion) {
+	failed := c.Code != result.OK
+	if !s.isEngine() && !failed {
+		s.parts.queue.FirstToken(now, j.id)
+	}
+	s.parts.queue.Finished(now, j.id, admission.Outcome{Tokens: c.Tokens, Failed: failed})
+}
+
 // demand is the need of one absent adapter.
 type demand struct {
 	key      slots.Key
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -149,6 +149,8 @@
 	expires  time.Time
 	deadline time.Time
 	limit    time.Duration
+	// streams is set while the first token of a running stream is awaited.
+	streams  bool
 	chunks   [][]byte
 	sum      uint32
 	end      *wire.End
