Show state, sessions and refusals on the status pages

The state of a process is written as a name. A first try gave State a MarshalText, which msgpack uses as well: no entry then saw any target as serving, and the end-to-end tests failed with no_target. The wire test now covers messages with such fields.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -189,17 +189,18 @@
 		FailureDomain string `json:"failure_domain"`
 		Revision      uint64 `json:"revision"`
 		Ready         bool   `json:"ready"`
-		InFlight      int    `json:"in_flight"`
-	}{e.settings.Name, "entry", e.settings.FailureDomain, e.revision(), e.ready(), e.inFlight()}
+		router.Status
+		Refused map[string]int64 `json:"refused"`
+	}{e.settings.Name, "entry", e.settings.FailureDomain, e.revision(), e.ready(), e.routerStatus(), e.metrics.Refusals()}
 }
 
-func (e *Entry) inFlight() int {
-	reply, err := e.system.Root.RequestFuture(e.router, &router.GetInFlight{}, time.Second).Result()
-	n, ok := reply.(int)
+func (e *Entry) routerStatus() router.Status {
+	reply, err := e.system.Root.RequestFuture(e.router, &router.GetStatus{}, time.Second).Result()
+	status, ok := reply.(router.Status)
 	if err != nil || !ok {
-		return -1
+		return router.Status{}
 	}
-	return n
+	return status
 }
 
 // Shutdown fails readiness, gives the balancer time to notice, answers every
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -33,8 +33,18 @@
 // ListState passes on what the VM list says of targets.
 type ListState struct{ Leaving map[string]bool }
 
-// GetInFlight asks for the number of open calls.
-type GetInFlight struct{}
+// GetStatus asks for a Status.
+type GetStatus struct{}
+
+// Status is a view of the router for operators.
+type Status struct {
+	// InFlight is the number of open calls.
+	InFlight int `json:"in_flight"`
+	// Sessions is the number of targets with an open session, Connecting of
+	// those without one.
+	Sessions   int `json:"sessions"`
+	Connecting int `json:"connecting"`
+}
 
 // Router is the actor.
 type Router struct {
@@ -42,6 +52,7 @@
 	local      session.Local
 	refresh    func(revision uint64)
 	sessions   map[string]*actor.PID
+	open       map[string]bool
 	answers    map[uint64]*Answer
 	pacer      *runtime.Pacer
 	log        *telemetry.Logger
@@ -53,7 +64,7 @@
 	return actor.PropsFromProducer(func() actor.Actor {
 		return &Router{
 			dispatcher: d, local: local, refresh: refresh,
-			sessions: make(map[string]*actor.PID), answers: make(map[uint64]*Answer),
+			sessions: make(map[string]*actor.PID), open: make(map[string]bool), answers: make(map[uint64]*Answer),
 			pacer: runtime.NewPacer(&Tick{}), log: telemetry.For("router"),
 		}
 	}, actor.WithSupervisor(runtime.RestartChildren()))
@@ -79,11 +90,15 @@
 		for name, leaving := range m.Leaving {
 			r.dispatcher.ListLeaving(name, leaving)
 		}
-	case *GetInFlight:
-		ctx.Respond(r.dispatcher.InFlight())
+	case *GetStatus:
+		ctx.Respond(Status{
+			InFlight: r.dispatcher.InFlight(), Sessions: len(r.open), Connecting: len(r.sessions) - len(r.open),
+		})
 	case *session.Up:
+		r.open[m.Target] = true
 		r.perform(ctx, now, r.dispatcher.SessionUp(now, m.Target, m.Peer))
 	case *session.Down:
+		delete(r.open, m.Target)
 		r.perform(ctx, now, r.dispatcher.SessionDown(now, m.Target))
 	case *session.Received:
 		r.perform(ctx, now, r.dispatcher.Message(now, m.Target, m.Message))
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -192,22 +192,22 @@
 
 // Status is a view of the scheduler for operators.
 type Status struct {
-	Revision  uint64
-	BaseModel string
-	State     wire.State
-	Authority bool
-	Fence     uint64
-	Running   int
-	Waiting   int
-	Slots     int
-	Resident  []slots.Key
+	Revision  uint64      `json:"revision"`
+	BaseModel string      `json:"base_model"`
+	State     wire.State  `json:"state"`
+	Authority bool        `json:"authority"`
+	Fence     uint64      `json:"fence"`
+	Running   int         `json:"running"`
+	Waiting   int         `json:"waiting"`
+	Slots     int         `json:"slots"`
+	Resident  []slots.Key `json:"resident"`
 	// Pins counts the requests that hold an adapter.
-	Pins    int
-	Records int
-	Tokens  int
+	Pins    int `json:"pins"`
+	Records int `json:"records"`
+	Tokens  int `json:"load_tokens"`
 	// KeptBytes is the size of the answers kept for a Resume.
-	KeptBytes int
-	Sessions  int
+	KeptBytes int `json:"kept_bytes"`
+	Sessions  int `json:"sessions"`
 }
 
 // parts groups the decision packages.
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -14,8 +14,8 @@
 
 // Key names one version of an adapter.
 type Key struct {
-	Adapter string
-	Version string
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
 }
 
 // Compare orders keys by name.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -48,6 +48,21 @@
 // Refused counts a request that ended with a code other than OK.
 func (m *Metrics) Refused(code result.Code) { m.counter(refusedName(code)).Inc(1) }
 
+// Refusals returns the number of refused requests by reason, without reasons
+// that have not occurred.
+func (m *Metrics) Refusals() map[string]int64 {
+	refusals := make(map[string]int64)
+	for _, info := range result.All() {
+		if info.HTTP == 0 {
+			continue
+		}
+		if n := m.counter(refusedName(info.Code)).Count(); n > 0 {
+			refusals[info.Name] = n
+		}
+	}
+	return refusals
+}
+
 // Retried counts a further attempt after a code.
 func (m *Metrics) Retried(code result.Code) { m.counter(retriedName(code)).Inc(1) }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -25,6 +25,15 @@
 	StateLeaving
 )
 
+var stateNames = map[State]string{StateStarting: "starting", StateServing: "serving", StateLeaving: "leaving"}
+
+// String returns the name of the state.
+func (s State) String() string { return stateNames[s] }
+
+// MarshalJSON writes the state as its name, for status pages. It is not a
+// MarshalText, which msgpack would use on the wire as well.
+func (s State) MarshalJSON() ([]byte, error) { return []byte(`"` + s.String() + `"`), nil }
+
 // Kind identifies the message type of a frame.
 type Kind uint8
 
--- a/internal/wire/wire_suite_test.go
+++ b/internal/wire/wire_suite_test.go
@@ -27,13 +27,18 @@
 		DeferCleanup(right.Close)
 	})
 
-	It("carries a message unchanged", func() {
-		sent := &wire.Chunk{ID: wire.AttemptID{Attempt: 2}, Sequence: 3, Data: []byte("x")}
+	// A field whose type marshals itself for another purpose, such as a status
+	// page, must still arrive as it was sent.
+	DescribeTable("carries a message unchanged", func(sent any) {
 		go func() { _ = wire.NewConn(left).Write(sent) }()
 		got, err := wire.NewConn(right).Read(time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got).To(Equal(sent))
-	})
+	},
+		Entry("chunk", &wire.Chunk{ID: wire.AttemptID{Attempt: 2}, Sequence: 3, Data: []byte("x")}),
+		Entry("hello", &wire.Hello{Protocol: 1, Process: "p", Role: wire.RoleTarget, Incarnation: 7, Revision: 9, State: wire.StateLeaving}),
+		Entry("refused", &wire.Refused{Code: result.QueueFull, RetryAfterMS: 5, Load: wire.LoadReport{State: wire.StateServing, LoadUrgency: 1.5}}),
+	)
 
 	// A peer that announces a huge frame must not make this process allocate it.
 	It("refuses a frame over the limit", func() {
--- a/target/target.go
+++ b/target/target.go
@@ -165,8 +165,10 @@
 		Name          string `json:"name"`
 		Role          string `json:"role"`
 		FailureDomain string `json:"failure_domain"`
+		Ready         bool   `json:"ready"`
 		scheduler.Status
-	}{t.settings.Name, "target", t.settings.FailureDomain, *t.view.Load()}
+		Refused map[string]int64 `json:"refused"`
+	}{t.settings.Name, "target", t.settings.FailureDomain, t.ready(), *t.view.Load(), t.metrics.Refusals()}
 }
 
 // Shutdown takes no new work, waits until everything accepted is finished and
