--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -109,6 +109,7 @@
 	case *ping:
 		if m.generation == s.generation && s.conn != nil {
 			s.pings++
+			s.armPing(ctx.ActorSystem().Root, ctx.Self())
 			s.write(&wire.Ping{Sequence: s.pings, Revision: s.local.Hello().Revision})
 		}
 	default:
@@ -146,7 +147,7 @@
 	ctx.Send(s.router, &Up{Target: s.target, Peer: m.peer})
 	root, self, generation := ctx.ActorSystem().Root, ctx.Self(), s.generation
 	go s.read(root, self, m.conn, generation)
-	go s.pingLoop(root, self, generation)
+	s.armPing(root, self)
 }
 
 func (s *session) read(root *actor.RootContext, self *actor.PID, conn *wire.Conn, generation int) {
@@ -160,18 +161,17 @@
 	}
 }
 
-// pingLoop ends with the actor or when its session is no longer the current.
-func (s *session) pingLoop(root *actor.RootContext, self *actor.PID, generation int) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
+// armPing asks for the next ping. A timer rather than a goroutine of its own
+// keeps the memory of a session small.
+func (s *session) armPing(root *actor.RootContext, self *actor.PID) {
+	message := &ping{generation: s.generation}
+	time.AfterFunc(pingInterval, func() {
 		select {
-		case <-ticker.C:
-			root.Send(self, &ping{generation: generation})
 		case <-s.stopped:
-			return
+		default:
+			root.Send(self, message)
 		}
-	}
+	})
 }
 
 func (s *session) write(message any) {
--- a/internal/capacity/command.go
+++ b/internal/capacity/command.go
@@ -13,6 +13,7 @@
 // Command returns the command that measures all slopes.
 func Command() *cobra.Command {
 	var bin string
+	var only []string
 	cmd := &cobra.Command{
 		Use: "slopes", Short: "Measure the slopes of docs/CAPACITY.md", Args: cobra.NoArgs,
 		Long: "Measures at three or more sizes what one more route, target, adapter, session,\n" +
@@ -29,7 +30,7 @@
 				}
 				bin = dir
 			}
-			list, err := measureAll(bin)
+			list, err := measureAll(bin, only)
 			if err != nil {
 				return err
 			}
@@ -49,20 +50,27 @@
 		},
 	}
 	cmd.Flags().StringVar(&bin, "bin", "", "folder with the compiled programs")
+	cmd.Flags().StringSliceVar(&only, "only", nil, "measure these groups only: tables, targets, adapters, sessions, calls, tokens")
 	return cmd
 }
 
-func measureAll(bin string) ([]Series, error) {
+func measureAll(bin string, only []string) ([]Series, error) {
 	var all []Series
-	for _, m := range []func() ([]Series, error){
-		func() ([]Series, error) { return TableRows([]int{3000, 7000, 14000, 28000}) },
-		func() ([]Series, error) { return Targets([]int{12, 120, 1100}) },
-		func() ([]Series, error) { return Adapters([]int{1000, 5000, 14000}) },
-		func() ([]Series, error) { return Sessions(bin, []int{2, 12, 32}) },
-		func() ([]Series, error) { return Requests(bin, []int{50, 150, 300}) },
-		func() ([]Series, error) { return Tokens(bin, []int{200, 400, 800}) },
+	for _, group := range []struct {
+		name    string
+		measure func() ([]Series, error)
+	}{
+		{"tables", func() ([]Series, error) { return TableRows([]int{3000, 7000, 14000, 28000}) }},
+		{"targets", func() ([]Series, error) { return Targets([]int{12, 120, 1100}) }},
+		{"adapters", func() ([]Series, error) { return Adapters([]int{1000, 5000, 14000}) }},
+		{"sessions", func() ([]Series, error) { return Sessions(bin, []int{2, 12, 32}) }},
+		{"calls", func() ([]Series, error) { return Requests(bin, []int{50, 150, 300}) }},
+		{"tokens", func() ([]Series, error) { return Tokens(bin, []int{200, 400, 800}) }},
 	} {
-		list, err := m()
+		if len(only) > 0 && !slices.Contains(only, group.name) {
+			continue
+		}
+		list, err := group.measure()
 		if err != nil {
 			return all, err
 		}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -24,6 +24,9 @@
 const (
 	// MaxFrame is the largest frame in bytes, without the length field.
 	MaxFrame = 1 << 20
+	// readBuffer is small because an entry may hold hundreds of sessions.
+	// Larger frames are read past it into their own memory.
+	readBuffer = 4 << 10
 	// headerSize is the length field and the kind byte.
 	headerSize = 5
 	// WriteTimeout bounds one frame write. A peer that does not read for
@@ -42,7 +45,7 @@
 
 // NewConn wraps a connected socket.
 func NewConn(nc net.Conn) *Conn {
-	return &Conn{nc: nc, reader: bufio.NewReaderSize(nc, 32<<10)}
+	return &Conn{nc: nc, reader: bufio.NewReaderSize(nc, readBuffer)}
 }
 
 // Close closes the socket. Pending reads and writes fail.
