Predict the wait for an adapter load from the pace of loads

Cause: the delay of an absent adapter was predicted from the wait of past loads and the duration of one load for each adapter in line. Past waits only count requests that lived to see the load, and a load waits for a token, not for the duration of others.

The scheduler now learns the time between load starts while adapters wait and multiplies it by the position in line. The first in line is always expected in time, so that the target keeps asking for tokens.

--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -162,7 +162,7 @@
 	if j.usesAdapter() {
 		s.parts.slots.Touch(now, j.adapter, revision)
 	}
-	decision := s.parts.queue.Offer(now, item, s.adapterDelay(j.adapter))
+	decision := s.parts.queue.Offer(now, item, s.adapterDelay(now, j.adapter))
 	if decision.Refusal != admission.Admitted {
 		code := result.BudgetExceeded
 		if decision.Refusal == admission.RefusedQueueFull {
--- a/internal/decide/scheduler/pump.go
+++ b/internal/decide/scheduler/pump.go
@@ -147,6 +147,7 @@
 // about to free count for the most urgent adapters.
 func (s *Scheduler) startLoads(now time.Time) {
 	list := s.demands()
+	s.pace.waiting(now, len(list) > 0)
 	if len(list) == 0 {
 		return
 	}
@@ -175,6 +176,7 @@
 func (s *Scheduler) load(now time.Time, key slots.Key) {
 	if s.parts.slots.BeginLoad(key) && s.parts.budget.Take(now) {
 		s.rec.Count("loads_started")
+		s.pace.started(now)
 		s.act(LoadAdapter{Key: key, Fence: s.parts.guard.Fence()})
 	}
 }
@@ -217,7 +219,6 @@
 		// The order was given to the engine as it was before a restart.
 	case failure == nil && s.parts.slots.Loaded(key):
 		s.parts.queue.AdapterReady(key)
-		s.learnLoadWait(now, key)
 	case failure != nil && s.parts.slots.LoadFailed(now, key):
 		s.rec.Count("loads_failed")
 		s.refuseWaiters(now, key, failure.Error())
@@ -241,33 +242,6 @@
 	return s.take()
 }
 
-func (s *Scheduler) learnLoadWait(now time.Time, key slots.Key) {
-	var oldest time.Duration
-	s.parts.queue.Each(func(item *admission.Item) {
-		if item.Adapter == key {
-			oldest = max(oldest, now.Sub(item.Enqueued))
-		}
-	})
-	if oldest > 0 {
-		s.loadWait += (oldest - s.loadWait) / 8
-	}
-}
-
-// adapterDelay predicts when an adapter is resident.
-func (s *Scheduler) adapterDelay(key slots.Key) time.Duration {
-	if key.Adapter == "" {
-		return 0
-	}
-	switch s.parts.slots.State(key) {
-	case slots.Resident:
-		return 0
-	case slots.Loading:
-		return s.loadTime()
-	default:
-		return s.loadWait + time.Duration(s.loadsWaiting())*s.loadTime()
-	}
-}
-
 func (s *Scheduler) loadTime() time.Duration {
 	return time.Duration(s.row.WeightStore.LoadMS) * time.Millisecond
 }
--- a/internal/decide/scheduler/queue_test.go
+++ b/internal/decide/scheduler/queue_test.go
@@ -28,18 +28,19 @@
 	ended   map[uint64]result.Code
 	refused map[uint64]result.Code
 	advice  map[int64]int
+	loads   int
 }
 
 func newQueueFixture(t *testing.T, kind string, running int) *queueFixture {
-	row, err := json.Marshal(tables.PoolRow{Pool: tables.Pool{
-		Name: "orders", Kind: kind, MaxRunning: running, QueueLimit: 100, LongShare: 0.5,
+	row, err := json.Marshal(tables.PoolRow{WeightStore: tables.WeightStore{LoadsPerSecond: 0.5, LoadMS: 250}, Pool: tables.Pool{
+		Name: "orders", Kind: kind, Slots: 8, MaxRunning: running, QueueLimit: 100, LongShare: 0.5,
 		Classes: []tables.Class{{Name: "short", TotalMS: 1000}, {Name: "long", TotalMS: 1000, Long: true}},
 		Targets: []tables.Target{{Name: "t1"}},
 	}})
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	f := &queueFixture{at: time.Unix(1_700_000_000, 0), ended: make(map[uint64]result.Code), refused: make(map[uint64]result.Code), advice: make(map[int64]int)}
 	f.Scheduler = scheduler.New(f.at, scheduler.Config{Name: "t1", Rand: rand.New(rand.NewSource(1))}, silentRecorder{})
-	f.collect(f.PoolUpdate(f.at, &wire.PoolUpdate{Revision: 1, Row: row}))
+	f.collect(f.PoolUpdate(f.at, &wire.PoolUpdate{Revision: 1, Row: row, LoadMembers: []string{"t1"}}))
 	f.collect(f.SessionUp(f.at, 1))
 	state := scheduler.EngineState{View: authority.EngineView{Incarnation: 1}}
 	f.collect(f.EngineProbed(f.at, state))
@@ -50,6 +51,9 @@
 func (f *queueFixture) collect(actions []scheduler.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
+		case scheduler.LoadAdapter:
+			f.loads++
+			f.collect(f.AdapterLoaded(f.at, a.Key, nil))
 		case scheduler.Execute:
 			f.started = append(f.started, a)
 		case scheduler.ToSession:
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -50,14 +50,10 @@
 	lastLook  uint64
 	probeMark uint64
 	nextGrant int
-	// loadWait is the moving average of the time from the first request for
-	// an adapter to its residency.
-	loadWait time.Duration
-	actions  []Action
+	pace      loadPace
+	actions   []Action
 }
 
-const initialLoadWait = 400 * time.Millisecond
-
 // New returns a scheduler without a pool; it refuses requests until PoolUpdate.
 func New(now time.Time, cfg Config, rec Recorder) *Scheduler {
 	return &Scheduler{
@@ -74,7 +70,7 @@
 		homes:     newHomes(cfg),
 		state:     wire.StateServing,
 		lastEvent: now,
-		loadWait:  initialLoadWait,
+		pace:      loadPace{interval: initialPace},
 	}
 }
 
