--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -201,7 +201,6 @@
 	}
 	j.run = m
 	j.phase = phaseQueued
-	s.arm(j, time.Time{})
 	s.parts.queue.Release(j.id)
 	s.pump(now)
 	return s.take()
