--- a/internal/decide/authority/authority.go
+++ b/internal/decide/authority/authority.go
@@ -1,6 +1,17 @@
 // Package authority decides whether a target process may still give orders to
 // its engine after a pause, and with which fencing number.
 //
+// Authority ends with a pause, with an order that the engine refuses and with
+// a restart of the engine. It comes back only after a look at the engine that
+// was asked for later than that: an answer that was already under way when the
+// process stood still describes an engine that another process may have taken
+// over meanwhile. A process that has seen a higher fencing number than its own
+// never takes authority again.
+//
+// Engines that keep no fence cannot show that another process took over. There
+// the fixed local port, which only one target process can hold, is the only
+// protection, and an order that was in flight during the pause can arrive late.
+//
 // A Guard is a pure state machine used by one goroutine.
 package authority
 
@@ -26,8 +37,16 @@
 	lastTick    time.Time
 	fence       uint64
 	incarnation int64
-	confirmed   bool
-	fenced      bool
+	// asked is the highest fencing number this process has asked for.
+	asked uint64
+	// looks numbers the looks at the engine; looks below validFrom were
+	// asked for before authority was last lost.
+	looks     uint64
+	validFrom uint64
+	// awaiting is true while only a new look can give authority.
+	awaiting   bool
+	confirmed  bool
+	superseded bool
 }
 
 // New returns a guard that has no authority yet.
@@ -36,15 +55,34 @@
 // Tick records that the process runs. It returns true after a pause; the
 // guard then has no authority until Confirm.
 func (g *Guard) Tick(now time.Time) bool {
-	gap := now.Sub(g.lastTick)
-	g.lastTick = now
-	if gap <= MaxGap {
+	last := g.lastTick
+	if last.Before(now) || last.Sub(now) > MaxGap {
+		g.lastTick = now
+	}
+	// The monotonic clock stands still while a VM is suspended, the wall
+	// clock does not; a wall clock that is set back can hide a pause.
+	elapsed := now.Sub(last)
+	wall := now.Round(0).Sub(last.Round(0))
+	if elapsed <= MaxGap && wall <= MaxGap && wall >= -MaxGap {
 		return false
 	}
-	g.confirmed = false
+	g.invalidate()
 	return true
 }
 
+// invalidate ends the authority until a look that is asked for from now on.
+func (g *Guard) invalidate() {
+	g.confirmed = false
+	g.awaiting = true
+	g.validFrom = g.looks + 1
+}
+
+// Look numbers a new look at the engine.
+func (g *Guard) Look() uint64 {
+	g.looks++
+	return g.looks
+}
+
 // Change says what a look at the engine revealed.
 type Change uint8
 
@@ -55,43 +93,73 @@
 	Restarted
 	// Superseded means that another process has taken a higher fence.
 	Superseded
+	// Outdated means that the look was asked for before authority was lost
+	// and says nothing.
+	Outdated
 )
 
-// Confirm takes a fresh look at the engine into account. On Restarted the
-// caller sets NextFence at the engine and reports it by Took.
-func (g *Guard) Confirm(view EngineView) Change {
-	if g.fence != 0 && view.KeepsFence && view.Fence > g.fence && view.Incarnation == g.incarnation {
-		g.confirmed = false
-		g.fenced = true
+// Confirm takes a look at the engine into account. On Restarted the caller
+// sets NextFence at the engine and reports it by Took. look is the number from
+// Look; 0 stands for the newest look.
+func (g *Guard) Confirm(look uint64, view EngineView) Change {
+	switch {
+	case g.superseded:
 		return Superseded
-	}
-	if view.Incarnation != g.incarnation {
+	case look != 0 && look < g.validFrom:
+		return Outdated
+	case g.fence != 0 && view.Incarnation == g.incarnation && view.KeepsFence && view.Fence > max(g.fence, g.asked):
+		g.supersede()
+		return Superseded
+	case g.fence == 0 || view.Incarnation != g.incarnation || (view.KeepsFence && view.Fence > g.fence):
+		// The last case is a higher number that this process asked for
+		// without seeing the answer.
+		g.awaiting = false
 		g.confirmed = false
 		return Restarted
 	}
-	g.confirmed = g.fence != 0
+	g.awaiting = false
+	g.confirmed = true
 	return Unchanged
 }
 
+func (g *Guard) supersede() {
+	g.confirmed = false
+	g.superseded = true
+}
+
 // NextFence returns the fencing number to take.
-func (g *Guard) NextFence(view EngineView) uint64 { return max(view.Fence, g.fence) + 1 }
+func (g *Guard) NextFence(view EngineView) uint64 {
+	next := max(view.Fence, g.fence) + 1
+	g.asked = max(g.asked, next)
+	return next
+}
 
-// Took records that the engine accepted the fencing number.
-func (g *Guard) Took(view EngineView, fence uint64) {
+// Took records that the engine accepted the fencing number; view is the
+// engine afterwards. It returns false if the guard has no authority by it:
+// the process was superseded, or it paused after it had asked for the number.
+func (g *Guard) Took(view EngineView, fence uint64) bool {
+	if g.superseded {
+		return false
+	}
 	g.fence = fence
+	g.asked = max(g.asked, fence)
 	g.incarnation = view.Incarnation
-	g.confirmed = true
-	g.fenced = false
+	if view.KeepsFence && view.Fence > g.asked {
+		g.supersede()
+		return false
+	}
+	g.confirmed = !g.awaiting
+	return g.confirmed
 }
 
 // Lost records that the engine refused an order for its fence.
-func (g *Guard) Lost() {
-	g.confirmed = false
-	g.fenced = true
-}
+func (g *Guard) Lost() { g.invalidate() }
 
 // Holds reports whether orders may be given now.
-func (g *Guard) Holds() bool { return g.confirmed && !g.fenced }
+func (g *Guard) Holds() bool { return g.confirmed }
+
+// Superseded reports whether another process has taken over for good.
+func (g *Guard) Superseded() bool { return g.superseded }
 
 // Fence returns the fencing number for orders.
 func (g *Guard) Fence() uint64 { return g.fence }
--- /dev/null
+++ b/internal/decide/authority/authority_suite_test.go
@@ -0,0 +1,187 @@
+package authority_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/authority"
+)
+
+func TestAuthority(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "authority")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func view(incarnation int64, fence uint64) authority.EngineView {
+	return authority.EngineView{Incarnation: incarnation, Fence: fence, KeepsFence: true}
+}
+
+// holder returns a guard that holds fence 5 on incarnation 1.
+func holder() *authority.Guard {
+	g := authority.New(start)
+	g.Confirm(g.Look(), view(1, 4))
+	g.Took(view(1, 5), g.NextFence(view(1, 4)))
+	return g
+}
+
+var _ = Describe("Guard", func() {
+	It("has no authority before it has taken a fence", func() {
+		g := authority.New(start)
+		Expect(g.Holds()).To(BeFalse())
+		Expect(g.Confirm(g.Look(), view(0, 0))).To(Equal(authority.Restarted))
+		Expect(g.Holds()).To(BeFalse())
+		Expect(g.Took(view(0, 1), g.NextFence(view(0, 0)))).To(BeTrue())
+		Expect(g.Holds()).To(BeTrue())
+	})
+
+	// A forward step of the wall clock is a suspended VM, a backward step can
+	// hide one; small steps are ordinary clock corrections.
+	DescribeTable("detects a pause",
+		func(times []int, want bool) {
+			g := holder()
+			paused := false
+			for _, ms := range times {
+				paused = g.Tick(at(ms)) || paused
+			}
+			Expect([]bool{paused, g.Holds()}).To(Equal([]bool{want, !want}))
+		},
+		Entry("regular ticks", []int{50, 100, 1100}, false),
+		Entry("a long gap", []int{50, 1051}, true),
+		Entry("a small step back", []int{500, 300, 1400}, false),
+		Entry("a large step back", []int{5, -1500}, true),
+		Entry("a gap before a small step back", []int{900, 0, 1901}, true),
+	)
+
+	DescribeTable("gives authority back only by a look that was asked for later",
+		func(disturb func(*authority.Guard), seen authority.EngineView, change authority.Change, holds bool) {
+			g := holder()
+			early := g.Look()
+			disturb(g)
+			Expect(g.Holds()).To(BeFalse())
+			Expect(g.Confirm(early, seen)).To(Or(Equal(authority.Outdated), Equal(authority.Superseded)))
+			Expect(g.Holds()).To(BeFalse())
+			Expect(g.Confirm(g.Look(), seen)).To(Equal(change))
+			Expect(g.Holds()).To(Equal(holds))
+		},
+		Entry("a pause", pause, view(1, 5), authority.Unchanged, true),
+		Entry("a refused order that was in flight with an old number", (*authority.Guard).Lost, view(1, 5), authority.Unchanged, true),
+		Entry("a refused order and a higher number", (*authority.Guard).Lost, view(1, 6), authority.Superseded, false),
+		Entry("a pause and a higher number", pause, view(1, 6), authority.Superseded, false),
+		Entry("a pause and an engine restart", pause, view(2, 0), authority.Restarted, false),
+		Entry("a pause and a higher number on a restarted engine", pause, view(2, 6), authority.Restarted, false),
+		Entry("a pause at an engine that ignores fencing", pause, authority.EngineView{Incarnation: 1, Fence: 9}, authority.Unchanged, true),
+		Entry("two pauses", func(g *authority.Guard) { pause(g); g.Tick(at(20_000)) }, view(1, 5), authority.Unchanged, true),
+		Entry("a pause while a new number is being taken", func(g *authority.Guard) {
+			g.Confirm(g.Look(), view(2, 0))
+			pause(g)
+			g.Took(view(2, 6), g.NextFence(view(2, 0)))
+		}, view(2, 6), authority.Unchanged, true),
+	)
+
+	DescribeTable("gives no authority by a number",
+		func(prepare func(*authority.Guard), after authority.EngineView, superseded bool) {
+			g := holder()
+			prepare(g)
+			g.NextFence(view(2, 0))
+			Expect(g.Took(after, 6)).To(BeFalse())
+			Expect([]bool{g.Holds(), g.Superseded()}).To(Equal([]bool{false, superseded}))
+		},
+		Entry("taken before a pause", pause, view(2, 6), false),
+		Entry("when another process has a higher one by then", func(*authority.Guard) {}, view(2, 7), true),
+		Entry("after it was superseded", supersede, view(2, 6), true),
+	)
+
+	// Otherwise the old and the new process would take the fence in turns.
+	DescribeTable("never takes authority again once superseded",
+		func(seen authority.EngineView) {
+			g := holder()
+			supersede(g)
+			Expect(g.Confirm(g.Look(), seen)).To(Equal(authority.Superseded))
+			Expect(g.Took(seen, seen.Fence+1)).To(BeFalse())
+			Expect(g.Holds()).To(BeFalse())
+		},
+		Entry("same engine", view(1, 7)),
+		Entry("after an engine restart", view(2, 0)),
+		Entry("an engine that has forgotten the number", view(1, 0)),
+	)
+
+	// The answer to an own request can be lost; the higher number at the
+	// engine is then no other process.
+	It("takes a further number when the answer to its own request is missing", func() {
+		g := holder()
+		g.NextFence(view(1, 5))
+		Expect(g.Confirm(g.Look(), view(1, 6))).To(Equal(authority.Restarted))
+		Expect(g.NextFence(view(1, 6))).To(BeEquivalentTo(7))
+	})
+
+	It("gives orders to an engine that fences only with its highest number", func() {
+		rapid.Check(GinkgoT(), twoProcesses)
+	})
+})
+
+func pause(g *authority.Guard) { g.Tick(at(10_000)) }
+
+func supersede(g *authority.Guard) { g.Confirm(g.Look(), view(1, 6)) }
+
+// twoProcesses lets two guards act on one engine with delayed answers. An
+// order under a lower number than the engine's must be refused by the engine
+// at most once before the guard stops, and a guard must give no order between
+// a pause and a look that was asked for afterwards.
+func twoProcesses(t *rapid.T) {
+	engine := view(1, 0)
+	guards := []*authority.Guard{authority.New(start), authority.New(start)}
+	now := []time.Time{start, start}
+	looked := []uint64{0, 0}
+	paused := []uint64{0, 0}
+	type look struct {
+		number uint64
+		view   authority.EngineView
+	}
+	looks := make([][]look, 2)
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		i := rapid.IntRange(0, 1).Draw(t, "process")
+		g := guards[i]
+		switch rapid.IntRange(0, 5).Draw(t, "step") {
+		case 0:
+			now[i] = now[i].Add(time.Duration(rapid.SampledFrom([]int{50, 5000}).Draw(t, "gap")) * time.Millisecond)
+			if g.Tick(now[i]) {
+				paused[i] = looked[i]
+			}
+		case 1:
+			looked[i] = g.Look()
+			looks[i] = append(looks[i], look{looked[i], engine})
+		case 2, 3:
+			if len(looks[i]) == 0 {
+				continue
+			}
+			seen := looks[i][0]
+			looks[i] = looks[i][1:]
+			if g.Confirm(seen.number, seen.view) == authority.Restarted {
+				if fence := g.NextFence(seen.view); fence > engine.Fence {
+					engine.Fence = fence
+					g.Took(engine, fence)
+				}
+			}
+			if g.Holds() && seen.number <= paused[i] {
+				t.Fatalf("authority by look %d from before the pause after look %d", seen.number, paused[i])
+			}
+		case 4:
+			engine = view(engine.Incarnation+1, 0)
+		case 5:
+			if g.Holds() && g.Fence() < engine.Fence {
+				g.Lost()
+			}
+			if g.Holds() && g.Fence() < engine.Fence {
+				t.Fatalf("holds %d after a refusal at %d", g.Fence(), engine.Fence)
+			}
+		}
+	}
+}
--- a/internal/decide/idempotency/idempotency.go
+++ b/internal/decide/idempotency/idempotency.go
@@ -1,8 +1,22 @@
 // Package idempotency keeps the records of calls that may not be repeated.
 //
 // A Store is a pure state machine used by one goroutine. Its memory ends with
-// the process, so it must tell a key that was never seen from one that it
-// cannot know: it knows every key created after its known-since time.
+// the process and its records expire, so it must tell a key that was never
+// executed from one that it cannot know. It knows every key that was created
+// after it became the key's home and after every key whose record it has
+// dropped; any other key without a record is not executed.
+//
+// What remains possible and cannot be decided here:
+//   - A caller that gives the same key another creation time can repeat a call
+//     after its record has expired. A UUIDv7 carries its time in the key.
+//   - A key without a creation time is protected for RecordLife only.
+//   - A target that is removed from its pool keeps executing keys that entries
+//     with the same old list send to it. The new home executes no key created
+//     within the grace that the caller passes in HomeSince, which is longer
+//     than a change takes to be in force everywhere. If the old entry and the
+//     old target stay cut off from the change for longer, and a caller sends
+//     one new key to both sides, the key can be executed once on each side.
+//   - Clocks of targets that differ by more than MaxTargetSkew.
 package idempotency
 
 import "time"
@@ -12,18 +26,44 @@
 	RecordLife = 10 * time.Minute
 	// MaxRecords bounds the records; a full store refuses new keys rather
 	// than forgetting old ones.
-	MaxRecords = 100_000
-	// ClockMargin is the largest difference between a caller's clock and
-	// this one that is tolerated in a key's creation time.
-	ClockMargin = 5 * time.Second
+	MaxRecords = 50_000
+	// MaxBody bounds the answer kept with one record, MaxBytes all answers
+	// of a store. A larger answer is recorded without its body.
+	MaxBody  = 64 << 10
+	MaxBytes = 4 << 20
+	// MaxKeyLength bounds a key.
+	MaxKeyLength = 256
+	// MaxFuture is how far a caller's clock may be ahead of this one. A key
+	// from further ahead is not believed: it would seem to be new even after
+	// a restart that followed its execution.
+	MaxFuture = 2 * time.Second
+	// MaxTargetSkew is the largest difference between the clocks of two
+	// processes that are home of the same key one after the other.
+	MaxTargetSkew = 3 * time.Second
+	// ClockMargin is added to the time since when a key's home is known.
+	ClockMargin = MaxFuture + MaxTargetSkew
 )
 
+// Call describes a call that may not be repeated.
+type Call struct {
+	Key string
+	// Created is the creation time of the key, zero if it carries none.
+	Created time.Time
+	// Digest tells a reused key from a repeated call.
+	Digest uint64
+	// HomeSince is the time since when no other target executes the key,
+	// zero if that is not later than the start of the store.
+	HomeSince time.Time
+}
+
 // Outcome is the recorded answer of a call.
 type Outcome struct {
 	Code        uint16
 	Status      int
 	ContentType string
 	Body        []byte
+	// BodyDropped says that the answer had a body that is not kept.
+	BodyDropped bool
 }
 
 // Verdict says what to do with a call.
@@ -45,6 +85,8 @@
 )
 
 type record struct {
+	key     string
+	created time.Time
 	digest  uint64
 	done    bool
 	outcome Outcome
@@ -53,38 +95,49 @@
 
 // Store holds the records of one target.
 type Store struct {
-	knownSince time.Time
-	records    map[string]*record
-	limit      int
+	started time.Time
+	// dropped is the latest creation time of a key whose record was dropped.
+	dropped time.Time
+	records map[string]*record
+	// finished lists finished records in the order in which they expire.
+	finished []*record
+	bytes    int
+	limit    int
 }
 
-// New returns an empty store that knows every key created after now.
+// New returns an empty store that knows keys created after now.
 func New(now time.Time, limit int) *Store {
-	return &Store{knownSince: now, records: make(map[string]*record), limit: limit}
+	return &Store{started: now, records: make(map[string]*record), limit: limit}
 }
 
-// HomesChanged tells the store that keys may have had another home before now.
-func (s *Store) HomesChanged(now time.Time) { s.knownSince = now }
-
-// Begin decides about a call. created is the creation time of the key, zero
-// if the key carries none.
-func (s *Store) Begin(now time.Time, key string, created time.Time, digest uint64) (Verdict, Outcome) {
-	if r, ok := s.records[key]; ok && (!r.done || now.Before(r.expires)) {
-		return r.verdict(digest)
+// Begin decides about a call. After Run, exactly one of Finish and Abort must
+// follow.
+func (s *Store) Begin(now time.Time, call Call) (Verdict, Outcome) {
+	if verdict, outcome, ok := s.Lookup(call); ok {
+		return verdict, outcome
 	}
-	if !s.knows(now, created) {
+	if !s.knows(now, call) {
 		return CannotKnow, Outcome{}
 	}
-	if len(s.records) >= s.limit {
-		s.Expire(now)
-	}
+	s.Expire(now)
 	if len(s.records) >= s.limit {
 		return Full, Outcome{}
 	}
-	s.records[key] = &record{digest: digest}
+	s.records[call.Key] = &record{key: call.Key, created: call.Created, digest: call.Digest}
 	return Run, Outcome{}
 }
 
+// Lookup answers from the record of a key. It returns false if there is none.
+// A record is valid whether or not this target is still the key's home.
+func (s *Store) Lookup(call Call) (Verdict, Outcome, bool) {
+	r, ok := s.records[call.Key]
+	if !ok {
+		return 0, Outcome{}, false
+	}
+	verdict, outcome := r.verdict(call.Digest)
+	return verdict, outcome, true
+}
+
 func (r *record) verdict(digest uint64) (Verdict, Outcome) {
 	switch {
 	case r.digest != digest:
@@ -97,21 +150,33 @@
 }
 
 // knows reports whether a key without a record was certainly never executed.
-// A key that is older than the record life may have had a record that expired.
-func (s *Store) knows(now, created time.Time) bool {
-	if created.IsZero() {
-		return now.Sub(s.knownSince) > RecordLife
+func (s *Store) knows(now time.Time, call Call) bool {
+	since := s.started
+	if call.HomeSince.After(since) {
+		since = call.HomeSince
 	}
-	return created.After(s.knownSince.Add(ClockMargin)) && now.Sub(created) < RecordLife-ClockMargin
+	if call.Created.IsZero() {
+		return now.Sub(since) > RecordLife+ClockMargin
+	}
+	return call.Created.After(since.Add(ClockMargin)) && call.Created.After(s.dropped) &&
+		!call.Created.After(now.Add(MaxFuture))
 }
 
 // Finish records the outcome of a call that was executed or may have been.
 func (s *Store) Finish(now time.Time, key string, outcome Outcome) {
-	if r, ok := s.records[key]; ok {
-		r.done = true
-		r.outcome = outcome
-		r.expires = now.Add(RecordLife)
+	r, ok := s.records[key]
+	if !ok || r.done {
+		return
+	}
+	if n := len(outcome.Body); n > MaxBody || s.bytes+n > MaxBytes {
+		outcome.Body = nil
+		outcome.BodyDropped = true
 	}
+	s.bytes += len(outcome.Body)
+	r.done = true
+	r.outcome = outcome
+	r.expires = now.Add(RecordLife)
+	s.finished = append(s.finished, r)
 }
 
 // Abort drops the record of a call that was certainly not executed.
@@ -121,14 +186,26 @@
 	}
 }
 
-// Expire drops finished records past their life.
+// Expire drops finished records past their life. It looks only at the oldest
+// ones; a record that expires out of order, after the clock was set back,
+// is dropped later than necessary.
 func (s *Store) Expire(now time.Time) {
-	for key, r := range s.records {
-		if r.done && !now.Before(r.expires) {
-			delete(s.records, key)
+	n := 0
+	for n < len(s.finished) && !now.Before(s.finished[n].expires) {
+		r := s.finished[n]
+		if r.created.After(s.dropped) {
+			s.dropped = r.created
 		}
+		s.bytes -= len(r.outcome.Body)
+		delete(s.records, r.key)
+		s.finished[n] = nil
+		n++
 	}
+	s.finished = s.finished[n:]
 }
 
 // Len returns the number of records.
 func (s *Store) Len() int { return len(s.records) }
+
+// Bytes returns the size of the answers kept.
+func (s *Store) Bytes() int { return s.bytes }
--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -5,9 +5,9 @@
 
 	"agatelanding.example/agatelanding/internal/decide/admission"
 	"agatelanding.example/agatelanding/internal/decide/idempotency"
-	"agatelanding.example/agatelanding/internal/decide/reassembly"
 	"agatelanding.example/agatelanding/internal/decide/slots"
 	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
@@ -21,104 +21,145 @@
 
 // Reserve admits or refuses a request.
 func (s *Scheduler) Reserve(now time.Time, session SessionID, m *wire.Reserve) []Action {
+	s.enter(now)
 	if _, ok := s.jobs[m.ID]; ok {
 		// A duplicated message changes nothing.
 		return s.take()
 	}
-	if code, detail := s.gate(now, m); code != result.OK {
-		s.refuse(session, m.ID, code, baseRetryAfter, detail)
+	if !m.Repeatable && s.recorded(session, m) {
 		return s.take()
 	}
-	j := s.newJob(now, session, m)
-	if !m.Repeatable && !s.openRecord(now, j) {
+	if code, after, detail := s.gate(now, m); code != result.OK {
+		s.refuse(session, m.ID, code, after, detail)
 		return s.take()
 	}
-	s.admit(now, j)
+	class, ok := s.row.Pool.ClassByName(m.Class)
+	if !ok {
+		s.refuse(session, m.ID, result.StaleConfiguration, baseRetryAfter, "the pool has no class "+m.Class)
+		return s.take()
+	}
+	j := s.newJob(now, session, m, class)
+	if !m.Repeatable && !s.openRecord(now, j, m) {
+		return s.take()
+	}
+	s.admit(now, j, class, m.Revision)
 	s.pump(now)
 	return s.take()
 }
 
 // gate holds the checks that need no queue.
-func (s *Scheduler) gate(now time.Time, m *wire.Reserve) (result.Code, string) {
+func (s *Scheduler) gate(now time.Time, m *wire.Reserve) (result.Code, time.Duration, string) {
+	code, detail := s.gateProcess(now, m)
+	if code == result.OK && !m.Repeatable {
+		code, detail = s.gateKey(m)
+	}
+	if code == result.OK && m.Adapter != "" {
+		key := slots.Key{Adapter: m.Adapter, Version: m.Version}
+		retryAt := s.parts.slots.RetryAt(key)
+		if now.Before(retryAt) && s.parts.slots.State(key) == slots.Absent {
+			return result.AdapterLoadFailed, retryAt.Sub(now), "the last load failed"
+		}
+	}
+	return code, baseRetryAfter, detail
+}
+
+func (s *Scheduler) gateProcess(now time.Time, m *wire.Reserve) (result.Code, string) {
 	switch {
+	case s.parts.guard.Superseded():
+		return result.AuthorityLost, "another process has taken over the engine"
 	case s.state == wire.StateLeaving:
 		return result.TargetLeaving, ""
 	case s.revision == 0:
 		return result.NoConfiguration, "the target has no pool row yet"
 	case m.Pool != s.row.Pool.Name:
 		return result.StaleConfiguration, "the target serves pool " + s.row.Pool.Name
-	case m.Revision < s.revision && now.Sub(s.newerFrom) > StaleGrace:
+	case m.Revision < s.revisions.settled(now):
 		return result.StaleConfiguration, ""
 	case !s.holdsAuthority():
 		return result.AuthorityLost, "the engine is being checked"
-	case !m.Repeatable && m.Key == "":
+	}
+	return result.OK, ""
+}
+
+// gateKey holds the checks of a call that may not be repeated. A newer
+// revision at the entry means that this target's list may be out of date.
+func (s *Scheduler) gateKey(m *wire.Reserve) (result.Code, string) {
+	switch {
+	case m.Key == "":
 		return result.KeyInvalid, "no key"
-	case !m.Repeatable && (m.PoolDigest != s.digest || !s.isHome(m.Key)):
+	case len(m.Key) > idempotency.MaxKeyLength:
+		return result.KeyInvalid, "the key is too long"
+	case m.Revision > s.revision:
+		return result.StaleConfiguration, "the target's pool row is older than the route"
+	case m.PoolDigest != s.digest || !s.homes.owns(m.Key):
 		return result.NotHome, ""
 	}
 	return result.OK, ""
 }
 
-func (s *Scheduler) newJob(now time.Time, session SessionID, m *wire.Reserve) *job {
-	class, _ := s.row.Pool.ClassByName(m.Class)
+func (s *Scheduler) newJob(now time.Time, session SessionID, m *wire.Reserve, class tables.Class) *job {
+	s.lastOrder++
 	return &job{
-		id:       m.ID,
-		session:  session,
-		reserve:  m,
-		adapter:  slots.Key{Adapter: m.Adapter, Version: m.Version},
-		expires:  now.Add(ReservationLife),
-		deadline: now.Add(time.Duration(m.BudgetMS) * time.Millisecond),
-		limit:    class.TotalBudget(),
-		waitFrom: now,
+		id:         m.ID,
+		session:    session,
+		order:      s.lastOrder,
+		adapter:    slots.Key{Adapter: m.Adapter, Version: m.Version},
+		class:      class.Name,
+		tokens:     m.Tokens,
+		repeatable: m.Repeatable,
+		key:        m.Key,
+		deadline:   now.Add(time.Duration(m.BudgetMS) * time.Millisecond),
+		limit:      class.TotalBudget(),
 	}
 }
 
-// openRecord asks the idempotency records. It returns false if the request
-// ends here.
-func (s *Scheduler) openRecord(now time.Time, j *job) bool {
-	m := j.reserve
-	var created time.Time
+// recorded answers from the record of a key, before any other check: a key
+// that was executed must not be answered by a code that says it was not.
+func (s *Scheduler) recorded(session SessionID, m *wire.Reserve) bool {
+	verdict, outcome, ok := s.records.Lookup(idempotency.Call{Key: m.Key, Digest: m.BodyDigest})
+	if ok {
+		s.answerVerdict(session, m.ID, verdict, outcome)
+	}
+	return ok
+}
+
+// openRecord asks for a new record. It returns false if the request ends here.
+func (s *Scheduler) openRecord(now time.Time, j *job, m *wire.Reserve) bool {
+	call := idempotency.Call{Key: m.Key, Digest: m.BodyDigest, HomeSince: s.homes.since(m.Key)}
 	if m.KeyTimeMS != 0 {
-		created = time.UnixMilli(m.KeyTimeMS)
+		call.Created = time.UnixMilli(m.KeyTimeMS)
+	}
+	verdict, outcome := s.records.Begin(now, call)
+	j.recorded = verdict == idempotency.Run
+	if !j.recorded {
+		s.answerVerdict(j.session, j.id, verdict, outcome)
 	}
-	verdict, outcome := s.records.Begin(now, m.Key, created, m.BodyDigest)
+	return j.recorded
+}
+
+// answerVerdict answers a call that is not run.
+func (s *Scheduler) answerVerdict(session SessionID, id wire.AttemptID, verdict idempotency.Verdict, outcome idempotency.Outcome) {
 	switch verdict {
-	case idempotency.Run:
-		return true
 	case idempotency.Replay:
-		s.replay(j, outcome)
+		s.replay(session, id, outcome)
 	case idempotency.InProgress:
-		s.refuse(j.session, j.id, result.KeyInProgress, baseRetryAfter, "")
+		s.refuse(session, id, result.KeyInProgress, baseRetryAfter, "")
 	case idempotency.Full:
-		s.refuse(j.session, j.id, result.RecordsFull, baseRetryAfter, "")
+		s.refuse(session, id, result.RecordsFull, baseRetryAfter, "")
 	case idempotency.Mismatch:
-		s.refuse(j.session, j.id, result.KeyReused, 0, "")
+		s.refuse(session, id, result.KeyReused, 0, "")
 	default:
-		s.refuse(j.session, j.id, result.KeyUnknown, 0, "")
-	}
-	return false
-}
-
-// replay answers from a record.
-func (s *Scheduler) replay(j *job, o idempotency.Outcome) {
-	s.rec.Count("replayed_outcomes")
-	end := &wire.End{ID: j.id, Code: result.Code(o.Code), Status: o.Status, ContentType: o.ContentType, Load: s.Report()}
-	if len(o.Body) > 0 {
-		s.send(j.session, &wire.Chunk{ID: j.id, Data: o.Body})
-		end.Chunks = 1
-		end.Checksum = reassembly.Checksum(0, o.Body)
+		s.refuse(session, id, result.KeyUnknown, 0, "")
 	}
-	s.send(j.session, end)
 }
 
-func (s *Scheduler) admit(now time.Time, j *job) {
-	class, _ := s.row.Pool.ClassByName(j.reserve.Class)
+func (s *Scheduler) admit(now time.Time, j *job, class tables.Class, revision uint64) {
 	item := admission.Item{
 		ID: j.id, Adapter: j.adapter, Class: class.Name, Long: class.Long,
-		Deadline: j.deadline, Tokens: j.reserve.Tokens,
+		Deadline: j.deadline, Tokens: j.tokens,
 	}
 	if j.usesAdapter() {
-		s.parts.slots.Touch(now, j.adapter)
+		s.parts.slots.Touch(now, j.adapter, revision)
 	}
 	decision := s.parts.queue.Offer(now, item, s.adapterDelay(j.adapter))
 	if decision.Refusal != admission.Admitted {
@@ -126,7 +167,7 @@
 		if decision.Refusal == admission.RefusedQueueFull {
 			code = result.QueueFull
 		}
-		s.records.Abort(j.reserve.Key)
+		s.abortRecord(j)
 		s.refuse(j.session, j.id, code, decision.RetryAfter, "")
 		return
 	}
@@ -135,6 +176,8 @@
 		j.pinned = true
 	}
 	s.jobs[j.id] = j
+	s.open++
+	s.arm(j, now.Add(ReservationLife))
 	s.send(j.session, &wire.Reserved{ID: j.id, Load: s.Report()})
 }
 
@@ -145,6 +188,7 @@
 
 // Run takes the body of a reserved request.
 func (s *Scheduler) Run(now time.Time, session SessionID, m *wire.Run) []Action {
+	s.enter(now)
 	j, ok := s.jobs[m.ID]
 	if !ok {
 		s.rec.Refused(result.UnknownReservation)
@@ -156,6 +200,7 @@
 	}
 	j.run = m
 	j.phase = phaseQueued
+	s.arm(j, time.Time{})
 	s.pump(now)
 	return s.take()
 }
@@ -163,128 +208,69 @@
 // Cancel ends an attempt on the entry's demand. Work that may not be repeated
 // and has started runs to its end, so that its outcome is recorded.
 func (s *Scheduler) Cancel(now time.Time, session SessionID, m *wire.Cancel) []Action {
-	j, ok := s.jobs[m.ID]
-	switch {
-	case !ok:
-	case j.phase == phaseReserved || j.phase == phaseQueued:
-		s.refuseJob(now, j, result.CancelledNotRun, "")
-	case j.phase == phaseRunning && j.reserve.Repeatable:
-		s.act(CancelExecution{ID: j.id})
+	s.enter(now)
+	if j, ok := s.jobs[m.ID]; ok {
+		if j.phase == phaseReserved || j.phase == phaseQueued {
+			s.refuseJob(now, j, result.CancelledNotRun, "")
+		}
+		s.cancel(j)
 	}
 	s.pump(now)
 	return s.take()
 }
 
-// Resume sends an answer again, from a chunk on, on another session.
-func (s *Scheduler) Resume(now time.Time, session SessionID, m *wire.Resume) []Action {
-	j, ok := s.jobs[m.ID]
-	if !ok || int(m.From) > len(j.chunks) {
-		s.send(session, &wire.End{ID: m.ID, Code: result.UnknownReservation, Load: s.Report()})
-		return s.take()
-	}
-	j.session = session
-	j.lostAt = time.Time{}
-	for i := int(m.From); i < len(j.chunks); i++ {
-		s.send(session, &wire.Chunk{ID: j.id, Sequence: uint32(i), Data: j.chunks[i]})
-	}
-	if j.end != nil {
-		s.send(session, j.end)
+// cancel ends the execution of a job that may be repeated.
+func (s *Scheduler) cancel(j *job) {
+	if j.phase == phaseRunning && j.repeatable && !j.cancelled {
+		j.cancelled = true
+		s.act(CancelExecution{ID: j.id})
 	}
-	return s.take()
 }
 
-// ExecutionChunk takes a piece of an answer from the engine or service.
+// ExecutionChunk takes a piece of an answer from the engine or service. The
+// scheduler keeps data, which must not change afterwards.
 func (s *Scheduler) ExecutionChunk(now time.Time, id wire.AttemptID, data []byte) []Action {
+	s.enter(now)
 	j, ok := s.jobs[id]
 	if !ok || j.phase != phaseRunning {
 		return s.take()
 	}
-	sequence := uint32(len(j.chunks))
-	j.chunks = append(j.chunks, data)
-	j.sum = reassembly.Checksum(j.sum, data)
-	s.send(j.session, &wire.Chunk{ID: id, Sequence: sequence, Data: data})
+	s.send(j.session, &wire.Chunk{ID: id, Sequence: j.count, Data: data})
+	s.keep(j, data)
 	return s.take()
 }
 
 // ExecutionEnded takes the end of an execution.
 func (s *Scheduler) ExecutionEnded(now time.Time, c Completion) []Action {
+	s.enter(now)
 	j, ok := s.jobs[c.ID]
 	if !ok || j.phase != phaseRunning {
 		return s.take()
 	}
-	s.parts.queue.Finished(now, c.ID)
+	s.complete(now, j, c)
+	s.pump(now)
+	return s.take()
+}
+
+func (s *Scheduler) complete(now time.Time, j *job, c Completion) {
+	s.parts.queue.Finished(now, j.id)
 	if c.Code == result.OK && j.usesAdapter() && (c.Adapter != j.adapter.Adapter || c.Version != j.adapter.Version) {
+		s.rec.Count("wrong_adapter_answers")
 		c.Code = result.WrongAdapter
 	}
-	if !j.reserve.Repeatable {
-		s.closeRecord(now, j, &c)
-	}
+	s.closeRecord(now, j, &c)
 	s.finish(now, j, &wire.End{
 		Code: c.Code, Detail: c.Detail, Status: c.Status, ContentType: c.ContentType,
 		Adapter: c.Adapter, Version: c.Version,
 	})
-	s.pump(now)
-	return s.take()
-}
-
-// closeRecord records the outcome of a call that may not be repeated. A
-// failure after the call was sent leaves the outcome unknown.
-func (s *Scheduler) closeRecord(now time.Time, j *job, c *Completion) {
-	if c.Code != result.OK && c.Code.Info().Execution == result.NotRun {
-		s.records.Abort(j.reserve.Key)
-		return
-	}
-	if c.Code != result.OK {
-		c.Code = result.OutcomeUnknown
-	}
-	var body []byte
-	for _, chunk := range j.chunks {
-		body = append(body, chunk...)
-	}
-	s.records.Finish(now, j.reserve.Key, idempotency.Outcome{
-		Code: uint16(c.Code), Status: c.Status, ContentType: c.ContentType, Body: body,
-	})
-}
-
-// refuseJob ends a job that has not started.
-func (s *Scheduler) refuseJob(now time.Time, j *job, code result.Code, detail string) {
-	s.parts.queue.Remove(j.id)
-	s.records.Abort(j.reserve.Key)
-	s.rec.Refused(code)
-	s.finish(now, j, &wire.End{Code: code, Detail: detail, RetryAfterMS: baseRetryAfter.Milliseconds()})
-}
-
-// finish closes a job and keeps its answer for a Resume.
-func (s *Scheduler) finish(now time.Time, j *job, end *wire.End) {
-	s.unpin(j)
-	j.phase = phaseDone
-	j.expires = now.Add(AnswerLife)
-	end.ID = j.id
-	end.Chunks = uint32(len(j.chunks))
-	end.Checksum = j.sum
-	end.Load = s.Report()
-	j.end = end
-	j.run = nil
-	s.send(j.session, end)
 }
 
-// drop forgets a job that has not started and whose session is gone.
-func (s *Scheduler) drop(j *job) {
-	s.parts.queue.Remove(j.id)
-	s.records.Abort(j.reserve.Key)
-	s.unpin(j)
-	delete(s.jobs, j.id)
-}
-
-// abandon ends repeatable work whose entry did not come back.
-func (s *Scheduler) abandon(j *job) {
-	switch j.phase {
-	case phaseReserved, phaseQueued:
-		s.drop(j)
-	case phaseRunning:
-		j.lostAt = time.Time{}
-		s.act(CancelExecution{ID: j.id})
+// abandon ends work that may be repeated and whose entry did not come back.
+func (s *Scheduler) abandon(now time.Time, j *job) {
+	if j.phase == phaseQueued {
+		s.refuseJob(now, j, result.SessionLost, "")
 	}
+	s.cancel(j)
 }
 
 func (s *Scheduler) unpin(j *job) {
--- a/internal/decide/scheduler/pump.go
+++ b/internal/decide/scheduler/pump.go
@@ -16,7 +16,10 @@
 	if !s.holdsAuthority() {
 		return
 	}
-	s.startLoads(now)
+	if s.isEngine() {
+		s.startLoads(now)
+		s.unloadObsolete(now)
+	}
 	for {
 		item, ok := s.parts.queue.Next(now, s.canStart)
 		if !ok {
@@ -42,9 +45,10 @@
 		priority = longPriority
 	}
 	s.act(Execute{
-		ID: j.id, Adapter: j.adapter, Run: j.run, Key: j.reserve.Key,
+		ID: j.id, Adapter: j.adapter, Run: j.run, Key: j.key,
 		Priority: priority, Fence: s.parts.guard.Fence(), Limit: j.limit,
 	})
+	j.run = nil
 }
 
 // demand is the need of one absent adapter.
@@ -59,6 +63,9 @@
 // loaded, most urgent first: short before long, then more waiters, then the
 // earlier deadline.
 func (s *Scheduler) demands() []demand {
+	if s.parts.queue.Waiting() == 0 {
+		return nil
+	}
 	byKey := make(map[slots.Key]*demand)
 	s.parts.queue.Each(func(item *admission.Item) {
 		if item.Adapter.Adapter == "" || s.parts.slots.State(item.Adapter) != slots.Absent {
@@ -94,28 +101,54 @@
 		cmp.Compare(a.key.Adapter, b.key.Adapter), cmp.Compare(a.key.Version, b.key.Version))
 }
 
-// startLoads starts loads while there are tokens and slots.
+// startLoads starts loads while there are tokens and slots. Each adapter that
+// cannot start takes at most one unload: the slots that earlier unloads are
+// about to free count for the most urgent adapters.
 func (s *Scheduler) startLoads(now time.Time) {
-	for _, d := range s.demands() {
-		if s.parts.budget.Available(now) == 0 {
-			return
-		}
+	list := s.demands()
+	if len(list) == 0 {
+		return
+	}
+	tokens := s.parts.budget.Available(now)
+	freeing := s.parts.slots.Unloading()
+	for _, d := range list {
 		plan := s.parts.slots.Plan(now, d.key)
 		switch {
 		case !plan.RetryAt.IsZero():
 			s.refuseWaiters(now, d.key, "the last load failed")
-		case plan.Evict != nil:
-			if s.parts.slots.BeginUnload(*plan.Evict) {
-				s.rec.Count("evictions")
-				s.act(UnloadAdapter{Key: *plan.Evict, Fence: s.parts.guard.Fence()})
-			}
-			return
+			continue
+		case plan.Blocked || tokens == 0:
+			continue
 		case plan.Load:
-			s.parts.budget.Take(now)
-			s.parts.slots.BeginLoad(d.key)
-			s.rec.Count("loads_started")
-			s.act(LoadAdapter{Key: d.key, Fence: s.parts.guard.Fence()})
+			s.load(now, d.key)
+		case freeing > 0:
+			freeing--
+		default:
+			s.rec.Count("evictions")
+			s.unload(*plan.Evict)
 		}
+		tokens--
+	}
+}
+
+func (s *Scheduler) load(now time.Time, key slots.Key) {
+	if s.parts.slots.BeginLoad(key) && s.parts.budget.Take(now) {
+		s.rec.Count("loads_started")
+		s.act(LoadAdapter{Key: key, Fence: s.parts.guard.Fence()})
+	}
+}
+
+func (s *Scheduler) unload(key slots.Key) {
+	if s.parts.slots.BeginUnload(key) {
+		s.act(UnloadAdapter{Key: key, Fence: s.parts.guard.Fence()})
+	}
+}
+
+// unloadObsolete frees the slots of versions that were replaced.
+func (s *Scheduler) unloadObsolete(now time.Time) {
+	for _, key := range s.parts.slots.Obsolete(now) {
+		s.rec.Count("old_versions_unloaded")
+		s.unload(key)
 	}
 }
 
@@ -134,44 +167,38 @@
 	}
 }
 
-// AdapterLoaded takes the result of a load.
+// AdapterLoaded takes the result of a load. Each LoadAdapter has exactly one,
+// also if the engine refused the order.
 func (s *Scheduler) AdapterLoaded(now time.Time, key slots.Key, failure error) []Action {
-	if s.parts.slots.State(key) != slots.Loading {
-		return s.take()
-	}
-	if failure != nil {
+	s.enter(now)
+	switch {
+	case s.parts.slots.Settle(key):
+		// The order was given to the engine as it was before a restart.
+	case failure == nil && s.parts.slots.Loaded(key):
+		s.learnLoadWait(now, key)
+	case failure != nil && s.parts.slots.LoadFailed(now, key):
 		s.rec.Count("loads_failed")
-		s.parts.slots.LoadFailed(now, key)
 		s.refuseWaiters(now, key, failure.Error())
-	} else {
-		s.parts.slots.Loaded(key)
-		s.learnLoadWait(now, key)
 	}
 	s.pump(now)
 	return s.take()
 }
 
-// AdapterUnloaded takes the result of an unload.
+// AdapterUnloaded takes the result of an unload. Each UnloadAdapter has
+// exactly one, also if the engine refused the order.
 func (s *Scheduler) AdapterUnloaded(now time.Time, key slots.Key, failure error) []Action {
-	if s.parts.slots.State(key) != slots.Unloading {
-		return s.take()
-	}
-	if failure != nil {
-		s.parts.slots.UnloadFailed(key)
-	} else {
+	s.enter(now)
+	switch {
+	case s.parts.slots.Settle(key):
+	case failure == nil:
 		s.parts.slots.Unloaded(key)
+	default:
+		s.parts.slots.UnloadFailed(now, key)
 	}
 	s.pump(now)
 	return s.take()
 }
 
-// OrderRefused records that the engine refused an order for its fence.
-func (s *Scheduler) OrderRefused(now time.Time) []Action {
-	s.rec.Count("orders_fenced")
-	s.parts.guard.Lost()
-	return s.take()
-}
-
 func (s *Scheduler) learnLoadWait(now time.Time, key slots.Key) {
 	var oldest time.Duration
 	s.parts.queue.Each(func(item *admission.Item) {
--- /dev/null
+++ b/internal/decide/scheduler/revisions.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import "time"
+
+// revisions tells which configuration revision has been known for StaleGrace.
+// While revisions follow each other faster than that, it keeps the oldest one
+// that waits, so that a stale entry is refused all the same.
+type revisions struct {
+	known   uint64
+	next    uint64
+	nextAt  time.Time
+	current uint64
+}
+
+// learn records a revision.
+func (r *revisions) learn(now time.Time, revision uint64) {
+	r.settle(now)
+	r.current = max(r.current, revision)
+	if r.next == r.known {
+		r.next, r.nextAt = r.current, now
+	}
+}
+
+// settle moves on once the waiting revision has been known long enough.
+func (r *revisions) settle(now time.Time) {
+	if r.next != r.known && now.Sub(r.nextAt) > StaleGrace {
+		r.known = r.next
+		if r.current != r.next {
+			r.next, r.nextAt = r.current, now
+		}
+	}
+}
+
+// settled returns the highest revision that routes must not be older than.
+func (r *revisions) settled(now time.Time) uint64 {
+	r.settle(now)
+	return r.known
+}
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -9,7 +11,6 @@
 	"agatelanding.example/agatelanding/internal/decide/authority"
 	"agatelanding.example/agatelanding/internal/decide/idempotency"
 	"agatelanding.example/agatelanding/internal/decide/loadbudget"
-	"agatelanding.example/agatelanding/internal/decide/placement"
 	"agatelanding.example/agatelanding/internal/decide/slots"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
@@ -25,14 +26,29 @@
 	sessions []SessionID
 	jobs     map[wire.AttemptID]*job
 
+	// done lists finished jobs, oldest first; open counts the others.
+	done      []*job
+	open      int
+	lastOrder uint64
+	timers    timers
+	// kept is the size of the answers kept for a Resume.
+	kept int
+
 	row       tables.PoolRow
-	ranker    *placement.Ranker
+	rowJSON   []byte
+	homes     homes
 	revision  uint64
+	revisions revisions
 	digest    uint64
-	newerFrom time.Time
 
-	state     wire.State
-	lastProbe time.Time
+	state       wire.State
+	steppedDown bool
+	lastEvent   time.Time
+	lastProbe   time.Time
+	// lastLook is the number of the newest look at the engine, probeMark
+	// the state of the slots when it was asked for.
+	lastLook  uint64
+	probeMark uint64
 	nextGrant int
 	// loadWait is the moving average of the time from the first request for
 	// an adapter to its residency.
@@ -53,10 +69,12 @@
 			queue:  admission.New(admission.Config{}),
 			guard:  authority.New(now),
 		},
-		records:  idempotency.New(now, idempotency.MaxRecords),
-		jobs:     make(map[wire.AttemptID]*job),
-		state:    wire.StateServing,
-		loadWait: initialLoadWait,
+		records:   idempotency.New(now, idempotency.MaxRecords),
+		jobs:      make(map[wire.AttemptID]*job),
+		homes:     newHomes(cfg),
+		state:     wire.StateServing,
+		lastEvent: now,
+		loadWait:  initialLoadWait,
 	}
 }
 
@@ -75,9 +93,24 @@
 	}
 }
 
+// openJobs returns the jobs that have not ended, in order of arrival.
+func (s *Scheduler) openJobs() []*job {
+	list := make([]*job, 0, s.open)
+	for _, j := range s.jobs {
+		if j.phase != phaseDone {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
+	return list
+}
+
 // SessionUp records a new session.
 func (s *Scheduler) SessionUp(now time.Time, id SessionID) []Action {
-	s.sessions = append(s.sessions, id)
+	s.enter(now)
+	if id != 0 && !slices.Contains(s.sessions, id) {
+		s.sessions = append(s.sessions, id)
+	}
 	return s.take()
 }
 
@@ -85,14 +118,21 @@
 // waits for a Resume.
 func (s *Scheduler) SessionLost(now time.Time, id SessionID) []Action {
 	s.sessions = slices.DeleteFunc(s.sessions, func(x SessionID) bool { return x == id })
-	for _, j := range s.jobs {
-		if j.session != id {
-			continue
+	var lost []*job
+	for _, j := range s.openJobs() {
+		if j.session == id && id != 0 {
+			j.session = 0
+			j.lostAt = now
+			lost = append(lost, j)
 		}
-		j.session = 0
-		j.lostAt = now
-		if j.phase == phaseReserved {
-			s.drop(j)
+	}
+	s.enter(now)
+	for _, j := range lost {
+		switch {
+		case j.phase == phaseReserved:
+			s.refuseJob(now, j, result.SessionLost, "")
+		case j.phase != phaseDone && j.repeatable:
+			s.arm(j, now.Add(AnswerLife))
 		}
 	}
 	s.pump(now)
@@ -101,79 +141,58 @@
 
 // Leave stops taking new work and tells every session.
 func (s *Scheduler) Leave(now time.Time) []Action {
-	s.state = wire.StateLeaving
-	for _, id := range s.sessions {
-		s.send(id, &wire.Leaving{Process: s.cfg.Name})
-	}
+	s.enter(now)
+	s.leave()
 	return s.take()
 }
 
 // Idle reports whether no accepted request is left.
-func (s *Scheduler) Idle() bool {
-	for _, j := range s.jobs {
-		if j.phase != phaseDone {
-			return false
-		}
-	}
-	return true
-}
+func (s *Scheduler) Idle() bool { return s.open == 0 }
 
 // PoolUpdate puts the pool's row in force unless it is older than the current.
+// Every entry sends it, so that a row that is in force already costs little.
 func (s *Scheduler) PoolUpdate(now time.Time, m *wire.PoolUpdate) []Action {
+	s.enter(now)
 	if m.Revision < s.revision {
 		return s.take()
 	}
-	var row tables.PoolRow
-	if err := json.Unmarshal(m.Row, &row); err != nil {
-		s.rec.Count("pool_update_malformed")
-		return s.take()
-	}
-	if m.Revision > s.revision {
-		s.revision = m.Revision
-		s.newerFrom = now
-	}
-	if s.digest != 0 && s.digest != m.Digest {
-		s.records.HomesChanged(now)
+	if !bytes.Equal(m.Row, s.rowJSON) || m.Digest != s.digest {
+		var row tables.PoolRow
+		if err := json.Unmarshal(m.Row, &row); err != nil {
+			s.rec.Count("pool_update_malformed")
+			return s.take()
+		}
+		if m.Revision == s.revision {
+			s.rec.Count("pool_update_conflicts")
+		}
+		s.setRow(now, row, m.Row)
 	}
+	s.revision = m.Revision
+	s.revisions.learn(now, m.Revision)
 	s.digest = m.Digest
+	s.parts.budget.Configure(now, m.LoadMembers, s.row.WeightStore.LoadsPerSecond)
+	s.pump(now)
+	return s.take()
+}
+
+func (s *Scheduler) setRow(now time.Time, row tables.PoolRow, raw []byte) {
 	s.row = row
-	s.ranker = homeRanker(row.Pool)
+	s.rowJSON = raw
+	s.homes.set(now, &row.Pool)
 	s.parts.slots.SetCapacity(row.Pool.Slots)
-	s.parts.budget.Configure(now, m.LoadMembers, row.WeightStore.LoadsPerSecond)
 	s.parts.queue.Configure(admission.Config{
 		MaxRunning: row.Pool.MaxRunning,
 		QueueLimit: row.Pool.QueueLimit,
 		LongShare:  row.Pool.LongShare,
 		FIFO:       s.cfg.FIFO,
 	})
-	s.pump(now)
-	return s.take()
-}
-
-// homeRanker ranks the targets that may be homes of keys.
-func homeRanker(pool tables.Pool) *placement.Ranker {
-	targets := make([]placement.Target, 0, len(pool.Targets))
-	for _, t := range pool.Targets {
-		targets = append(targets, placement.Target{Name: t.Name, FailureDomain: t.FailureDomain})
-	}
-	return placement.NewRanker(targets)
-}
-
-// isHome reports whether this target is the home of key under its own row.
-func (s *Scheduler) isHome(key string) bool {
-	ranks := s.ranker.Rank(key, 1)
-	return len(ranks) == 1 && s.row.Pool.Targets[ranks[0]].Name == s.cfg.Name
 }
 
 // Tick runs everything that depends on time.
 func (s *Scheduler) Tick(now time.Time) []Action {
-	if s.parts.guard.Tick(now) {
-		s.rec.Count("pause_detected")
-		s.afterPause(now)
-	}
+	s.enter(now)
 	if now.Sub(s.lastProbe) >= ProbeInterval {
-		s.lastProbe = now
-		s.act(ProbeEngine{})
+		s.probe(now)
 	}
 	s.expire(now)
 	s.records.Expire(now)
@@ -183,41 +202,33 @@
 	return s.take()
 }
 
-// afterPause gives up what other processes have given up on meanwhile.
-func (s *Scheduler) afterPause(now time.Time) {
-	s.lastProbe = now
-	s.act(ProbeEngine{})
-	for _, j := range s.jobs {
-		if j.phase == phaseReserved {
-			s.refuseJob(now, j, result.AuthorityLost, "the target process was paused")
-		}
-	}
-}
-
 func (s *Scheduler) expire(now time.Time) {
-	for _, item := range s.parts.queue.Expired(now) {
-		if j, ok := s.jobs[item.ID]; ok {
-			s.refuseJob(now, j, result.DeadlinePassed, "the budget ended in the queue")
+	if s.parts.queue.Waiting() > 0 {
+		for _, item := range s.parts.queue.Expired(now) {
+			if j, ok := s.jobs[item.ID]; ok {
+				s.refuseJob(now, j, result.DeadlinePassed, "the budget ended in the queue")
+			}
 		}
 	}
-	for id, j := range s.jobs {
+	for j := s.nextDue(now); j != nil; j = s.nextDue(now) {
 		switch {
-		case j.phase == phaseReserved && now.After(j.expires):
+		case j.phase == phaseReserved:
 			s.refuseJob(now, j, result.ReservationExpired, "")
-		case j.phase == phaseDone && now.After(j.expires):
-			delete(s.jobs, id)
-		case !j.lostAt.IsZero() && j.reserve.Repeatable && now.Sub(j.lostAt) > AnswerLife:
-			s.abandon(j)
+		case j.phase == phaseDone:
+			s.forget(j)
+		case !j.lostAt.IsZero() && j.repeatable:
+			s.abandon(now, j)
 		}
 	}
 }
 
-// passTokens gives unused load tokens to entries, which pass them on.
+// passTokens gives load tokens that no waiting adapter needs to entries, which
+// pass them on.
 func (s *Scheduler) passTokens(now time.Time) {
-	if s.cfg.StaticLoadShare || len(s.sessions) == 0 || s.loadsWaiting() > 0 {
+	if s.cfg.StaticLoadShare || len(s.sessions) == 0 {
 		return
 	}
-	for {
+	for spare := s.parts.budget.Available(now) - s.loadsWaiting(); spare > 0; spare-- {
 		token, ok := s.parts.budget.Surplus(now)
 		if !ok {
 			return
@@ -230,6 +241,7 @@
 
 // Grant takes a load token that an entry passed on.
 func (s *Scheduler) Grant(now time.Time, m *wire.LoadGrant) []Action {
+	s.enter(now)
 	token := loadbudget.Token{Minter: m.Minter, Period: m.Period, Expires: time.UnixMilli(m.ExpiresMS)}
 	if s.parts.budget.Receive(now, token) {
 		s.rec.Count("load_grants_received")
@@ -265,36 +277,10 @@
 		Waiting:   s.parts.queue.Waiting(),
 		Slots:     s.parts.slots.Capacity(),
 		Resident:  s.parts.slots.Resident(),
+		Pins:      s.parts.slots.Pinned(),
+		KeptBytes: s.kept,
 		Records:   s.records.Len(),
 		Tokens:    s.parts.budget.Available(now),
 		Sessions:  len(s.sessions),
 	}
 }
-
-func (s *Scheduler) isEngine() bool { return s.row.Pool.Kind == tables.KindEngine }
-
-// holdsAuthority reports whether orders may go out. Plain services keep no
-// fence and get no orders, so a recent tick is enough.
-func (s *Scheduler) holdsAuthority() bool { return !s.isEngine() || s.parts.guard.Holds() }
-
-// EngineProbed takes a look at the engine into account.
-func (s *Scheduler) EngineProbed(now time.Time, state EngineState) []Action {
-	switch s.parts.guard.Confirm(state.View) {
-	case authority.Restarted:
-		s.rec.Count("engine_restarts_seen")
-		s.act(TakeFence{Fence: s.parts.guard.NextFence(state.View)})
-	case authority.Superseded:
-		s.rec.Count("superseded")
-	}
-	s.pump(now)
-	return s.take()
-}
-
-// FenceTaken records that the engine accepted the fencing number. The slots
-// are set to what the engine holds.
-func (s *Scheduler) FenceTaken(now time.Time, state EngineState, fence uint64) []Action {
-	s.parts.guard.Took(state.View, fence)
-	s.parts.slots.Reset(state.Resident)
-	s.pump(now)
-	return s.take()
-}
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -66,11 +66,18 @@
 	Limit time.Duration
 }
 
+// StepDown says that another process has taken over the engine for good. The
+// process finishes what runs and exits.
+type StepDown struct{}
+
 // CancelExecution ends a running request.
 type CancelExecution struct{ ID wire.AttemptID }
 
 // ProbeEngine asks for a fresh look at the engine.
-type ProbeEngine struct{}
+type ProbeEngine struct {
+	// Number is returned in EngineState.Probe.
+	Number uint64
+}
 
 // TakeFence sets the fencing number at the engine.
 type TakeFence struct{ Fence uint64 }
@@ -82,10 +89,17 @@
 func (CancelExecution) isAction() {}
 func (ProbeEngine) isAction()     {}
 func (TakeFence) isAction()       {}
+func (StepDown) isAction()        {}
 
 // EngineState is a look at the engine.
 type EngineState struct {
-	View     authority.EngineView
+	// Probe is the number of the ProbeEngine that asked for the look; 0
+	// stands for the newest one. Without it, a look from before a pause
+	// cannot be told from one after it.
+	Probe uint64
+	View  authority.EngineView
+	// Resident lists the loaded adapters; nil means that the look does not
+	// include them.
 	Resident []slots.Key
 }
 
@@ -117,6 +131,10 @@
 	FIFO       bool
 	// StaticLoadShare keeps each target to its own load tokens.
 	StaticLoadShare bool
+	// HomeGrace is how long other processes may still follow an older pool
+	// list; 0 stands for DefaultHomeGrace. A key that was created within it
+	// after a change of its home is not executed.
+	HomeGrace time.Duration
 }
 
 type phase uint8
@@ -131,20 +149,33 @@
 type job struct {
 	id      wire.AttemptID
 	session SessionID
+	// order numbers the jobs, so that they are handled in a fixed order.
+	order uint64
 	// lostAt is when the session ended; zero while it is open.
-	lostAt   time.Time
-	reserve  *wire.Reserve
-	run      *wire.Run
-	adapter  slots.Key
-	pinned   bool
-	phase    phase
-	expires  time.Time
+	lostAt     time.Time
+	run        *wire.Run
+	adapter    slots.Key
+	class      string
+	tokens     int
+	repeatable bool
+	key        string
+	// recorded is true while the job owns the open record of its key.
+	recorded  bool
+	pinned    bool
+	cancelled bool
+	phase     phase
+	// due is the time of the armed timer, zero without one.
+	due      time.Time
 	deadline time.Time
 	limit    time.Duration
-	chunks   [][]byte
-	sum      uint32
-	end      *wire.End
-	waitFrom time.Time
+	// count and sum describe all chunks of the answer. chunks holds them
+	// for a Resume, unless cut.
+	count  uint32
+	sum    uint32
+	chunks [][]byte
+	bytes  int
+	cut    bool
+	end    *wire.End
 }
 
 func (j *job) usesAdapter() bool { return j.adapter.Adapter != "" }
@@ -159,8 +190,12 @@
 	Waiting   int
 	Slots     int
 	Resident  []slots.Key
-	Records   int
-	Tokens    int
+	// Pins counts the requests that hold an adapter.
+	Pins    int
+	Records int
+	Tokens  int
+	// KeptBytes is the size of the answers kept for a Resume.
+	KeptBytes int
 	Sessions  int
 }
 
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -1,12 +1,14 @@
 // Package slots decides which adapters occupy the adapter slots of one engine.
 //
 // A Table is a pure state machine: the caller passes the time, performs the
-// loads and unloads that the table asks for and reports their results. It is
-// used by one goroutine.
+// loads and unloads that the table asks for and reports the result of each
+// exactly once. It is used by one goroutine.
 package slots
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,6 +18,11 @@
 	Version string
 }
 
+// Compare orders keys by name.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Adapter, other.Adapter), cmp.Compare(k.Version, other.Version))
+}
+
 // State is the state of one adapter version.
 type State uint8
 
@@ -27,27 +34,13 @@
 	Unloading
 )
 
-// Policy selects the victim of an eviction.
-type Policy uint8
-
-const (
-	// Frequency evicts the adapter with the lowest aged request frequency.
-	Frequency Policy = iota
-	// LRU evicts the least recently used adapter. It is the naive policy
-	// that measurements compare with.
-	LRU
-)
-
 const (
-	// HalfLife is the time in which an adapter's request count loses half
-	// its weight. It must be long against the time between requests of a
-	// warm adapter and short against a shift in popularity.
-	HalfLife = 60 * time.Second
 	// MinBackoff and MaxBackoff bound the delay after failed loads.
 	MinBackoff = 500 * time.Millisecond
 	MaxBackoff = 30 * time.Second
-	// maxTracked bounds the adapters whose frequency is remembered.
-	maxTracked = 4096
+	// OrderLife bounds the wait for the result of an order that was given
+	// before a Reset. It is longer than the time limit of an order.
+	OrderLife = 10 * time.Second
 )
 
 type entry struct {
@@ -56,10 +49,19 @@
 	pins     int
 	failures int
 	retryAt  time.Time
-	lastUse  time.Time
+	// keepUntil excludes the adapter from eviction after a failed unload.
+	keepUntil time.Time
+	lastUse   time.Time
+	// revision is the newest configuration that sent a request.
+	revision uint64
 	// score is the aged request count at scoredAt.
 	score    float64
 	scoredAt time.Time
+	// changed is the value of Table.changes at the last change of state.
+	changed uint64
+	// owedUntil is set while the result of an order from before the last
+	// Reset may still arrive.
+	owedUntil time.Time
 }
 
 // Table holds the slots of one engine.
@@ -67,7 +69,9 @@
 	capacity int
 	policy   Policy
 	entries  map[Key]*entry
-	occupied int
+	// held lists the entries that occupy a slot, in order of their keys.
+	held    []*entry
+	changes uint64
 }
 
 // New returns an empty table.
@@ -99,22 +103,18 @@
 	return time.Time{}
 }
 
-// Touch records a request for key.
-func (t *Table) Touch(now time.Time, key Key) {
-	e := t.get(key)
-	e.score = e.aged(now) + 1
-	e.scoredAt = now
-	e.lastUse = now
-	t.prune(now)
-}
-
 // Pin protects key from eviction until Unpin.
 func (t *Table) Pin(key Key) { t.get(key).pins++ }
 
 // Unpin releases one pin.
 func (t *Table) Unpin(key Key) {
-	if e, ok := t.entries[key]; ok && e.pins > 0 {
-		e.pins--
+	e, ok := t.entries[key]
+	if !ok || e.pins == 0 {
+		return
+	}
+	e.pins--
+	if e.pins == 0 && e.state == Absent && e.score == 0 && e.failures == 0 && e.owedUntil.IsZero() {
+		delete(t.entries, key)
 	}
 }
 
@@ -126,13 +126,23 @@
 	return 0
 }
 
+// Pinned returns the number of pins on all adapters.
+func (t *Table) Pinned() int {
+	n := 0
+	for _, e := range t.entries {
+		n += e.pins
+	}
+	return n
+}
+
 // Plan says what must happen before key can be loaded.
 type Plan struct {
 	// Load is true if a slot is free and the load may start.
 	Load bool
 	// Evict names an adapter to unload first.
 	Evict *Key
-	// Blocked is true if every slot is pinned, loading or unloading.
+	// Blocked is true if every slot is pinned, loading or unloading, or if
+	// key itself has a slot or an order whose result is not known.
 	Blocked bool
 	// RetryAt is set if the last load failed and the delay is not over.
 	RetryAt time.Time
@@ -140,10 +150,15 @@
 
 // Plan decides how to make room for key. It changes nothing.
 func (t *Table) Plan(now time.Time, key Key) Plan {
-	if e, ok := t.entries[key]; ok && now.Before(e.retryAt) {
-		return Plan{RetryAt: e.retryAt}
+	if e, ok := t.entries[key]; ok {
+		if now.Before(e.retryAt) {
+			return Plan{RetryAt: e.retryAt}
+		}
+		if e.state != Absent || now.Before(e.owedUntil) {
+			return Plan{Blocked: true}
+		}
 	}
-	if t.occupied < t.capacity {
+	if len(t.held) < t.capacity {
 		return Plan{Load: true}
 	}
 	if victim := t.victim(now); victim != nil {
@@ -153,30 +168,42 @@
 	return Plan{Blocked: true}
 }
 
-// BeginLoad takes a slot for key.
-func (t *Table) BeginLoad(key Key) {
-	e := t.get(key)
-	if e.state == Absent {
-		t.occupied++
+// BeginLoad takes a slot for key. It returns false if key has a slot already
+// or none is free.
+func (t *Table) BeginLoad(key Key) bool {
+	if len(t.held) >= t.capacity || t.State(key) != Absent {
+		return false
 	}
-	e.state = Loading
+	e := t.get(key)
+	e.owedUntil = time.Time{}
+	t.set(e, Loading)
+	return true
 }
 
-// Loaded ends a load that succeeded.
-func (t *Table) Loaded(key Key) {
-	e := t.get(key)
-	e.state = Resident
+// Loaded ends a load that succeeded. It returns false if none is in progress.
+func (t *Table) Loaded(key Key) bool {
+	e, ok := t.entries[key]
+	if !ok || e.state != Loading {
+		return false
+	}
+	t.set(e, Resident)
 	e.failures = 0
 	e.retryAt = time.Time{}
+	return true
 }
 
-// LoadFailed ends a load that failed, frees the slot and starts a backoff.
-func (t *Table) LoadFailed(now time.Time, key Key) {
-	e := t.get(key)
-	t.vacate(e)
-	backoff := time.Duration(float64(MinBackoff) * math.Pow(2, float64(e.failures)))
+// LoadFailed ends a load that failed, frees the slot and starts a backoff. It
+// returns false if no load is in progress.
+func (t *Table) LoadFailed(now time.Time, key Key) bool {
+	e, ok := t.entries[key]
+	if !ok || e.state != Loading {
+		return false
+	}
+	t.set(e, Absent)
+	backoff := float64(MinBackoff) * math.Exp2(float64(e.failures))
 	e.failures++
-	e.retryAt = now.Add(min(backoff, MaxBackoff))
+	e.retryAt = now.Add(time.Duration(min(backoff, float64(MaxBackoff))))
+	return true
 }
 
 // BeginUnload marks key as leaving its slot. It returns false if key is
@@ -186,44 +213,95 @@
 	if !ok || e.pins > 0 || e.state != Resident {
 		return false
 	}
-	e.state = Unloading
+	e.owedUntil = time.Time{}
+	t.set(e, Unloading)
 	return true
 }
 
-// Unloaded frees the slot of key.
-func (t *Table) Unloaded(key Key) {
-	if e, ok := t.entries[key]; ok {
-		t.vacate(e)
+// Unloaded frees the slot of key. It returns false if key is not unloading.
+func (t *Table) Unloaded(key Key) bool {
+	e, ok := t.entries[key]
+	if !ok || e.state != Unloading {
+		return false
 	}
+	t.set(e, Absent)
+	return true
 }
 
-// UnloadFailed returns key to Resident.
-func (t *Table) UnloadFailed(key Key) {
-	if e, ok := t.entries[key]; ok && e.state == Unloading {
-		e.state = Resident
+// UnloadFailed returns key to Resident. Key is not evicted again for
+// MinBackoff, so that an engine that cannot unload is not asked in a loop.
+func (t *Table) UnloadFailed(now time.Time, key Key) bool {
+	e, ok := t.entries[key]
+	if !ok || e.state != Unloading {
+		return false
 	}
+	t.set(e, Resident)
+	e.keepUntil = now.Add(MinBackoff)
+	return true
 }
 
 // Reset replaces the occupation by what the engine reports, for example after
-// a restart of the engine or of this process. Pins stay.
-func (t *Table) Reset(resident []Key) {
-	for _, e := range t.entries {
-		e.state = Absent
+// a restart of the engine or of this process. Pins stay. The result of an
+// order in progress is still to come and must not be taken for that of a new
+// one: if the engine has the adapter, the order stays in progress, because it
+// can take effect after the report; if not, the adapter is not loaded again
+// before Settle or OrderLife.
+func (t *Table) Reset(now time.Time, resident []Key) {
+	for _, e := range slices.Clone(t.held) {
+		switch {
+		case e.state == Resident:
+			t.set(e, Absent)
+		case !slices.Contains(resident, e.key):
+			e.owedUntil = now.Add(OrderLife)
+			t.set(e, Absent)
+		}
 	}
-	t.occupied = 0
 	for _, key := range resident {
-		e := t.get(key)
-		if e.state == Absent {
-			e.state = Resident
-			t.occupied++
+		if e := t.get(key); e.state == Absent {
+			t.set(e, Resident)
 		}
 	}
 }
 
-// Resident returns the resident adapters in no particular order.
+// Settle takes the result of an order from before the last Reset. It returns
+// false if none is outstanding for key.
+func (t *Table) Settle(key Key) bool {
+	e, ok := t.entries[key]
+	if !ok || e.owedUntil.IsZero() {
+		return false
+	}
+	e.owedUntil = time.Time{}
+	return true
+}
+
+// Mark identifies the present occupation for Reconcile.
+func (t *Table) Mark() uint64 { return t.changes }
+
+// Reconcile compares the table with what the engine reports and corrects it.
+// The report was asked for at mark: adapters that changed later, and those
+// with an order in progress, stay as they are. It returns the number of
+// corrections.
+func (t *Table) Reconcile(mark uint64, resident []Key) int {
+	corrected := 0
+	for _, e := range slices.Clone(t.held) {
+		if e.state == Resident && e.changed <= mark && !slices.Contains(resident, e.key) {
+			t.set(e, Absent)
+			corrected++
+		}
+	}
+	for _, key := range resident {
+		if e := t.get(key); e.state == Absent && e.changed <= mark {
+			t.set(e, Resident)
+			corrected++
+		}
+	}
+	return corrected
+}
+
+// Resident returns the resident adapters in order of their names.
 func (t *Table) Resident() []Key {
 	var keys []Key
-	for _, e := range t.entries {
+	for _, e := range t.held {
 		if e.state == Resident {
 			keys = append(keys, e.key)
 		}
@@ -232,13 +310,37 @@
 }
 
 // Occupied returns the number of slots in use.
-func (t *Table) Occupied() int { return t.occupied }
+func (t *Table) Occupied() int { return len(t.held) }
+
+// Unloading returns the number of slots that are about to become free.
+func (t *Table) Unloading() int {
+	n := 0
+	for _, e := range t.held {
+		if e.state == Unloading {
+			n++
+		}
+	}
+	return n
+}
+
+// Tracked returns the number of adapters that the table remembers.
+func (t *Table) Tracked() int { return len(t.entries) }
 
-func (t *Table) vacate(e *entry) {
-	if e.state != Absent {
-		t.occupied--
+// set changes the state of an entry and keeps held up to date.
+func (t *Table) set(e *entry, state State) {
+	if e.state == state {
+		return
 	}
-	e.state = Absent
+	t.changes++
+	e.changed = t.changes
+	i, held := slices.BinarySearchFunc(t.held, e.key, func(x *entry, k Key) int { return x.key.Compare(k) })
+	switch {
+	case state == Absent && held:
+		t.held = slices.Delete(t.held, i, i+1)
+	case state != Absent && !held:
+		t.held = slices.Insert(t.held, i, e)
+	}
+	e.state = state
 }
 
 func (t *Table) get(key Key) *entry {
@@ -249,54 +351,3 @@
 	}
 	return e
 }
-
-func (t *Table) victim(now time.Time) *entry {
-	var best *entry
-	for _, e := range t.entries {
-		if e.state != Resident || e.pins > 0 {
-			continue
-		}
-		if best == nil || t.before(now, e, best) {
-			best = e
-		}
-	}
-	return best
-}
-
-// before reports whether a is evicted before b. Names break ties, so that the
-// result does not depend on the order of the map.
-func (t *Table) before(now time.Time, a, b *entry) bool {
-	if t.policy == Frequency {
-		if x, y := a.aged(now), b.aged(now); x != y {
-			return x < y
-		}
-	}
-	if !a.lastUse.Equal(b.lastUse) {
-		return a.lastUse.Before(b.lastUse)
-	}
-	if a.key.Adapter != b.key.Adapter {
-		return a.key.Adapter < b.key.Adapter
-	}
-	return a.key.Version < b.key.Version
-}
-
-func (e *entry) aged(now time.Time) float64 {
-	if e.score == 0 {
-		return 0
-	}
-	return e.score * math.Exp2(-float64(now.Sub(e.scoredAt))/float64(HalfLife))
-}
-
-// prune forgets the coldest absent adapters above maxTracked, a quarter at a
-// time so that the cost is spread over many requests.
-func (t *Table) prune(now time.Time) {
-	if len(t.entries) <= maxTracked {
-		return
-	}
-	horizon := now.Add(-4 * HalfLife)
-	for key, e := range t.entries {
-		if e.state == Absent && e.pins == 0 && (e.lastUse.Before(horizon) || e.aged(now) < 1) {
-			delete(t.entries, key)
-		}
-	}
-}
--- /dev/null
+++ b/internal/decide/slots/slots_suite_test.go
@@ -0,0 +1,330 @@
+package slots_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/slots"
+)
+
+func TestSlots(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "slots")
+}
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	a1    = slots.Key{Adapter: "a", Version: "1"}
+	a2    = slots.Key{Adapter: "a", Version: "2"}
+	b1    = slots.Key{Adapter: "b", Version: "1"}
+	c1    = slots.Key{Adapter: "c", Version: "1"}
+)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// table returns a table of a capacity that holds keys, each used once.
+func table(size int, keys ...slots.Key) *slots.Table {
+	t := slots.New(size, slots.Frequency)
+	for _, k := range keys {
+		t.Touch(start, k, 1)
+		t.BeginLoad(k)
+		t.Loaded(k)
+	}
+	return t
+}
+
+var _ = Describe("Table", func() {
+	DescribeTable("plans room for an adapter",
+		func(size int, prepare func(*slots.Table), want slots.Plan) {
+			t := table(size, a1, b1)
+			prepare(t)
+			Expect(t.Plan(start, c1)).To(Equal(want))
+		},
+		Entry("a free slot", 3, func(*slots.Table) {}, slots.Plan{Load: true}),
+		Entry("the colder adapter goes", 2, func(t *slots.Table) { t.Touch(start, a1, 1) }, slots.Plan{Evict: &b1}),
+		Entry("a pinned adapter stays although it is colder", 2, func(t *slots.Table) { t.Touch(start, a1, 1); t.Pin(b1) }, slots.Plan{Evict: &a1}),
+		Entry("all slots pinned", 2, func(t *slots.Table) { t.Pin(a1); t.Pin(b1) }, slots.Plan{Blocked: true}),
+		Entry("one pinned, one unloading", 2, func(t *slots.Table) { t.Pin(a1); t.BeginUnload(b1) }, slots.Plan{Blocked: true}),
+		// An engine that refuses to unload must not be asked in a loop.
+		Entry("an unload that failed is not repeated at once", 2,
+			func(t *slots.Table) { t.Pin(a1); t.BeginUnload(b1); t.UnloadFailed(start, b1) }, slots.Plan{Blocked: true}),
+		// A second load of an adapter would take two slots for one.
+		Entry("the adapter is loading already", 3, func(t *slots.Table) { t.BeginLoad(c1) }, slots.Plan{Blocked: true}),
+		Entry("its last load failed", 3, func(t *slots.Table) { t.BeginLoad(c1); t.LoadFailed(start, c1) },
+			slots.Plan{RetryAt: start.Add(slots.MinBackoff)}),
+		// The late result of the old order would be taken for that of a new one.
+		Entry("an order from before a reset is outstanding", 3,
+			func(t *slots.Table) { t.BeginLoad(c1); t.Reset(start, nil) }, slots.Plan{Blocked: true}),
+		Entry("the order from before a reset is settled", 3,
+			func(t *slots.Table) { t.BeginLoad(c1); t.Reset(start, nil); t.Settle(c1) }, slots.Plan{Load: true}),
+		Entry("the order from before a reset is overdue", 3,
+			func(t *slots.Table) { t.BeginLoad(c1); t.Reset(start.Add(-slots.OrderLife), nil) }, slots.Plan{Load: true}),
+		Entry("a lower capacity", 3, func(t *slots.Table) { t.SetCapacity(1) }, slots.Plan{Evict: &a1}),
+	)
+
+	DescribeTable("refuses changes that the state does not allow",
+		func(change func(*slots.Table) bool) {
+			t := table(2, a1, b1)
+			t.Pin(b1)
+			Expect(change(t)).To(BeFalse())
+			Expect(t.Resident()).To(Equal([]slots.Key{a1, b1}))
+			Expect(t.Occupied()).To(Equal(2))
+		},
+		Entry("load without a slot", func(t *slots.Table) bool { return t.BeginLoad(c1) }),
+		Entry("load of a resident adapter", func(t *slots.Table) bool { return t.BeginLoad(a1) }),
+		Entry("result of a load that was not begun", func(t *slots.Table) bool { return t.Loaded(c1) }),
+		Entry("failure of a load that was not begun", func(t *slots.Table) bool { return t.LoadFailed(start, a1) }),
+		Entry("unload of a pinned adapter", func(t *slots.Table) bool { return t.BeginUnload(b1) }),
+		Entry("end of an unload that was not begun", func(t *slots.Table) bool { return t.Unloaded(a1) }),
+		Entry("failure of an unload that was not begun", func(t *slots.Table) bool { return t.UnloadFailed(start, a1) }),
+		Entry("settling without a reset", func(t *slots.Table) bool { return t.Settle(a1) }),
+	)
+
+	// Without growth a broken adapter would spend the load budget; without a
+	// bound it would stay away after its repair.
+	It("doubles the backoff up to its bound and forgets it after a load", func() {
+		t := table(1)
+		for _, want := range []float64{0.5, 1, 2, 4, 8, 16, 30, 30} {
+			t.BeginLoad(a1)
+			t.LoadFailed(start, a1)
+			Expect(t.RetryAt(a1)).To(Equal(at(want)))
+		}
+		t.BeginLoad(a1)
+		t.Loaded(a1)
+		Expect(t.RetryAt(a1)).To(BeZero())
+	})
+
+	DescribeTable("unloads a version that a newer configuration replaced",
+		func(prepare func(*slots.Table), after float64, want []slots.Key) {
+			t := table(3, a1, a2)
+			prepare(t)
+			Expect(t.Obsolete(at(after))).To(Equal(want))
+		},
+		Entry("replaced and unused", func(t *slots.Table) { t.Touch(at(1), a2, 2) }, 11.0, []slots.Key{a1}),
+		Entry("replaced and in use", func(t *slots.Table) { t.Touch(at(1), a2, 2); t.Pin(a1) }, 11.0, nil),
+		Entry("replaced a moment ago", func(t *slots.Table) { t.Touch(at(1), a2, 2) }, 2.0, nil),
+		// Two routes may use two versions for good.
+		Entry("both in the newest configuration", func(t *slots.Table) { t.Touch(at(1), a2, 2); t.Touch(at(1), a1, 2) }, 20.0, nil),
+		Entry("the new version is not loaded yet", func(t *slots.Table) { t.BeginUnload(a2); t.Unloaded(a2); t.Touch(at(1), a2, 2) }, 11.0, nil),
+		Entry("another adapter is newer", func(t *slots.Table) { t.BeginLoad(b1); t.Loaded(b1); t.Touch(at(1), b1, 9) }, 11.0, nil),
+	)
+
+	// A report that was asked for before a change must not undo the change.
+	DescribeTable("corrects itself by a report of the engine",
+		func(later func(*slots.Table), report, want []slots.Key) {
+			t := table(3, a1, b1)
+			mark := t.Mark()
+			later(t)
+			t.Reconcile(mark, report)
+			Expect(t.Resident()).To(Equal(want))
+		},
+		Entry("an adapter is gone", func(*slots.Table) {}, []slots.Key{b1}, []slots.Key{b1}),
+		Entry("an adapter came late", func(*slots.Table) {}, []slots.Key{a1, b1, c1}, []slots.Key{a1, b1, c1}),
+		Entry("loaded since", func(t *slots.Table) { t.BeginLoad(c1); t.Loaded(c1) }, []slots.Key{a1, b1}, []slots.Key{a1, b1, c1}),
+		Entry("unloaded since", func(t *slots.Table) { t.BeginUnload(a1); t.Unloaded(a1) }, []slots.Key{a1, b1}, []slots.Key{b1}),
+		Entry("unloading", func(t *slots.Table) { t.BeginUnload(a1) }, []slots.Key{b1}, []slots.Key{b1}),
+	)
+
+	// An unload that is in flight can take effect after the report.
+	It("does not count on an adapter that an order in progress may still remove", func() {
+		t := table(2, a1, b1)
+		t.BeginUnload(a1)
+		t.Reset(start, []slots.Key{a1, b1})
+		Expect([]any{t.State(a1), t.State(b1), t.Occupied(), t.Settle(a1), t.Unloaded(a1)}).To(Equal([]any{slots.Unloading, slots.Resident, 2, false, true}))
+	})
+
+	It("keeps pins and backoffs over an engine restart", func() {
+		t := table(2, a1)
+		t.Pin(a1)
+		t.BeginLoad(b1)
+		t.LoadFailed(start, b1)
+		t.Reset(start, []slots.Key{c1})
+		Expect([]any{t.Resident(), t.Occupied(), t.Pins(a1), t.State(a1)}).To(Equal([]any{[]slots.Key{c1}, 1, 1, slots.Absent}))
+		Expect(t.RetryAt(b1)).To(Equal(start.Add(slots.MinBackoff)))
+	})
+
+	// A popularity shift must not be slowed by counts of an hour ago.
+	It("forgets old popularity", func() {
+		t := table(2, a1, b1)
+		for range 100 {
+			t.Touch(start, a1, 1)
+		}
+		for range 3 {
+			t.Touch(at(600), b1, 1)
+		}
+		Expect(*t.Plan(at(600), c1).Evict).To(Equal(a1))
+	})
+
+	It("bounds the adapters it remembers and keeps the warm ones", func() {
+		warm := slots.Key{Adapter: "warm"}
+		t := table(8, a1)
+		t.Pin(b1)
+		t.BeginLoad(c1)
+		t.LoadFailed(at(140), c1)
+		for i := range 14_000 * 2 {
+			now := at(float64(i) / 200)
+			t.Touch(now, slots.Key{Adapter: fmt.Sprint(i % 14_000)}, 1)
+			if i%20 == 0 {
+				t.Touch(now, warm, 1)
+			}
+			Expect(t.Tracked()).To(BeNumerically("<=", slots.MaxTracked+1))
+		}
+		for range 100 {
+			t.Touch(at(140), slots.Key{Adapter: "recent"}, 1)
+		}
+		for _, k := range []slots.Key{{Adapter: "recent"}, warm} {
+			t.BeginLoad(k)
+			t.Loaded(k)
+		}
+		t.Pin(a1)
+		t.SetCapacity(3)
+		Expect(*t.Plan(at(140), slots.Key{Adapter: "new"}).Evict).To(Equal(slots.Key{Adapter: "recent"}))
+		Expect([]any{t.Pins(b1), t.State(a1), t.RetryAt(c1).IsZero()}).To(Equal([]any{1, slots.Resident, false}))
+	})
+
+	It("never evicts a pinned adapter and never exceeds its slots", func() {
+		rapid.Check(GinkgoT(), property)
+	})
+
+	DescribeTable("loads less often than LRU and nearly as seldom as the best fixed set",
+		func(exponent float64) {
+			trace := zipfTrace(exponent, 40_000)
+			frequency, lru, fixed := replay(trace, slots.Frequency), replay(trace, slots.LRU), bestFixed(trace)
+			AddReportEntry(fmt.Sprintf("Zipf %.1f: loads per request frequency %.3f, LRU %.3f, best fixed %.3f", exponent, frequency, lru, fixed))
+			Expect(frequency).To(BeNumerically("<=", 1.15*fixed))
+			Expect(frequency).To(BeNumerically("<=", 0.85*lru))
+		},
+		Entry("Zipf 1.0", 1.0), Entry("Zipf 1.2", 1.2))
+})
+
+// property drives a table with any interleaving and compares it with a plain
+// model of the engine.
+func property(t *rapid.T) {
+	const size = 3
+	table := slots.New(size, slots.Policy(rapid.IntRange(0, 1).Draw(t, "policy")))
+	pins := map[slots.Key]int{}
+	key := rapid.Custom(func(t *rapid.T) slots.Key {
+		return slots.Key{Adapter: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "adapter"), Version: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version")}
+	})
+	now := start
+	for range rapid.IntRange(1, 80).Draw(t, "steps") {
+		k := key.Draw(t, "key")
+		now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+		switch rapid.IntRange(0, 8).Draw(t, "step") {
+		case 0:
+			table.Touch(now, k, uint64(rapid.IntRange(0, 3).Draw(t, "revision")))
+			table.Pin(k)
+			pins[k]++
+		case 1:
+			table.Unpin(k)
+			pins[k] = max(0, pins[k]-1)
+		case 2:
+			plan := table.Plan(now, k)
+			if plan.Evict != nil && (pins[*plan.Evict] > 0 || !table.BeginUnload(*plan.Evict)) {
+				t.Fatalf("evicts %v with %d pins", *plan.Evict, pins[*plan.Evict])
+			}
+			if plan.Load && !table.BeginLoad(k) {
+				t.Fatalf("plans a load of %v that cannot begin", k)
+			}
+		case 3:
+			table.Loaded(k)
+		case 4:
+			table.LoadFailed(now, k)
+		case 5:
+			table.Unloaded(k)
+		case 6:
+			table.UnloadFailed(now, k)
+		case 7:
+			for _, old := range table.Obsolete(now) {
+				if pins[old] > 0 || !table.BeginUnload(old) {
+					t.Fatalf("unloads %v with %d pins", old, pins[old])
+				}
+			}
+		case 8:
+			table.Reset(now, []slots.Key{k})
+		}
+		if table.Occupied() > size || table.Pins(k) != pins[k] {
+			t.Fatalf("%d slots in use, %d pins on %v, want %d", table.Occupied(), table.Pins(k), k, pins[k])
+		}
+	}
+}
+
+// request is one request of the fleet: its adapter and the adapter's home.
+type request struct{ adapter, home int }
+
+const (
+	homes    = 12
+	capacity = 8
+)
+
+// zipfTrace draws requests of 3,000 adapters, each with one hashed home.
+func zipfTrace(exponent float64, n int) []request {
+	rng := rand.New(rand.NewSource(1))
+	var sum float64
+	cumulative := make([]float64, 3000)
+	home := make([]int, len(cumulative))
+	for i := range cumulative {
+		sum += 1 / math.Pow(float64(i+1), exponent)
+		cumulative[i] = sum
+		home[i] = rng.Intn(homes)
+	}
+	trace := make([]request, n)
+	for i := range trace {
+		adapter, _ := slices.BinarySearch(cumulative, rng.Float64()*sum)
+		trace[i] = request{adapter, home[adapter]}
+	}
+	return trace
+}
+
+// replay returns the loads per request of a policy at 20 requests a second.
+func replay(trace []request, policy slots.Policy) float64 {
+	tables := make([]*slots.Table, homes)
+	for i := range tables {
+		tables[i] = slots.New(capacity, policy)
+	}
+	loads := 0
+	for i, r := range trace {
+		t, now, k := tables[r.home], at(float64(i)/20), slots.Key{Adapter: fmt.Sprint(r.adapter)}
+		t.Touch(now, k, 1)
+		if t.State(k) == slots.Resident {
+			continue
+		}
+		loads++
+		if plan := t.Plan(now, k); plan.Evict != nil {
+			t.BeginUnload(*plan.Evict)
+			t.Unloaded(*plan.Evict)
+		}
+		t.BeginLoad(k)
+		t.Loaded(k)
+	}
+	return float64(loads) / float64(len(trace))
+}
+
+// bestFixed returns the loads per request if the most frequent adapters of
+// each home never leave.
+func bestFixed(trace []request) float64 {
+	counts := map[request]int{}
+	for _, r := range trace {
+		counts[r]++
+	}
+	byHome := make([][]int, homes)
+	for r, n := range counts {
+		byHome[r.home] = append(byHome[r.home], n)
+	}
+	hits := 0
+	for _, list := range byHome {
+		slices.Sort(list)
+		for _, n := range list[len(list)-capacity:] {
+			hits += n
+		}
+	}
+	return 1 - float64(hits)/float64(len(trace))
+}
