Test that each event detects a pause and that kept answers are bounded

Leaving out the pause check in EngineProbed, Run, ExecutionEnded or PoolUpdate, or the bound on the number of kept answers, had gone unnoticed.

Conclusion: any event stops orders after a pause until a look that was asked for afterwards.

--- a/internal/decide/scheduler/events_test.go
+++ b/internal/decide/scheduler/events_test.go
@@ -5,14 +5,52 @@
 	"strings"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/scheduler"
+	"agatelanding.example/agatelanding/internal/decide/slots"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
+// No order may go out before a look, whichever event comes first.
+var _ = It("detects a pause by any event", func() {
+	type actions = []scheduler.Action
+	for i, event := range []func(*scheduler.Scheduler, time.Time) actions{
+		(*scheduler.Scheduler).Tick, (*scheduler.Scheduler).Leave, (*scheduler.Scheduler).OrderRefused,
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.SessionUp(now, 2) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.SessionLost(now, 1) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.PoolUpdate(now, &wire.PoolUpdate{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.Grant(now, &wire.LoadGrant{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.Reserve(now, 1, &wire.Reserve{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.Run(now, 1, &wire.Run{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.Cancel(now, 1, &wire.Cancel{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.Resume(now, 1, &wire.Resume{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions {
+			return s.ExecutionChunk(now, wire.AttemptID{}, nil)
+		},
+		func(s *scheduler.Scheduler, now time.Time) actions {
+			return s.ExecutionEnded(now, scheduler.Completion{})
+		},
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.AdapterLoaded(now, slots.Key{}, nil) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.AdapterUnloaded(now, slots.Key{}, nil) },
+		func(s *scheduler.Scheduler, now time.Time) actions {
+			return s.EngineProbed(now, scheduler.EngineState{Probe: 1})
+		},
+		func(s *scheduler.Scheduler, now time.Time) actions {
+			return s.FenceTaken(now, scheduler.EngineState{}, 0)
+		},
+	} {
+		w := engine()
+		w.pause(1100 * time.Millisecond)
+		event(w.s, w.now)
+		Expect([]any{w.counts["pause_detected"], w.s.Status(w.now).Authority}).To(Equal([]any{1, false}), "event %d", i)
+	}
+})
+
 func anyEvents(t *rapid.T) {
 	w := events(t)
 	for w.row.Pool.Slots < 2 || len(w.sessions) == 0 {
--- a/internal/decide/scheduler/scheduler_suite_test.go
+++ b/internal/decide/scheduler/scheduler_suite_test.go
@@ -344,12 +344,16 @@
 		Expect(w.log).To(ContainElement(ContainSubstring("LoadGrant")))
 	})
 
-	// A tick with thousands of kept answers must stay cheap.
-	It("ticks without work when nothing is due", func() {
+	// A tick with thousands of kept answers must stay cheap, and their number
+	// must stay bounded.
+	It("ticks without work when nothing is due and keeps a bounded number of answers", func() {
 		w := engine()
-		for range 2000 {
+		first := w.reserve("", "", nil)
+		for w.cancel(first); len(w.order) < scheduler.MaxKeptAnswers+2; {
 			w.cancel(w.reserve("", "", nil))
 		}
+		w.resume(first, 0)
+		Expect(first.code()).To(Equal(result.OutcomeUnknown))
 		w.step(1)
 		Expect(testing.AllocsPerRun(100, func() { w.s.Tick(w.now) })).To(BeNumerically("<=", 1))
 	})
