dispatch: keep the bound on sessions when a lost call needs the room

Cause: the property test used small pools only. With a third of the runs on a pool with sessions on demand, a limit of 3 and sessions that open late, it found 4 sessions: SessionUp without a reported loss retried a lost call, the retry closed this very session for its room, and SessionUp then counted it as connected although Disconnect had left.

--- a/internal/decide/dispatch/property_test.go
+++ b/internal/decide/dispatch/property_test.go
@@ -44,15 +44,22 @@
 	// rng draws the events. Draws of rapid itself prefer small numbers, and
 	// runs made of them hardly ever complete a call.
 	rng *rand.Rand
+	// extra is the number of targets that make the pool one with sessions
+	// on demand, and calm the time in which every session opens at once.
+	extra int
+	calm  bool
 }
 
 func newWorld(t *rapid.T, rec recorder) *world {
-	w := &world{t: t, now: start, fakes: make(map[string]*fakeTarget), byKey: make(map[string]int), rec: rec,
+	w := &world{t: t, now: start, fakes: make(map[string]*fakeTarget), byKey: make(map[string]int), rec: rec, calm: true,
 		rng: rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))}
 	cfg := retry.DefaultConfig()
 	cfg.Unlimited = rapid.Bool().Draw(t, "unlimited")
-	w.d = dispatch.New(dispatch.Config{Entry: entryName, Incarnation: incarnation, Retry: cfg}, rec)
-	w.snap = snapshot(1, 4, 2)
+	if w.rng.Intn(3) == 0 {
+		w.extra = dispatch.AllToAllTargets
+	}
+	w.d = dispatch.New(dispatch.Config{Entry: entryName, Incarnation: incarnation, Retry: cfg, MaxSessions: 3}, rec)
+	w.snap = snapshot(1, 4+w.extra, 2)
 	w.take(w.d.SetSnapshot(w.now, w.snap))
 	w.warm()
 	return w
@@ -74,9 +81,7 @@
 		}
 		w.drain()
 	}
-	for _, name := range w.names {
-		w.fakes[name].calm = false
-	}
+	w.calm = false
 }
 
 func (w *world) drain() {
@@ -125,7 +130,9 @@
 				w.fakes[a.Target] = newFake(a.Target, w.executed)
 				w.names = append(w.names, a.Target)
 			}
-			w.sessionUp(a.Target)
+			if w.calm || w.rng.Intn(2) == 0 {
+				w.sessionUp(a.Target)
+			}
 		case dispatch.Disconnect:
 			w.fakes[a.Target].sessionEnds()
 		}
@@ -199,12 +206,13 @@
 	if f.up {
 		f.sessionEnds()
 	}
-	f.up = true
+	f.up, f.calm = true, w.calm
 	w.take(w.d.SessionUp(w.now, name, &wire.Hello{Incarnation: f.incarnation, State: wire.StateServing}))
 }
 
 func (w *world) toTarget(name string) bool {
 	f := w.fakes[name]
+	f.calm = w.calm
 	if len(f.toTarget) == 0 {
 		return false
 	}
@@ -276,7 +284,7 @@
 	case event == 98 && w.rng.Intn(3) == 0:
 		w.take(w.d.TargetLeaving(name))
 	case event == 98:
-		w.snap = snapshot(w.snap.Revision+1, 3+w.rng.Intn(3), 2)
+		w.snap = snapshot(w.snap.Revision+1, 3+w.extra+w.rng.Intn(3), 2)
 		w.take(w.d.SetSnapshot(w.now, w.snap))
 	}
 }
@@ -296,11 +304,18 @@
 			if w.d.InFlight() != 0 || slices.ContainsFunc(w.calls, func(c *callState) bool { return !c.finished }) {
 				t.Fatalf("%d calls are still open", w.d.InFlight())
 			}
+			onDemand := 0
 			for _, view := range w.d.Targets(w.now) {
+				if view.Connected && w.extra > 0 && view.Pool == "e" {
+					onDemand++
+				}
 				if view.InFlight != 0 {
 					t.Fatalf("%s has %d in flight", view.Name, view.InFlight)
 				}
 			}
+			if onDemand > 3 {
+				t.Fatalf("%d sessions on demand", onDemand)
+			}
 		})
 		// A generator that misses the rare paths would check little.
 		for _, name := range []string{"hedged", "hedges_won", "hedges_lost", "parallel_attempts_failed", "resumed_answers",
--- a/internal/decide/dispatch/sessions.go
+++ b/internal/decide/dispatch/sessions.go
@@ -136,6 +136,10 @@
 	if d.connected(t) {
 		// The loss of the session before was not reported.
 		d.sessionLost(now, t)
+		if !t.wanted {
+			// The retry of a lost call needed the room of this session.
+			return d.take()
+		}
 	}
 	known := d.members.Status(name).Incarnation == hello.Incarnation
 	if d.members.SessionUp(now, name, hello.Incarnation) {
