dispatch: find idle sessions in constant time

Cause: at the limit of sessions on demand every unconnected candidate searched all targets for an idle session, which made a decision O(n).

Idle sessions are now in a list by last use. The property test also draws the naive policy Random, and SessionDown says which sessions it is not for.

--- a/internal/decide/dispatch/bench_test.go
+++ b/internal/decide/dispatch/bench_test.go
@@ -12,10 +12,10 @@
 
 // benchEntry is an entry with sessions, load reports and adapters known to be
 // resident, as after some minutes of work.
-func benchEntry(b *testing.B, targets, adapters int) (*bed, []*dispatch.Call) {
+func benchEntry(b *testing.B, targets, adapters, sessions int) (*bed, []*dispatch.Call) {
 	b.Helper()
 	cfg := chosen()
-	cfg.MaxSessions = targets
+	cfg.MaxSessions = sessions
 	snap := snapshot(1, targets, adapters)
 	e := newBed(snap, cfg)
 	zipf := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 1, uint64(adapters-1))
@@ -52,7 +52,7 @@
 	for _, targets := range []int{12, 120, 1100} {
 		for _, adapters := range []int{1000, 5000, 14_000} {
 			b.Run(fmt.Sprintf("targets=%d/adapters=%d", targets, adapters), func(b *testing.B) {
-				e, calls := benchEntry(b, targets, adapters)
+				e, calls := benchEntry(b, targets, adapters, targets)
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					c := calls[i%len(calls)]
@@ -66,6 +66,24 @@
 	}
 }
 
+// BenchmarkDecisionAtSessionLimit measures a decision when most calls need a
+// session that is not open, for which an idle one is closed.
+func BenchmarkDecisionAtSessionLimit(b *testing.B) {
+	e, calls := benchEntry(b, 1100, 14_000, dispatch.DefaultMaxSessions)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c := calls[i%len(calls)]
+		c.Number, c.Arrived = uint64(i), e.now
+		for _, action := range e.d.Submit(e.now, c) {
+			if a, ok := action.(dispatch.Connect); ok {
+				e.d.SessionUp(e.now, a.Target, &wire.Hello{Incarnation: 1, State: wire.StateServing})
+			}
+		}
+		e.d.Abort(e.now, c.Number)
+		e.now = e.now.Add(100 * time.Microsecond)
+	}
+}
+
 // BenchmarkTick measures a Tick at which nothing is due.
 func BenchmarkTick(b *testing.B) {
 	for _, open := range []int{100, 10_000} {
--- a/internal/decide/dispatch/calls.go
+++ b/internal/decide/dispatch/calls.go
@@ -94,7 +94,7 @@
 	c.attempts = append(c.attempts, a)
 	t.open = append(t.open, a)
 	t.addLoad(now, 1)
-	t.lastUsed = now
+	d.noteUse(now, t)
 	t.pool.outliers.Probed(now, t.Name)
 	if d.connected(t) {
 		d.sendReserve(now, a)
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"container/list"
 	"maps"
 	"math/rand"
 	"slices"
@@ -29,9 +30,10 @@
 	calls  map[uint64]*call
 	timers timers
 	// onDemand counts the sessions on demand that are open or wanted.
-	onDemand  int
-	nextSweep time.Time
-	grants    grants
+	onDemand int
+	// idle lists the targets whose session on demand is unused.
+	idle   *list.List
+	grants grants
 	// refreshed is the revision that was last asked for, and when.
 	refreshed   uint64
 	refreshedAt time.Time
@@ -53,6 +55,7 @@
 		pools:   make(map[string]*pool),
 		targets: make(map[string]*target),
 		calls:   make(map[uint64]*call),
+		idle:    list.New(),
 	}
 }
 
@@ -160,9 +163,14 @@
 // crossed AllToAllTargets changes which sessions these are.
 func (d *Dispatcher) countOnDemand() {
 	d.onDemand = 0
-	for _, t := range d.order {
+	d.idle.Init()
+	byUse := slices.Clone(d.order)
+	slices.SortStableFunc(byUse, func(a, b *target) int { return a.lastUsed.Compare(b.lastUsed) })
+	for _, t := range byUse {
+		t.idle = nil
 		if t.wanted && t.pool.onDemand() {
 			d.onDemand++
+			d.noteUse(t.lastUsed, t)
 		}
 	}
 }
--- a/internal/decide/dispatch/faults_test.go
+++ b/internal/decide/dispatch/faults_test.go
@@ -270,6 +270,20 @@
 		Expect(names(b)).To(HaveLen(2))
 	})
 
+	// Closing a session for its room must not interrupt what runs there.
+	It("in use are not closed for room", func() {
+		cfg := noHedges()
+		cfg.MaxSessions = 1
+		b := newBed(snapshot(1, 100, 50), cfg)
+		b.run("submit; reserved 1")
+		for i := range uint64(50) {
+			b.take(b.d.Submit(b.now, newCall(b.snap, b.now, i+10, fmt.Sprint("a", i), false)))
+		}
+		Expect(b.log).NotTo(ContainElement("disconnect"))
+		b.run("end 1 0")
+		Expect(b.log).To(ContainElement("finish ok"))
+	})
+
 	It("that fail to open send the call elsewhere", func() {
 		b := newBed(snapshot(1, 100, 1), noHedges())
 		first := b.d.Submit(b.now, newCall(b.snap, b.now, 1, "a0", false))
--- a/internal/decide/dispatch/property_test.go
+++ b/internal/decide/dispatch/property_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/dispatch"
+	"agatelanding.example/agatelanding/internal/decide/picker"
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
@@ -58,7 +59,8 @@
 	if w.rng.Intn(3) == 0 {
 		w.extra = dispatch.AllToAllTargets
 	}
-	w.d = dispatch.New(dispatch.Config{Entry: entryName, Incarnation: incarnation, Retry: cfg, MaxSessions: 3}, rec)
+	w.d = dispatch.New(dispatch.Config{Entry: entryName, Incarnation: incarnation, Retry: cfg, MaxSessions: 3,
+		Pick: []picker.Policy{picker.Affinity, picker.Affinity, picker.Random}[w.rng.Intn(3)]}, rec)
 	w.snap = snapshot(1, 4+w.extra, 2)
 	w.take(w.d.SetSnapshot(w.now, w.snap))
 	w.warm()
--- a/internal/decide/dispatch/sessions.go
+++ b/internal/decide/dispatch/sessions.go
@@ -8,9 +8,6 @@
 	"agatelanding.example/agatelanding/internal/wire"
 )
 
-// sweepEvery is the time between two searches for idle sessions.
-const sweepEvery = time.Second
-
 func (d *Dispatcher) connected(t *target) bool {
 	return d.targets[t.Name] == t && d.members.Status(t.Name).Connected
 }
@@ -28,7 +25,7 @@
 		d.onDemand++
 	}
 	t.wanted = true
-	t.lastUsed = now
+	d.noteUse(now, t)
 	d.act(Connect{Target: t.Name, Address: t.Address})
 	return true
 }
@@ -39,6 +36,10 @@
 		return
 	}
 	t.wanted = false
+	if t.idle != nil {
+		d.idle.Remove(t.idle)
+		t.idle = nil
+	}
 	if t.pool.onDemand() {
 		d.onDemand--
 	}
@@ -60,43 +61,41 @@
 
 // canConnect reports whether a further session on demand may be opened.
 func (d *Dispatcher) canConnect() bool {
-	return d.onDemand < d.cfg.MaxSessions || d.oldestIdle() != nil
+	return d.onDemand < d.cfg.MaxSessions || d.idle.Len() > 0
 }
 
-func (d *Dispatcher) oldestIdle() *target {
-	var oldest *target
-	for _, t := range d.order {
-		if !t.wanted || len(t.open) > 0 || !t.pool.onDemand() {
-			continue
-		}
-		if oldest == nil || t.lastUsed.Before(oldest.lastUsed) {
-			oldest = t
-		}
+// noteUse keeps the list of idle sessions on demand, the one used longest ago
+// first.
+func (d *Dispatcher) noteUse(now time.Time, t *target) {
+	t.lastUsed = now
+	if t.idle != nil {
+		d.idle.Remove(t.idle)
+		t.idle = nil
+	}
+	if t.wanted && t.pool.onDemand() && len(t.open) == 0 {
+		t.idle = d.idle.PushBack(t)
 	}
-	return oldest
 }
 
 func (d *Dispatcher) closeOldest() bool {
-	t := d.oldestIdle()
-	if t == nil {
+	oldest := d.idle.Front()
+	if oldest == nil {
 		return false
 	}
 	d.rec.Count("sessions_closed_for_room")
-	d.disconnect(t)
+	d.disconnect(oldest.Value.(*target))
 	return true
 }
 
 // closeIdle ends the sessions on demand that were not used for a while.
 func (d *Dispatcher) closeIdle(now time.Time) {
-	if d.onDemand == 0 || now.Before(d.nextSweep) {
-		return
-	}
-	d.nextSweep = now.Add(sweepEvery)
-	for _, t := range d.order {
-		if t.wanted && t.pool.onDemand() && len(t.open) == 0 && now.Sub(t.lastUsed) >= IdleSession {
-			d.rec.Count("sessions_closed_idle")
-			d.disconnect(t)
+	for oldest := d.idle.Front(); oldest != nil; oldest = d.idle.Front() {
+		t := oldest.Value.(*target)
+		if now.Sub(t.lastUsed) < IdleSession {
+			return
 		}
+		d.rec.Count("sessions_closed_idle")
+		d.disconnect(t)
 	}
 }
 
@@ -152,7 +151,6 @@
 	t.counted = true
 	t.pool.connected++
 	t.pool.outliers.SetUsable(t.pool.connected)
-	t.lastUsed = now
 	if hello.State == wire.StateLeaving {
 		d.members.Leaving(name)
 	}
@@ -187,7 +185,8 @@
 
 // SessionDown records the loss of a session, or that it could not be opened.
 // Requests that were not sent go elsewhere; running ones wait for a new
-// session to the same process.
+// session to the same process. It must not be called for a session that ended
+// by Disconnect: a Connect may have followed.
 func (d *Dispatcher) SessionDown(now time.Time, name string) []Action {
 	t, ok := d.targets[name]
 	if !ok {
--- a/internal/decide/dispatch/state.go
+++ b/internal/decide/dispatch/state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"container/list"
 	"fmt"
 	"slices"
 	"time"
@@ -110,6 +111,8 @@
 	wanted   bool
 	counted  bool
 	lastUsed time.Time
+	// idle is the place in the list of idle sessions on demand.
+	idle *list.Element
 	// removed is true once no table names the target; its open attempts
 	// still end there.
 	removed bool
@@ -227,7 +230,7 @@
 	}
 	t.open = slices.Delete(t.open, at, at+1)
 	t.addLoad(now, -1)
-	t.lastUsed = now
+	d.noteUse(now, t)
 	a.call.attempts = slices.DeleteFunc(a.call.attempts, func(x *attempt) bool { return x == a })
 	a.call.answer.Close(a.number)
 	if t.removed && len(t.open) == 0 {
