--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/dispatch"
@@ -31,7 +32,10 @@
 	counters map[string]int
 	// duplicateLoads counts loads of adapters that another target held.
 	duplicateLoads int
-	faults         []string
+	// ejected counts, once a second at each entry, slow and other targets
+	// that the entry treats as stragglers; sampled counts all of both kinds.
+	ejected, sampled [2]int
+	faults           []string
 }
 
 type wait struct {
@@ -106,6 +110,23 @@
 	n.perform(n.core.SetSnapshot(f.loop.now, f.snapshot))
 	offset := tickPeriod * time.Duration(2*i+1) / time.Duration(2*f.cfg.Entries)
 	f.loop.every(offset, tickPeriod, func() { n.perform(n.core.Tick(f.loop.now)) })
+	f.loop.every(startUp+time.Second, time.Second, func() { f.sampleEjected(n) })
+}
+
+func (f *fleet) sampleEjected(n *entryNode) {
+	if !f.measured(f.loop.now) {
+		return
+	}
+	for _, v := range n.core.Targets(f.loop.now) {
+		kind := 0
+		if slices.Index(f.targets, f.targetByName[v.Name]) >= f.cfg.SlowTargets {
+			kind = 1
+		}
+		f.sampled[kind]++
+		if v.Ejected {
+			f.ejected[kind]++
+		}
+	}
 }
 
 // submit schedules the arrivals one after the other.
@@ -203,6 +224,8 @@
 func (f *fleet) deliver(number uint64, data []byte) {
 	r := f.record(number)
 	if len(r.answer) == 0 {
+		// A hedge may still wait for its adapter, but the caller does not.
+		f.endWait(number)
 		r.firstToken = f.loop.now.Sub(r.arrived)
 	}
 	r.answer = append(r.answer, data...)
