--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/authority"
@@ -24,6 +25,11 @@
 	// engineBatch is the largest batch of an engine; more sequences wait in
 	// order of priority.
 	engineBatch = 16
+	// tokensPerChunk is the number of tokens in a chunk after the first;
+	// engines send one each, fewer chunks save events. chunkMark stands for
+	// the text of such a chunk.
+	tokensPerChunk = 4
+	chunkMark      = "."
 	// orderTime is the time of an order that moves no weights.
 	orderTime = time.Millisecond
 )
@@ -207,6 +213,9 @@
 			e.events.chunk(s.id, answerHead(s.key))
 		}
 		if s.produced < s.output {
+			if s.produced%tokensPerChunk == 0 {
+				e.events.chunk(s.id, chunkMark)
+			}
 			continue
 		}
 		e.sequences = slices.DeleteFunc(e.sequences, func(x *sequence) bool { return x == s })
@@ -222,3 +231,8 @@
 func answerHead(key slots.Key) string { return key.Adapter + "@" + key.Version + ":" }
 
 func answerTail(number uint64, tokens int) string { return fmt.Sprintf("%d:%d", number, tokens) }
+
+// answer is the whole answer to a request.
+func answer(key slots.Key, number uint64, tokens int) string {
+	return answerHead(key) + strings.Repeat(chunkMark, (tokens-1)/tokensPerChunk) + answerTail(number, tokens)
+}
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -249,7 +249,7 @@
 		return
 	}
 	key := slots.Key{Adapter: adapterName(r.Adapter), Version: version}
-	want := answerHead(key) + answerTail(number, r.Output)
+	want := answer(key, number, r.Output)
 	if string(r.answer) != want || o.Adapter != key.Adapter || o.Version != key.Version {
 		f.fault("request %d got the answer %q, want %q", number, r.answer, want)
 	}
