picker: remember latencies for 30 s and eject for up to 64 s

A probe is a caller's request, and it runs at the straggler's pace. With a probe every 16 s from each entry, probes alone were above 1% of requests.

--- a/internal/decide/picker/outliers.go
+++ b/internal/decide/picker/outliers.go
@@ -18,12 +18,12 @@
 	// minMedian is the least number of targets for a median.
 	minMedian = 3
 	// sampleLife is how long a target's samples count.
-	sampleLife = 10 * time.Second
+	sampleLife = 30 * time.Second
 	// medianEvery bounds how often the median is computed.
 	medianEvery = 100 * time.Millisecond
 	// firstEject and longestEject bound the doubling time until a probe.
 	firstEject   = time.Second
-	longestEject = 16 * time.Second
+	longestEject = 64 * time.Second
 )
 
 // Outliers finds the stragglers of one pool by the entry's own first-token
