--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	defer f.Close()
-	time.Sleep(6 * time.Second) // keys are known after the clock margin
+	time.Sleep(7 * time.Second) // keys are known after clock margin and home grace
 	for _, rate := range rates {
 		o := load.Options{Entries: []string{f.Entries[0].URL}, Timeout: 10 * time.Second, Workload: load.Workload{
 			Seed: 1, Rate: float64(rate), Duration: loadTime, CallShare: 1, CallPath: "/ledger/release", Models: []string{"none"},
--- a/internal/decide/idempotency/idempotency.go
+++ b/internal/decide/idempotency/idempotency.go
@@ -56,6 +56,12 @@
 	HomeSince time.Time
 }
 
+// KnownIn returns how long a key that is created now has to wait until its home
+// can tell that it was never executed.
+func (c *Call) KnownIn(now time.Time) time.Duration {
+	return max(0, c.HomeSince.Add(ClockMargin).Sub(now))
+}
+
 // Outcome is the recorded answer of a call.
 type Outcome struct {
 	Code        uint16
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -7,6 +7,7 @@
 package scheduler
 
 import (
+	"math/rand"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/admission"
@@ -112,6 +113,8 @@
 	ContentType string
 	Adapter     string
 	Version     string
+	// Tokens is the length of the answer; 0 means unknown.
+	Tokens int
 }
 
 // Recorder counts decisions.
@@ -129,6 +132,11 @@
 	// SlotPolicy and FIFO select naive decisions for measurements.
 	SlotPolicy slots.Policy
 	FIFO       bool
+	// StaticLimit keeps the number of running requests at the pool's
+	// max_running instead of adapting it to what the engine sustains.
+	StaticLimit bool
+	// Rand spreads the retry advice over time; nil leaves it without spread.
+	Rand *rand.Rand
 	// StaticLoadShare keeps each target to its own load tokens.
 	StaticLoadShare bool
 	// HomeGrace is how long other processes may still follow an older pool
@@ -168,6 +176,8 @@
 	due      time.Time
 	deadline time.Time
 	limit    time.Duration
+	// streams is set while the first token of a running stream is awaited.
+	streams bool
 	// count and sum describe all chunks of the answer. chunks holds them
 	// for a Resume, unless cut.
 	count  uint32
@@ -182,22 +192,22 @@
 
 // Status is a view of the scheduler for operators.
 type Status struct {
-	Revision  uint64
-	BaseModel string
-	State     wire.State
-	Authority bool
-	Fence     uint64
-	Running   int
-	Waiting   int
-	Slots     int
-	Resident  []slots.Key
+	Revision  uint64      `json:"revision"`
+	BaseModel string      `json:"base_model"`
+	State     wire.State  `json:"state"`
+	Authority bool        `json:"authority"`
+	Fence     uint64      `json:"fence"`
+	Running   int         `json:"running"`
+	Waiting   int         `json:"waiting"`
+	Slots     int         `json:"slots"`
+	Resident  []slots.Key `json:"resident"`
 	// Pins counts the requests that hold an adapter.
-	Pins    int
-	Records int
-	Tokens  int
+	Pins    int `json:"pins"`
+	Records int `json:"records"`
+	Tokens  int `json:"load_tokens"`
 	// KeptBytes is the size of the answers kept for a Resume.
-	KeptBytes int
-	Sessions  int
+	KeptBytes int `json:"kept_bytes"`
+	Sessions  int `json:"sessions"`
 }
 
 // parts groups the decision packages.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,7 +73,7 @@
   cat >"$dir/$1.json" <<JSON
 {
   "name": "$1", "failure_domain": "$2", "kind": "$3", "backend": "$4",
-  "listen": "127.0.0.1:$5", "admin_listen": "127.0.0.1:$6",
+  "listen": "127.0.0.1:$5", "admin_listen": "127.0.0.1:$6", "home_grace_ms": 1000,
 }
 JSON
   run "$1" "$bin/agate-target" --settings "$dir/$1.json"
@@ -99,7 +99,7 @@
 entry entry-1 marneuli 1
 entry entry-2 bolnisi 2
 for port in 19521 19522 19400 19401 19402 19403 19404 19405; do wait_for "http://127.0.0.1:$port/readyz"; done
-sleep 6 # idempotency keys are known 5 s after the start of a target process
+sleep 7 # keys are known 5 s and the home grace after the start of a target process
 
 load() {
   "$bin/agate-load" run --entry http://127.0.0.1:19501 --entry http://127.0.0.1:19502 \
--- a/target/driver/driver.go
+++ b/target/driver/driver.go
@@ -81,7 +81,7 @@
 func (d *Driver) Perform(action scheduler.Action) {
 	switch a := action.(type) {
 	case scheduler.ProbeEngine:
-		go d.probe()
+		go d.probe(a.Number)
 	case scheduler.TakeFence:
 		go d.takeFence(a.Fence)
 	case scheduler.LoadAdapter:
@@ -99,7 +99,7 @@
 	}
 }
 
-func (d *Driver) probe() {
+func (d *Driver) probe(number uint64) {
 	if d.Engine == nil {
 		return
 	}
@@ -110,7 +110,9 @@
 		d.report(&Probed{Err: err})
 		return
 	}
-	d.report(&Probed{State: stateOf(state)})
+	probed := &Probed{State: stateOf(state)}
+	probed.State.Probe = number
+	d.report(probed)
 }
 
 func stateOf(s *platform.EngineState) scheduler.EngineState {
--- a/target/target.go
+++ b/target/target.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"net"
 	"sync/atomic"
 	"time"
@@ -94,7 +95,7 @@
 	}
 	s := scheduler.New(t.started, t.schedulerConfig(), t.metrics)
 	root := t.system.Root.WithGuardian(runtime.FailProcess(t.fail))
-	t.core = root.Spawn(core.Props(s, d, func(v scheduler.Status) { t.view.Store(&v) }))
+	t.core = root.Spawn(core.Props(s, d, func(v scheduler.Status) { t.view.Store(&v) }, t.stepDown))
 	d.Bind(t.system, t.core)
 	t.sessions = root.Spawn(session.Props(t.core, t.hello))
 	go session.Accept(t.system, t.sessions, t.listener)
@@ -103,7 +104,11 @@
 }
 
 func (t *Target) schedulerConfig() scheduler.Config {
-	c := scheduler.Config{Name: t.settings.Name, FailureDomain: t.settings.FailureDomain}
+	c := scheduler.Config{
+		Name: t.settings.Name, FailureDomain: t.settings.FailureDomain,
+		HomeGrace: time.Duration(t.settings.HomeGraceMS) * time.Millisecond,
+		Rand:      rand.New(rand.NewSource(t.started.UnixNano())),
+	}
 	if t.settings.SlotPolicy == "lru" {
 		c.SlotPolicy = slots.LRU
 	}
@@ -112,8 +117,21 @@
 }
 
 func (t *Target) fail(reason any) {
+	t.end(result.Newf(result.Internal, "the core failed: %v", reason))
+}
+
+// stepDown finishes what runs and ends the process, because another process
+// has taken over the engine.
+func (t *Target) stepDown() {
+	go func() {
+		t.Shutdown(context.Background())
+		t.end(result.New(result.AuthorityLost, "another process has taken over the engine"))
+	}()
+}
+
+func (t *Target) end(err error) {
 	select {
-	case t.failed <- result.Newf(result.Internal, "the core failed: %v", reason):
+	case t.failed <- err:
 	default:
 	}
 }
@@ -147,8 +165,10 @@
 		Name          string `json:"name"`
 		Role          string `json:"role"`
 		FailureDomain string `json:"failure_domain"`
+		Ready         bool   `json:"ready"`
 		scheduler.Status
-	}{t.settings.Name, "target", t.settings.FailureDomain, *t.view.Load()}
+		Refused map[string]int64 `json:"refused"`
+	}{t.settings.Name, "target", t.settings.FailureDomain, t.ready(), *t.view.Load(), t.metrics.Refusals()}
 }
 
 // Shutdown takes no new work, waits until everything accepted is finished and
