--- a/internal/decide/placement/directory.go
+++ b/internal/decide/placement/directory.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// minSeen is the number of recent requests for an adapter before its share
-// counts; the first request of a quiet entry is all of its requests.
-const minSeen = 5
-
 // Config holds the limits of a Directory.
 type Config struct {
 	// MaxAdapters bounds the adapters that are remembered.
@@ -23,13 +19,14 @@
 	// is given up. It is well below GrowShare, so that a copy is not made
 	// and given up again at the same demand.
 	ShrinkShare float64
-	// GrowFair and ShrinkFair are the same shares relative to the mean work
-	// of a target, without regard to queueing; 0 turns the rule off. Hot
-	// adapters with one copy left the busiest target at 1.4 to 1.6 times the
-	// mean. Spilling to even that out cost 10% more loads, copies of the
-	// hottest cost 1%.
-	GrowFair   float64
-	ShrinkFair float64
+	// GrowSkew is the number of requests for an adapter at each copy, relative
+	// to the mean of all targets, above which another copy is made also
+	// without queueing; ShrinkSkew is that of the remaining copies when one
+	// is given up. SkewSamples is the number of recent requests for the
+	// adapter below which its share is chance.
+	GrowSkew    float64
+	ShrinkSkew  float64
+	SkewSamples float64
 	// GrowHold is the least time between two further copies. It covers an
 	// adapter load and the lag of the load reports that show its effect.
 	GrowHold time.Duration
@@ -51,8 +48,9 @@
 		Ranks:       16,
 		GrowShare:   0.5,
 		ShrinkShare: 0.3,
-		GrowFair:    0.6,
-		ShrinkFair:  0.3,
+		GrowSkew:    0.6,
+		ShrinkSkew:  0.35,
+		SkewSamples: 10,
 		GrowHold:    2 * time.Second,
 		ShrinkAfter: 30 * time.Second,
 		CopyLife:    30 * time.Second,
@@ -188,24 +186,26 @@
 	if total == 0 {
 		return rec.copies
 	}
-	demand := rec.demand.read(now, d.cfg.Window) / total * load.Busy
-	d.grow(now, rec, demand, load)
-	d.shrink(now, rec, demand, load)
+	recent := rec.demand.read(now, d.cfg.Window)
+	demand := recent / total * load.Busy
+	skew := 0.0
+	if recent >= d.cfg.SkewSamples {
+		skew = recent / total * float64(d.ranker.Len())
+	}
+	d.grow(now, rec, demand, skew, load)
+	d.shrink(now, rec, demand, skew)
 	return rec.copies
 }
 
-// fair is the mean work of a target of the pool.
-func (d *Directory) fair(load Load) float64 { return load.Busy / float64(max(d.ranker.Len(), 1)) }
-
-func (d *Directory) grow(now time.Time, rec *record, demand float64, load Load) {
+func (d *Directory) grow(now time.Time, rec *record, demand, skew float64, load Load) {
 	perCopy := demand / float64(rec.copies)
 	if rec.copies >= len(rec.ranks) || now.Sub(rec.grown) < d.cfg.GrowHold {
 		return
 	}
-	seen := rec.demand.read(now, d.cfg.Window)
-	if d.cfg.GrowFair > 0 && seen >= minSeen && perCopy > d.cfg.GrowFair*d.fair(load) {
+	if skew/float64(rec.copies) > d.cfg.GrowSkew {
 		rec.copies++
-		rec.grown, rec.busy = now, now
+		rec.grown = now
+		rec.busy = now
 		return
 	}
 	if perCopy <= d.cfg.GrowShare {
@@ -220,12 +220,8 @@
 	rec.busy = now
 }
 
-func (d *Directory) shrink(now time.Time, rec *record, demand float64, load Load) {
-	keep := d.cfg.ShrinkShare
-	if d.cfg.GrowFair > 0 {
-		keep = min(keep, d.cfg.ShrinkFair*d.fair(load))
-	}
-	if rec.copies == 1 || demand/float64(rec.copies-1) >= keep {
+func (d *Directory) shrink(now time.Time, rec *record, demand, skew float64) {
+	if rec.copies == 1 || demand/float64(rec.copies-1) >= d.cfg.ShrinkShare || skew/float64(rec.copies-1) >= d.cfg.ShrinkSkew {
 		rec.busy = now
 		return
 	}
--- a/internal/decide/placement/placement_suite_test.go
+++ b/internal/decide/placement/placement_suite_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -120,9 +121,6 @@
 var _ = Describe("Directory", func() {
 	cfg := placement.DefaultConfig()
 	cfg.MaxAdapters, cfg.Ranks = 100, 8
-	// The steps below test the rule of queueing alone; the rule of the fair
-	// share has its own table.
-	cfg.GrowFair, cfg.Window = 0, 10*time.Second
 
 	// 14,000 adapters with a bound on memory must not evict the hot ones.
 	It("bounds its memory and keeps frequent adapters", func() {
@@ -154,8 +152,11 @@
 	}
 	busy := placement.Load{Busy: 8, Excess: 4}
 	idle := placement.Load{Busy: 0.1}
-	// One adapter has half of the requests, so its demand is half of Busy.
+	// One adapter has half of the requests, so its demand is half of Busy. The
+	// rule for skewed shares is off, which would add copies without queueing.
 	DescribeTable("follows demand with hysteresis", func(steps ...step) {
+		cfg := cfg
+		cfg.SkewSamples = math.Inf(1)
 		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), cfg)
 		now := start
 		for i, s := range steps {
@@ -181,21 +182,41 @@
 			step{60 * time.Second, placement.Load{Busy: 0.8, Excess: 9}, 2}),
 	)
 
-	// One copy of a hot adapter made its home 1.6 times as busy as the mean
-	// while no request queued, so the rule of queueing never applied.
-	DescribeTable("copies an adapter that outweighs the mean target", func(share, copies int) {
-		fair := placement.DefaultConfig()
-		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), fair)
-		now, got := start, 1
-		for i := range 600 {
-			now = now.Add(100 * time.Millisecond)
-			key := fmt.Sprint("cold", i)
-			if i%share == 0 {
-				key = "hot"
+	// One home for each adapter leaves the busiest target at 1.9 of the mean
+	// with Zipf 1.0. The adapter has share of the requests, of 20 a second.
+	DescribeTable("spreads an adapter with a skewed share without queueing", func(share float64, copies int) {
+		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), cfg)
+		now, sum := start, 0.0
+		for range 4000 {
+			now = now.Add(50 * time.Millisecond)
+			if sum += share; sum >= 1 {
+				sum--
+				d.Arrived(now, "hot")
+				d.Copies(now, "hot", idle)
+			} else {
+				d.Arrived(now, "rest")
 			}
-			d.Arrived(now, key)
-			got = d.Copies(now, "hot", placement.Load{Busy: 2.4})
 		}
-		Expect(got).To(Equal(copies))
-	}, Entry("a sixth of all requests", 6, 4), Entry("a twelfth", 12, 2), Entry("a fortieth", 40, 1))
+		Expect(d.Homes("hot")).To(Equal(copies))
+	},
+		Entry("a twelfth of the pool's mean", 0.007, 1), Entry("half of the mean", 0.04, 1),
+		Entry("1.4 times the mean", 0.116, 3), Entry("2.64 times the mean", 0.22, 5),
+	)
+
+	It("gives up the copies of an adapter whose share has fallen", func() {
+		d := placement.NewDirectory(placement.NewRanker(targets(12, 4)), cfg)
+		now := start
+		for range 600 {
+			now = now.Add(50 * time.Millisecond)
+			d.Arrived(now, "hot")
+			d.Copies(now, "hot", idle)
+		}
+		Expect(d.Homes("hot")).To(BeNumerically(">", 1))
+		for range 1200 {
+			now = now.Add(time.Second)
+			d.Arrived(now, "rest")
+			d.Copies(now, "hot", idle)
+		}
+		Expect(d.Homes("hot")).To(Equal(1))
+	})
 })
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -207,11 +207,11 @@
 	Minter string `msgpack:"m"`
 	// Period is the minting period of the token, which makes it unique.
 	Period int64 `msgpack:"p"`
+	// Hop counts how often a target has passed the token on. It tells a
+	// token that comes back from a duplicated message.
+	Hop uint8 `msgpack:"h"`
 	// ExpiresMS is the end of the token's life in Unix milliseconds.
 	ExpiresMS int64 `msgpack:"x"`
-	// Hops counts the targets that passed the token on. It tells a token
-	// that comes back from a duplicated message.
-	Hops uint8 `msgpack:"h,omitempty"`
 }
 
 // RevisionQuery asks a process for the highest revision that it holds.
