dispatch: judge a straggler by the whole answer before it keeps an adapter

An ejected straggler keeps the adapters it holds if it answers sooner than a load elsewhere, and that compared first tokens only: 5 times the first token is below a load, 5 times a whole answer of 4 s is not.

The estimate now adds the pace of running answers for the tokens asked for.

--- a/internal/decide/dispatch/pick.go
+++ b/internal/decide/dispatch/pick.go
@@ -144,14 +144,26 @@
 	}
 }
 
-// fasterThanLoad tells whether a straggler that holds the adapter answers
-// earlier than another target that has to load it first. At the limit of the
-// weight store, moving the adapters of a target that is slow for a moment
-// delays more requests than the target does.
+// fasterThanLoad tells whether a straggler that holds the adapter ends its
+// answer earlier than another target that has to load it first. At the limit
+// of the weight store, moving the adapters of a target that is slow for a
+// moment delays more requests than the target does; a long answer at the pace
+// of a straggler loses more than a load takes.
 func (d *Dispatcher) fasterThanLoad(p *pool, c *call, slowness float64) bool {
-	median, ok := p.hedger.Median(c.kind())
+	answer, ok := d.medianAnswer(p, c)
 	load := time.Duration(d.snapshot.WeightStore().LoadMS) * time.Millisecond
-	return ok && time.Duration((slowness-1)*float64(median)) < loadWaits*load
+	return ok && time.Duration((slowness-1)*float64(answer)) < loadWaits*load
+}
+
+// medianAnswer estimates the time of a whole answer at a target of the pool's
+// median. The median of a stream is that of its first token; the rest follows
+// from the pace, with one chunk for each token.
+func (d *Dispatcher) medianAnswer(p *pool, c *call) (time.Duration, bool) {
+	answer, ok := p.hedger.Median(c.kind())
+	if pace, known := p.hedger.Median(c.paceKind()); known && c.Stream {
+		answer += pace * time.Duration(c.Tokens) / paceChunks
+	}
+	return answer, ok
 }
 
 // probe sends a copy of a call to an ejected target of its ranks whose probe is
