Cancel the runs of a dead target process, and resume cut streams longer

Cause: after a target process was killed and started again, the engine went on with the runs of the dead one; they held batch places, and an unload of their adapters was refused with 423. Run ids now carry the incarnation of the target process, and a process cancels the runs of others when it takes its fencing number, before it gives an order. Ids of another form are left alone.

A stream was read again at most 3 times for one run, also if each time brought new events. With cut_next=4 one run met all the cuts and its caller saw an unexpected EOF. The bound now counts resumes in a row without a new event.

The engine stand-in counts started runs and orders to unload an adapter in use; the relay can hold data back.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -71,7 +71,10 @@
 	steps       int
 	batchSum    int
 	distinctSum int
-	reports     []engineReport
+	// unloadsInUse counts orders to unload an adapter in use, which a target
+	// process must never give.
+	unloadsInUse int
+	reports      []engineReport
 }
 
 type engineReport struct {
@@ -290,6 +293,7 @@
 	case !e.checkFence(fence):
 		return http.StatusConflict, "old fencing number"
 	case e.inUse(model):
+		e.unloadsInUse++
 		return http.StatusLocked, "adapter in use"
 	}
 	delete(e.adapters, model)
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -56,7 +56,8 @@
 //	GET    /v1/load                               lagging load report
 //	POST   /control?slow=F&restart=true&cut_next=N test control; cut_next breaks
 //	                                              the next N streams after a token
-//	GET    /stats                                 batches and distinct adapters
+//	GET    /stats                                 batches, distinct adapters, started
+//	                                              runs, refused unloads of adapters in use
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, false) })
@@ -310,5 +311,6 @@
 	writeJSON(w, http.StatusOK, map[string]float64{
 		"steps": float64(e.steps), "mean_batch": float64(e.batchSum) / float64(steps),
 		"mean_distinct_adapters": float64(e.distinctSum) / float64(steps),
+		"started":                float64(e.nextOrder), "unloads_in_use": float64(e.unloadsInUse),
 	})
 }
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -1,9 +1,10 @@
 package standin
 
 import (
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Relay forwards TCP connections and can be cut, for tests of partitions.
@@ -12,6 +13,8 @@
 type Relay struct {
 	listener net.Listener
 	upstream string
+	// delay is how long data is held back, in nanoseconds.
+	delay atomic.Int64
 
 	mu    sync.Mutex
 	cut   bool
@@ -46,6 +49,10 @@
 	r.cut = false
 }
 
+// SetDelay holds back everything that is read from now on, in both directions.
+// The order within a connection stays.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
 // Close ends the relay.
 func (r *Relay) Close() error {
 	r.Cut()
@@ -84,7 +91,7 @@
 }
 
 func (r *Relay) copy(dst, src net.Conn) {
-	_, _ = io.Copy(dst, src)
+	r.forward(dst, src)
 	_ = dst.Close()
 	_ = src.Close()
 	r.mu.Lock()
@@ -92,3 +99,45 @@
 	delete(r.conns, dst)
 	delete(r.conns, src)
 }
+
+const (
+	// relayBuffer is the size of one read, relayQueue the number of reads
+	// that are held back at once in one direction.
+	relayBuffer = 32 << 10
+	relayQueue  = 256
+)
+
+// held is data that is written when it is due.
+type held struct {
+	due  time.Time
+	data []byte
+}
+
+// forward copies until one side ends. Data that is held back when the
+// connections are closed is lost, as on a network.
+func (r *Relay) forward(dst, src net.Conn) {
+	queue := make(chan held, relayQueue)
+	go func() {
+		defer close(queue)
+		for {
+			buffer := make([]byte, relayBuffer)
+			n, err := src.Read(buffer)
+			if n > 0 {
+				queue <- held{due: time.Now().Add(time.Duration(r.delay.Load())), data: buffer[:n]}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	var failed error
+	for h := range queue {
+		if failed != nil {
+			continue
+		}
+		time.Sleep(time.Until(h.due))
+		if _, failed = dst.Write(h.data); failed != nil {
+			_ = src.Close()
+		}
+	}
+}
--- a/target/driver/driver.go
+++ b/target/driver/driver.go
@@ -61,6 +61,9 @@
 	Engine    *platform.Engine
 	Service   *platform.Service
 	BaseModel func() string
+	// Incarnation tells this process from earlier ones beside the same
+	// engine. It is part of the id of every run.
+	Incarnation int64
 
 	system *actor.ActorSystem
 	core   *actor.PID
@@ -130,9 +133,29 @@
 		d.report(&FenceTaken{Fence: fence, Err: err})
 		return
 	}
+	d.cancelOrphans(ctx, state.Running)
 	d.report(&FenceTaken{State: stateOf(state), Fence: fence})
 }
 
+// cancelOrphans ends the runs of an earlier process beside this engine. Their
+// callers have been answered or moved elsewhere, but the engine would go on
+// with them, and refuse to unload their adapters, until they end. It returns
+// before authority is reported, so no order meets an adapter that they use.
+func (d *Driver) cancelOrphans(ctx context.Context, running []string) {
+	var wg sync.WaitGroup
+	for _, id := range running {
+		if !d.isOrphan(id) {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d.Engine.Cancel(ctx, id)
+		}()
+	}
+	wg.Wait()
+}
+
 func (d *Driver) load(a scheduler.LoadAdapter) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
--- a/target/driver/execute.go
+++ b/target/driver/execute.go
@@ -22,7 +22,8 @@
 	maxEvent = 256 << 10
 	// maxAnswer bounds an answer that is not streamed.
 	maxAnswer = 8 << 20
-	// maxResumes bounds how often a cut stream of a run is read again.
+	// maxResumes bounds how often in a row a cut stream of a run is read
+	// again without a new event. The limit of the run bounds the rest.
 	maxResumes = 3
 	// chunkSize is the size of the pieces of such an answer.
 	chunkSize = 64 << 10
@@ -69,9 +70,21 @@
 	return nil
 }
 
+// runPrefix starts the id of every run that a target process gives an engine.
+const runPrefix = "agate-"
+
+// ownPrefix starts the id of every run of this process.
+func (d *Driver) ownPrefix() string { return fmt.Sprintf("%s%x-", runPrefix, d.Incarnation) }
+
+// isOrphan reports whether a run was started by another target process, which
+// is dead: only one runs beside an engine at a time.
+func (d *Driver) isOrphan(id string) bool {
+	return strings.HasPrefix(id, runPrefix) && !strings.HasPrefix(id, d.ownPrefix())
+}
+
 // runID names an attempt at the engine.
-func runID(id wire.AttemptID) string {
-	return fmt.Sprintf("%s-%x-%d-%d", id.Request.Entry, id.Request.Incarnation, id.Request.Number, id.Attempt)
+func (d *Driver) runID(id wire.AttemptID) string {
+	return fmt.Sprintf("%s%s-%x-%d-%d", d.ownPrefix(), id.Request.Entry, id.Request.Incarnation, id.Request.Number, id.Attempt)
 }
 
 func (d *Driver) runEngine(ctx context.Context, a scheduler.Execute) scheduler.Completion {
@@ -83,7 +96,7 @@
 	if err != nil {
 		return failure(err)
 	}
-	id := runID(a.ID)
+	id := d.runID(a.ID)
 	resp, err := d.Engine.Run(ctx, id, a.Run.Path, body)
 	if err != nil {
 		d.Engine.Cancel(context.Background(), id)
@@ -133,16 +146,20 @@
 	}
 	events := 0
 	err := d.relayEvents(a.ID, model, resp.Body, &events)
-	for range maxResumes {
+	for idle := 0; idle < maxResumes; {
 		if result.CodeOf(err) != result.AnswerCut || ctx.Err() != nil {
 			return 0, err
 		}
-		again, resumeErr := d.Engine.Resume(ctx, runID(a.ID), events)
+		again, resumeErr := d.Engine.Resume(ctx, d.runID(a.ID), events)
 		if resumeErr != nil {
 			return 0, err
 		}
+		before := events
 		err = d.relayEvents(a.ID, model, again.Body, &events)
 		_ = again.Body.Close()
+		if idle++; events > before {
+			idle = 0
+		}
 	}
 	return events - 1, err
 }
--- a/target/target.go
+++ b/target/target.go
@@ -87,7 +87,7 @@
 func (t *Target) Start() {
 	t.started = time.Now()
 	t.system = runtime.NewSystem()
-	d := &driver.Driver{BaseModel: t.baseModel}
+	d := &driver.Driver{BaseModel: t.baseModel, Incarnation: t.started.UnixNano()}
 	if t.settings.Kind == KindEngine {
 		d.Engine = platform.NewEngine(t.settings.Backend)
 	} else {
