Give the fault harness stale entries, partitions and late lists

One entry alone can have a configuration service that is down or stale, peers can be cut off from each other, and the VM list can lag by any time. The load tool checks versions while tables change, sends repeated calls to every entry at once, and can be stopped early.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -45,6 +46,7 @@
 	http *http.Client
 	// expected maps a model to adapter@version.
 	expected map[string]string
+	allowed  func(model string, started, ended time.Time) []string
 }
 
 func (c *client) complete(ctx context.Context, a Arrival, prompt string) Result {
@@ -73,12 +75,26 @@
 		r.Verdict, r.Detail = Broken, err.Error()
 		return r
 	}
-	if want := standin.Text(c.expected[a.Model], prompt, a.Tokens); text != want {
-		r.Verdict, r.Detail = Wrong, fmt.Sprintf("model %s: got %d bytes, want %d", a.Model, len(text), len(want))
+	if names := c.names(a.Model, started); !isAnswerOf(names, text, prompt, a.Tokens) {
+		served := resp.Header.Get("X-Agate-Adapter") + "@" + resp.Header.Get("X-Agate-Version")
+		r.Verdict, r.Detail = Wrong, fmt.Sprintf("model %s: got %d bytes of %s, want %v", a.Model, len(text), served, names)
 	}
 	return r
 }
 
+// names returns the adapter@version that an answer may come from.
+func (c *client) names(model string, started time.Time) []string {
+	if c.allowed == nil {
+		return []string{c.expected[model]}
+	}
+	return c.allowed(model, started, time.Now())
+}
+
+// isAnswerOf reports whether text is the whole answer of one of the adapters.
+func isAnswerOf(names []string, text, prompt string, tokens int) bool {
+	return slices.ContainsFunc(names, func(name string) bool { return text == standin.Text(name, prompt, tokens) })
+}
+
 func (c *client) post(ctx context.Context, path string, body []byte, key string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -25,6 +25,15 @@
 	Services []string
 	// Expected maps a model to adapter@version.
 	Expected map[string]string
+	// Allowed, where set, returns the adapter@version that a request may be
+	// answered with, for runs during which the tables change. It replaces
+	// Expected.
+	Allowed func(model string, started, ended time.Time) []string
+	// Together sends the repetitions of a call to every entry at the same
+	// time as the call, instead of to another entry after it.
+	Together bool
+	// Stop ends the arrivals early when it is closed; open requests finish.
+	Stop <-chan struct{}
 	// Timeout bounds one request.
 	Timeout time.Duration
 }
@@ -109,6 +118,18 @@
 	}
 }
 
+// UnknownKeys returns the number of keys of which no caller learned whether
+// the call ran.
+func (r *Report) UnknownKeys() int {
+	n := 0
+	for _, k := range r.keys {
+		if k.done == 0 && k.unknown > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func isNotRun(code string) bool {
 	var n uint16
 	_, _ = fmt.Sscan(code, &n)
@@ -121,13 +142,16 @@
 	clients := make([]*client, len(o.Entries))
 	transport := &http.Transport{MaxIdleConnsPerHost: 512}
 	for i, base := range o.Entries {
-		clients[i] = &client{base: base, http: &http.Client{Transport: transport, Timeout: o.Timeout}, expected: o.Expected}
+		clients[i] = &client{base: base, http: &http.Client{Transport: transport, Timeout: o.Timeout}, expected: o.Expected, allowed: o.Allowed}
 	}
 	started := time.Now()
 	var wg sync.WaitGroup
 	for i, a := range o.Workload.Arrivals() {
 		select {
 		case <-time.After(time.Until(started.Add(a.At))):
+		case <-o.Stop:
+			wg.Wait()
+			return report, report.checkEffects(o.Services)
 		case <-ctx.Done():
 			wg.Wait()
 			return report, ctx.Err()
@@ -151,6 +175,18 @@
 	}
 	key := newKey()
 	body := fmt.Appendf(nil, "gate %d key %s", i, key)
+	if a.Repeat && o.Together {
+		var wg sync.WaitGroup
+		for _, other := range clients {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				report.addKey(key, other.call(ctx, o.Workload.CallPath, key, body))
+			}()
+		}
+		wg.Wait()
+		return
+	}
 	report.addKey(key, c.call(ctx, o.Workload.CallPath, key, body))
 	if a.Repeat {
 		other := clients[(i+1)%len(clients)]
--- a/internal/procfleet/fleet.go
+++ b/internal/procfleet/fleet.go
@@ -28,6 +28,13 @@
 	Relays bool
 	// IgnoreFence makes the engines ignore fencing numbers.
 	IgnoreFence bool
+	// OwnConfigs gives each entry a configuration service of its own, which
+	// can be down or stale for that entry alone.
+	OwnConfigs bool
+	// PeerRelays puts a relay before the peer port of each entry.
+	PeerRelays bool
+	// VMLag is how late the VM list shows a change; 0 means 500 ms.
+	VMLag time.Duration
 	// ServiceDelay is the time of one call at a plain service.
 	ServiceDelay time.Duration
 }
@@ -42,6 +49,7 @@
 	RelayControl string
 	AdminURL     string
 	Row          tables.Target
+	VM           standin.VM
 }
 
 // EntryUnit is an entry process.
@@ -49,8 +57,13 @@
 	Process  *Process
 	URL      string
 	AdminURL string
-	settings string
-	name     string
+	// Config is the base URL of the configuration service of this entry.
+	Config string
+	// PeerControl is the base URL that cuts the relay before the peer port.
+	PeerControl string
+	VM          standin.VM
+	settings    string
+	name        string
 }
 
 // Fleet is a running fleet.
@@ -66,9 +79,11 @@
 	Pools    tables.PoolTable
 	Revision uint64
 
-	bin   string
-	o     Options
-	procs []*Process
+	// configs are the configuration services that Publish writes to.
+	configs []string
+	bin     string
+	o       Options
+	procs   []*Process
 }
 
 // Build compiles the programs into dir.
@@ -93,12 +108,15 @@
 		url  *string
 		args []string
 	}{
-		{"config", &f.Config, nil}, {"vmlist", &f.VMs, []string{"--lag", "500ms"}}, {"weights", &f.Weights, nil},
+		{"config", &f.Config, nil}, {"vmlist", &f.VMs, []string{"--lag", f.o.vmLag().String()}}, {"weights", &f.Weights, nil},
 	} {
 		if _, err := f.standin(s.name, s.name, s.url, s.args...); err != nil {
 			return err
 		}
 	}
+	if err := f.startConfigs(); err != nil {
+		return err
+	}
 	if err := f.startTargets(); err != nil {
 		return err
 	}
@@ -114,6 +132,26 @@
 	return nil
 }
 
+func (o *Options) vmLag() time.Duration {
+	if o.VMLag == 0 {
+		return 500 * time.Millisecond
+	}
+	return o.VMLag
+}
+
+// startConfigs starts the services of the second and further entries.
+func (f *Fleet) startConfigs() error {
+	f.configs = []string{f.Config}
+	for i := 1; f.o.OwnConfigs && i < f.o.Entries; i++ {
+		var url string
+		if _, err := f.standin(fmt.Sprintf("config-%d", i+1), "config", &url); err != nil {
+			return err
+		}
+		f.configs = append(f.configs, url)
+	}
+	return nil
+}
+
 // spawn starts a process that Close ends.
 func (f *Fleet) spawn(name string, args ...string) (*Process, error) {
 	p, err := startProcess(f.bin, f.Dir, name, args...)
@@ -190,18 +228,23 @@
 			return nil, err
 		}
 	}
-	return u, f.ListVM(standin.VM{Name: name, Role: "target", Address: u.Row.Address, FailureDomain: s.FailureDomain, State: "live"})
+	u.VM = standin.VM{Name: name, Role: "target", Address: u.Row.Address, FailureDomain: s.FailureDomain, State: "live"}
+	return u, f.ListVM(u.VM)
 }
 
 // relay puts a relay before a target process.
 func (f *Fleet) relay(u *Unit) error {
-	address, control := fixture.FreeAddress(), fixture.FreeAddress()
-	_, err := f.spawn(u.Row.Name+"-relay", "agate-standin", "relay", "--listen", address, "--control", control, "--upstream", u.Row.Address)
-	u.Row.Address = address
-	u.RelayControl = "http://" + control
+	var err error
+	u.Row.Address, u.RelayControl, err = f.startRelay(u.Row.Name, u.Row.Address)
 	return err
 }
 
+func (f *Fleet) startRelay(name, upstream string) (address, controlURL string, err error) {
+	address, control := fixture.FreeAddress(), fixture.FreeAddress()
+	_, err = f.spawn(name+"-relay", "agate-standin", "relay", "--listen", address, "--control", control, "--upstream", upstream)
+	return address, "http://" + control, err
+}
+
 func (f *Fleet) writeJSON(name string, v any) (string, error) {
 	path := filepath.Join(f.Dir, name+".json")
 	data, err := json.MarshalIndent(v, "", "  ")
@@ -235,12 +278,21 @@
 	if len(faults) > 0 {
 		return faults[0]
 	}
+	for _, url := range f.configs {
+		if err := publishAt(url, snapshot); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func publishAt(url string, snapshot *tables.Snapshot) error {
 	for key, data := range snapshot.Parts() {
-		if err := Put(f.Config+"/v1/values/"+key, string(data)); err != nil {
+		if err := Put(url+"/v1/values/"+key, string(data)); err != nil {
 			return err
 		}
 	}
-	return Put(f.Config+"/v1/values/"+tables.ManifestKey, string(snapshot.Manifest()))
+	return Put(url+"/v1/values/"+tables.ManifestKey, string(snapshot.Manifest()))
 }
 
 func (f *Fleet) addEntry(name string) error {
@@ -248,16 +300,21 @@
 	s.SetDefaults()
 	s.Name, s.FailureDomain = name, fixture.Domain(len(f.Entries))
 	s.Listen, s.PeerListen, s.AdminListen = fixture.FreeAddress(), fixture.FreeAddress(), fixture.FreeAddress()
-	s.ConfigService, s.VMList, s.DrainDelayMS = f.Config, f.VMs, 300
+	s.ConfigService, s.VMList, s.DrainDelayMS = f.configs[len(f.Entries)%len(f.configs)], f.VMs, 300
 	path, err := f.writeJSON(name, s)
 	if err != nil {
 		return err
 	}
-	err = f.ListVM(standin.VM{Name: name, Role: "entry", Address: s.PeerListen, FailureDomain: s.FailureDomain, State: "live"})
-	if err != nil {
+	e := &EntryUnit{URL: "http://" + s.Listen, AdminURL: "http://" + s.AdminListen, Config: s.ConfigService, settings: path, name: name}
+	e.VM = standin.VM{Name: name, Role: "entry", Address: s.PeerListen, FailureDomain: s.FailureDomain, State: "live"}
+	if f.o.PeerRelays {
+		if e.VM.Address, e.PeerControl, err = f.startRelay(name, s.PeerListen); err != nil {
+			return err
+		}
+	}
+	if err = f.ListVM(e.VM); err != nil {
 		return err
 	}
-	e := &EntryUnit{URL: "http://" + s.Listen, AdminURL: "http://" + s.AdminListen, settings: path, name: name}
 	if e.Process, err = f.spawn(name, "agate-entry", "--settings", path); err != nil {
 		return err
 	}
