--- a/internal/faults/config_test.go
+++ b/internal/faults/config_test.go
@@ -90,6 +90,37 @@
 		}, 19*time.Second, 200*time.Millisecond).Should(Equal(1))
 	})
 
+	// All entries lose the tables at once beside a stale service. The target
+	// processes live on and know the revision, so the old tables must not
+	// come into force; new ones must.
+	It("never reverts when all entries restart beside a stale service", func() {
+		Expect(f.Publish()).To(Succeed())
+		Expect(f.Publish()).To(Succeed())
+		inForce(3)
+		Eventually(func() uint64 { return revisionOf(f.Engines[0].AdminURL) }, 5*time.Second, 50*time.Millisecond).Should(Equal(uint64(3)))
+		Eventually(func() uint64 { return revisionOf(f.Engines[1].AdminURL) }, 5*time.Second, 50*time.Millisecond).Should(Equal(uint64(3)))
+		for _, e := range f.Entries {
+			e.Process.Kill()
+		}
+		Expect(f.PublishAs(1)).To(Succeed())
+		for _, e := range f.Entries {
+			Expect(e.Process.Start()).To(Succeed())
+		}
+		Consistently(func() []uint64 { return revisions(f) }, 12*time.Second, 100*time.Millisecond).Should(HaveEach(uint64(0)))
+		f.Revision = 3
+		Expect(f.Publish()).To(Succeed())
+		inForce(4)
+	})
+
+	It("stays at the targets and entries while the service is down, and moves on after", func() {
+		inForce(1)
+		post(f.Config + "/control?down=true")
+		Expect(f.Publish()).To(Succeed())
+		Consistently(func() []uint64 { return revisions(f) }, 2*time.Second, 100*time.Millisecond).Should(HaveEach(uint64(1)))
+		post(f.Config + "/control?down=false")
+		inForce(2)
+	})
+
 	It("keeps the old tables when new ones are refused", func() {
 		inForce(1)
 		Expect(procfleet.Put(f.Config+"/v1/values/agate/manifest", `{"revision":9,"routes":[],"pools":[{"key":"agate/part/none","size":10}]}`)).To(Succeed())
@@ -116,3 +147,31 @@
 	defer resp.Body.Close()
 	return resp.Header.Get("X-Agate-Version"), nil
 }
+
+var _ = Describe("Configuration of a partitioned fleet", func() {
+	// One entry sees neither its configuration service nor its peers; it has
+	// only the target processes. It must move on once it sees a peer again.
+	DescribeTable("is in force everywhere after the partition",
+		func(control string) {
+			f := start(procfleet.Options{Entries: 3, Engines: 2, Adapters: 4, Slots: 4, OwnConfigs: true, PeerRelays: true})
+			part := func(path string) {
+				for _, e := range f.Entries {
+					post(e.PeerControl + path)
+				}
+			}
+			part("/cut")
+			post(f.Entries[2].Config + "/control?" + control + "=true")
+			f.Routes.Routes[0].Version = "v2"
+			Expect(f.Publish()).To(Succeed())
+			Eventually(func() []uint64 { return revisions(f)[:2] }, 19*time.Second, 50*time.Millisecond).Should(HaveEach(uint64(2)))
+			Consistently(func() []uint64 { return revisions(f) }, 3*time.Second, 100*time.Millisecond).Should(HaveEach(BeNumerically(">=", 1)))
+			Expect(version(f.Entries[0].URL)).To(Equal("v2"))
+			Expect(version(f.Entries[2].URL)).NotTo(Equal("v1"), "a target ran a request by tables that are out of date")
+			part("/heal")
+			Eventually(func() []uint64 { return revisions(f) }, 19*time.Second, 50*time.Millisecond).Should(HaveEach(uint64(2)))
+			Expect(version(f.Entries[2].URL)).To(Equal("v2"))
+		},
+		Entry("with its service down", "down"),
+		Entry("with its service stale", "stale"),
+	)
+})
--- a/internal/faults/faults_suite_test.go
+++ b/internal/faults/faults_suite_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"testing"
 	"time"
@@ -88,6 +89,69 @@
 	return report
 }
 
+// until runs load until the fault function returns and for a moment longer.
+// It suits faults whose length depends on the fleet.
+func until(o load.Options, fault func()) *load.Report {
+	stop := make(chan struct{})
+	o.Stop, o.Workload.Duration = stop, 2*time.Minute
+	done := make(chan *load.Report)
+	go func() {
+		defer GinkgoRecover()
+		report, err := load.Run(context.Background(), o)
+		Expect(err).NotTo(HaveOccurred())
+		done <- report
+	}()
+	time.Sleep(settle)
+	func() {
+		defer close(stop)
+		fault()
+		time.Sleep(settle)
+	}()
+	report := <-done
+	report.Print(GinkgoWriter)
+	return report
+}
+
+// settle is how long load runs before and after a fault.
+const settle = time.Second
+
+// post sends a control request to a stand-in and fails the spec on an error.
+func post(url string) {
+	GinkgoHelper()
+	Expect(procfleet.Post(url)).To(Succeed())
+}
+
+// repeatedly performs two opposite controls at every unit, n times.
+func repeatedly(n int, units []*procfleet.Unit, on, off string, d time.Duration) {
+	for range n {
+		for _, path := range []string{on, off} {
+			for _, u := range units {
+				post(u.RelayControl + path)
+			}
+			time.Sleep(d)
+		}
+	}
+}
+
+// stat returns a counter of an engine stand-in.
+func stat(u *procfleet.Unit, name string) float64 {
+	GinkgoHelper()
+	status, body := procfleet.Get(u.BackendURL + "/stats")
+	Expect(status).To(Equal(200), body)
+	var stats map[string]float64
+	Expect(json.Unmarshal([]byte(body), &stats)).To(Succeed())
+	return stats[name]
+}
+
+// expectNoEvictionInUse checks that no engine was asked to unload an adapter
+// that a run was using.
+func expectNoEvictionInUse(f *procfleet.Fleet) {
+	GinkgoHelper()
+	for _, u := range f.Engines {
+		Expect(stat(u, "unloads_in_use")).To(BeZero(), u.Row.Name)
+	}
+}
+
 // expectTruthful checks what must hold whatever fails: no wrong answer, no key
 // executed twice, lost or denied.
 func expectTruthful(r *load.Report) {
