--- a/internal/decide/scheduler/jobs.go
+++ b/internal/decide/scheduler/jobs.go
@@ -162,7 +162,7 @@
 	if j.usesAdapter() {
 		s.parts.slots.Touch(now, j.adapter, revision)
 	}
-	decision := s.parts.queue.Offer(now, item, s.adapterDelay(j.adapter))
+	decision := s.parts.queue.Offer(now, item, s.adapterDelay(now, j.adapter))
 	if decision.Refusal != admission.Admitted {
 		code := result.BudgetExceeded
 		if decision.Refusal == admission.RefusedQueueFull {
@@ -201,7 +201,6 @@
 	}
 	j.run = m
 	j.phase = phaseQueued
-	s.arm(j, time.Time{})
 	s.parts.queue.Release(j.id)
 	s.pump(now)
 	return s.take()
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -50,14 +50,10 @@
 	lastLook  uint64
 	probeMark uint64
 	nextGrant int
-	// loadWait is the moving average of the time from the first request for
-	// an adapter to its residency.
-	loadWait time.Duration
-	actions  []Action
+	pace      loadPace
+	actions   []Action
 }
 
-const initialLoadWait = 400 * time.Millisecond
-
 // New returns a scheduler without a pool; it refuses requests until PoolUpdate.
 func New(now time.Time, cfg Config, rec Recorder) *Scheduler {
 	return &Scheduler{
@@ -74,7 +70,7 @@
 		homes:     newHomes(cfg),
 		state:     wire.StateServing,
 		lastEvent: now,
-		loadWait:  initialLoadWait,
+		pace:      loadPace{interval: initialPace},
 	}
 }
 
@@ -158,7 +154,7 @@
 	}
 	if !bytes.Equal(m.Row, s.rowJSON) || m.Digest != s.digest {
 		var row tables.PoolRow
-		if err := json.Unmarshal(m.Row, &row); err != nil {
+		if err := json.Unmarshal(m.Row, &row); err != nil || row.Pool.Name == "" {
 			s.rec.Count("pool_update_malformed")
 			return s.take()
 		}
@@ -230,14 +226,14 @@
 		}
 		s.nextGrant++
 		session := s.sessions[s.nextGrant%len(s.sessions)]
-		s.send(session, &wire.LoadGrant{Minter: token.Minter, Period: token.Period, ExpiresMS: token.Expires.UnixMilli()})
+		s.send(session, &wire.LoadGrant{Minter: token.Minter, Period: token.Period, Hop: token.Hop, ExpiresMS: token.Expires.UnixMilli()})
 	}
 }
 
 // Grant takes a load token that an entry passed on.
 func (s *Scheduler) Grant(now time.Time, m *wire.LoadGrant) []Action {
 	s.enter(now)
-	token := loadbudget.Token{Minter: m.Minter, Period: m.Period, Expires: time.UnixMilli(m.ExpiresMS)}
+	token := loadbudget.Token{Minter: m.Minter, Period: m.Period, Hop: m.Hop, Expires: time.UnixMilli(m.ExpiresMS)}
 	if s.parts.budget.Receive(now, token) {
 		s.rec.Count("load_grants_received")
 	}
