Let fault runs start with a complete VM list, and repeat calls later

Cause in both: the VM list of the harness lagged 500 ms, so the entries read an empty list at their start, knew no peers and read it again after 5 s.

With the rule for unknown keys switched off the specs of keyed calls still passed: a repeated call came at once, while the target process was still away.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -32,6 +32,11 @@
 	// Together sends the repetitions of a call to every entry at the same
 	// time as the call, instead of to another entry after it.
 	Together bool
+	// Repeats is how often a call that is repeated is sent again, RepeatEvery
+	// the time before each; 0 means once and at once. Callers that wait see
+	// a target process that has restarted since.
+	Repeats     int
+	RepeatEvery time.Duration
 	// Stop ends the arrivals early when it is closed; open requests finish.
 	Stop <-chan struct{}
 	// Timeout bounds one request.
@@ -188,8 +193,9 @@
 		return
 	}
 	report.addKey(key, c.call(ctx, o.Workload.CallPath, key, body))
-	if a.Repeat {
-		other := clients[(i+1)%len(clients)]
+	for n := 1; a.Repeat && n <= max(1, o.Repeats); n++ {
+		time.Sleep(o.RepeatEvery)
+		other := clients[(i+n)%len(clients)]
 		report.addKey(key, other.call(ctx, o.Workload.CallPath, key, body))
 	}
 }
--- a/internal/procfleet/fleet.go
+++ b/internal/procfleet/fleet.go
@@ -108,7 +108,7 @@
 		url  *string
 		args []string
 	}{
-		{"config", &f.Config, nil}, {"vmlist", &f.VMs, []string{"--lag", f.o.vmLag().String()}}, {"weights", &f.Weights, nil},
+		{"config", &f.Config, nil}, {"vmlist", &f.VMs, []string{"--lag", startLag.String()}}, {"weights", &f.Weights, nil},
 	} {
 		if _, err := f.standin(s.name, s.name, s.url, s.args...); err != nil {
 			return err
@@ -124,11 +124,38 @@
 	if err := f.Publish(); err != nil {
 		return err
 	}
+	return f.startEntries()
+}
+
+// startLag is the lag of the VM list until the entries start.
+const startLag = 20 * time.Millisecond
+
+// startEntries starts the entries once the VM list shows every VM. An entry
+// reads it at its start and then every 5 s; without its rows a restarted entry
+// would know nobody to ask for the revision in force.
+func (f *Fleet) startEntries() error {
 	for i := range f.o.Entries {
 		if err := f.addEntry(fmt.Sprintf("entry-%d", i+1)); err != nil {
 			return err
 		}
 	}
+	rows := len(f.Engines) + len(f.Services) + len(f.Entries)
+	err := WaitFor(5*time.Second, "the VM list is complete", func() bool {
+		_, body := Get(f.VMs + "/v1/vms")
+		var vms []standin.VM
+		return json.Unmarshal([]byte(body), &vms) == nil && len(vms) == rows
+	})
+	if err != nil {
+		return err
+	}
+	if err := Post(fmt.Sprintf("%s/control?lag_ms=%d", f.VMs, f.o.vmLag().Milliseconds())); err != nil {
+		return err
+	}
+	for _, e := range f.Entries {
+		if e.Process, err = f.spawn(e.name, "agate-entry", "--settings", e.settings); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -266,35 +293,7 @@
 	return list
 }
 
-// Publish writes the tables under the next revision.
-func (f *Fleet) Publish() error {
-	f.Revision++
-	return f.PublishAs(f.Revision)
-}
-
-// PublishAs writes the tables under a revision, parts first.
-func (f *Fleet) PublishAs(revision uint64) error {
-	snapshot, faults := tables.Build(revision, &f.Routes, &f.Pools)
-	if len(faults) > 0 {
-		return faults[0]
-	}
-	for _, url := range f.configs {
-		if err := publishAt(url, snapshot); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func publishAt(url string, snapshot *tables.Snapshot) error {
-	for key, data := range snapshot.Parts() {
-		if err := Put(url+"/v1/values/"+key, string(data)); err != nil {
-			return err
-		}
-	}
-	return Put(url+"/v1/values/"+tables.ManifestKey, string(snapshot.Manifest()))
-}
-
+// addEntry writes the settings of an entry and lists its VM.
 func (f *Fleet) addEntry(name string) error {
 	var s entry.Settings
 	s.SetDefaults()
@@ -315,9 +314,6 @@
 	if err = f.ListVM(e.VM); err != nil {
 		return err
 	}
-	if e.Process, err = f.spawn(name, "agate-entry", "--settings", path); err != nil {
-		return err
-	}
 	f.Entries = append(f.Entries, e)
 	return nil
 }
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -23,24 +23,31 @@
 
 // VMList serves a list of VMs that lags behind what is written to it.
 type VMList struct {
-	Lag time.Duration
-
 	mu      sync.Mutex
+	lag     time.Duration
 	current map[string]VM
 	visible []VM
 }
 
 // NewVMList returns an empty list.
 func NewVMList(lag time.Duration) *VMList {
-	return &VMList{Lag: lag, current: make(map[string]VM)}
+	return &VMList{lag: lag, current: make(map[string]VM)}
 }
 
 // Set writes a row; readers see it after the lag.
 func (l *VMList) Set(vm VM) {
 	l.mu.Lock()
 	l.current[vm.Name] = vm
+	lag := l.lag
 	l.mu.Unlock()
-	time.AfterFunc(l.Lag, l.publish)
+	time.AfterFunc(lag, l.publish)
+}
+
+// SetLag sets how late readers see the rows that are written from now on.
+func (l *VMList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
 }
 
 func (l *VMList) publish() {
@@ -57,7 +64,8 @@
 }
 
 // Handler returns the HTTP interface: GET /v1/vms, and PUT /v1/vms for the
-// platform's side. State "gone" removes a row.
+// platform's side. State "gone" removes a row. POST /control?lag_ms=N sets the
+// lag.
 func (l *VMList) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, r *http.Request) {
@@ -75,5 +83,9 @@
 		l.Set(vm)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		l.SetLag(time.Duration(intParam(r, "lag_ms", 1000)) * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	})
 	return mux
 }
