--- a/internal/decide/dispatch/replies.go
+++ b/internal/decide/dispatch/replies.go
@@ -13,6 +13,10 @@
 // so that targets are comparable whatever mix of requests they got.
 const latencyUnit = 100 * time.Millisecond
 
+// overdueLatency is the least latency that a target with an overdue attempt is
+// taken to have, so that the next requests avoid it where they can.
+const overdueLatency = 2 * latencyUnit
+
 // find returns the attempt that a frame belongs to, or nil for a late,
 // crossed or duplicated one.
 func (d *Dispatcher) find(name string, id wire.AttemptID) *attempt {
@@ -114,6 +118,8 @@
 	case reassembly.Accept:
 		if first {
 			d.won(now, a)
+		} else {
+			d.pace(now, a)
 		}
 		d.act(Deliver{Number: c.Number, Data: m.Data})
 	case reassembly.Gap:
@@ -128,11 +134,19 @@
 func (d *Dispatcher) won(now time.Time, a *attempt) {
 	c := a.call
 	d.firstToken(now, a)
+	if key := c.residencyKey(); key != "" {
+		a.target.answering.Confirm(key)
+	}
 	c.target = a.target.Name
 	for _, other := range slices.Clone(c.attempts) {
 		if other == a {
 			continue
 		}
+		if other.number < a.number {
+			d.overtaken(now, other)
+		} else {
+			d.overdue(now, other)
+		}
 		d.cancel(other)
 		d.release(now, other)
 		if a.hedge {
@@ -222,7 +236,7 @@
 // firstToken takes the latency of the first token of an attempt. One that
 // waited for an adapter load says nothing about the target's speed.
 func (d *Dispatcher) firstToken(now time.Time, a *attempt) {
-	if !a.resident {
+	if !a.loaded {
 		return
 	}
 	p, kind, sample := a.target.pool, a.call.kind(), now.Sub(a.started)
@@ -234,16 +248,50 @@
 	}
 }
 
-// overdue takes the age of an attempt that has no first token yet.
-func (d *Dispatcher) overdue(now time.Time, a *attempt) {
-	if !a.resident {
+// pace takes the time between chunks of a running answer. A straggler shows in
+// it within seconds even if few requests go there, and its first tokens are
+// only about three times late because part of their latency is not its own.
+func (d *Dispatcher) pace(now time.Time, a *attempt) {
+	if a.paced++; a.paced <= paceChunks && !a.pacedFrom.IsZero() {
+		return
+	}
+	from := a.pacedFrom
+	a.paced, a.pacedFrom = 0, now
+	if from.IsZero() {
 		return
 	}
-	p := a.target.pool
-	if relative, ok := p.hedger.Relative(a.call.kind(), now.Sub(a.started)); ok {
+	p, kind, sample := a.target.pool, a.call.paceKind(), now.Sub(from)
+	p.hedger.Observe(kind, sample)
+	if relative, ok := p.hedger.Relative(kind, sample); ok {
 		latency := time.Duration(relative * float64(latencyUnit))
-		d.stateChanged(p.outliers.Overdue(now, a.target.Name, latency))
+		d.stateChanged(p.outliers.Observe(now, a.target.Name, latency))
+	}
+}
+
+// overdue takes the age of an attempt that has no first token yet.
+func (d *Dispatcher) overdue(now time.Time, a *attempt) {
+	if age, ok := a.relativeAge(now); ok {
+		a.target.latency.AtLeast(now, max(age, overdueLatency))
+		d.stateChanged(a.target.pool.outliers.Overdue(now, a.target.Name, age))
+	}
+}
+
+// overtaken takes the age of an attempt when a later one answered first.
+func (d *Dispatcher) overtaken(now time.Time, a *attempt) {
+	if age, ok := a.relativeAge(now); ok {
+		a.target.latency.AtLeast(now, age)
+		d.stateChanged(a.target.pool.outliers.Overtaken(now, a.target.Name, age))
+	}
+}
+
+// relativeAge returns the age of an attempt in latency units, if it measures
+// the target.
+func (a *attempt) relativeAge(now time.Time) (time.Duration, bool) {
+	if !a.loaded {
+		return 0, false
 	}
+	relative, ok := a.target.pool.hedger.Relative(a.call.kind(), now.Sub(a.started))
+	return time.Duration(relative * float64(latencyUnit)), ok
 }
 
 func (d *Dispatcher) stateChanged(changed bool) {
--- a/internal/decide/dispatch/state.go
+++ b/internal/decide/dispatch/state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"container/list"
 	"fmt"
 	"slices"
 	"time"
@@ -37,14 +38,22 @@
 	// sent is true once Run has left, to the process with incarnation.
 	sent        bool
 	incarnation int64
-	// resident tells whether the adapter was believed to be loaded, so that
+	// loaded tells whether the adapter was believed to be loaded, so that
 	// the latency is that of the target and not of an adapter load.
-	resident bool
-	started  time.Time
+	loaded  bool
+	started time.Time
 	// wakeAt is when the phase ends by itself.
 	wakeAt time.Time
+	// paced counts chunks since pacedFrom, the start of a sample of the
+	// pace.
+	paced     int
+	pacedFrom time.Time
 }
 
+// paceChunks is the number of chunks in a sample of the pace: enough to even
+// out single steps of an engine, few enough for several samples in an answer.
+const paceChunks = 8
+
 // call is an open call. It has no attempt while it waits for a retry, one
 // usually, and two while it is hedged.
 type call struct {
@@ -79,6 +88,11 @@
 
 func (c *call) totalDeadline() time.Time { return c.Arrived.Add(c.Class.TotalBudget()) }
 
+// paceKind keeps the pace apart from the first-token times.
+func (c *call) paceKind() retry.Kind {
+	return retry.Kind{Class: "pace of " + c.Class.Name, Stream: c.Stream}
+}
+
 func (c *call) kind() retry.Kind { return retry.Kind{Class: c.Class.Name, Stream: c.Stream} }
 
 func (c *call) residencyKey() string { return residencyKey(c.Route.Adapter, c.Route.Version) }
@@ -93,13 +107,17 @@
 // target is what the entry knows of one target.
 type target struct {
 	tables.Target
-	pool     *pool
-	open     []*attempt
-	load     picker.Load
-	report   wire.LoadReport
-	latency  picker.Latency
-	resident *picker.Hints[string]
-	prefixes *picker.Prefixes
+	pool    *pool
+	open    []*attempt
+	load    picker.Load
+	sent    picker.Counter
+	report  wire.LoadReport
+	latency picker.Latency
+	// resident holds the adapters believed to be loaded or being loaded,
+	// answering those that have answered since.
+	resident  *picker.Hints[string]
+	answering *picker.Hints[string]
+	prefixes  *picker.Prefixes
 	// restarted is when the process or its engine was seen to restart.
 	restarted time.Time
 	// wanted is true between Connect and Disconnect, counted while the
@@ -107,6 +125,8 @@
 	wanted   bool
 	counted  bool
 	lastUsed time.Time
+	// idle is the place in the list of idle sessions on demand.
+	idle *list.Element
 	// removed is true once no table names the target; its open attempts
 	// still end there.
 	removed bool
@@ -115,6 +135,7 @@
 // forget drops what a restart makes invalid.
 func (t *target) forget() {
 	t.resident.Clear()
+	t.answering.Clear()
 	t.prefixes.Clear()
 	t.latency = picker.Latency{}
 	t.pool.others -= t.load.Others()
@@ -136,6 +157,7 @@
 	// sessions. They give the mean load without a pass over the pool.
 	own       int
 	others    float64
+	sent      picker.Counter
 	connected int
 	update    *wire.PoolUpdate
 }
@@ -163,6 +185,10 @@
 // meanOthers and meanLoad are means over the targets with a session.
 func (p *pool) meanOthers() float64 { return max(0, p.others) / float64(max(1, p.connected)) }
 
+func (p *pool) meanSent(now time.Time) float64 {
+	return p.sent.Read(now) / float64(max(1, p.connected))
+}
+
 func (p *pool) meanLoad() float64 {
 	return float64(p.own)/float64(max(1, p.connected)) + p.meanOthers()
 }
@@ -204,6 +230,10 @@
 func (t *target) addLoad(now time.Time, n int) {
 	t.load.Add(now, n)
 	t.pool.own += n
+	if n > 0 {
+		t.sent.Add(now)
+		t.pool.sent.Add(now)
+	}
 }
 
 // limit returns how many requests the target runs at once.
@@ -223,7 +253,7 @@
 	}
 	t.open = slices.Delete(t.open, at, at+1)
 	t.addLoad(now, -1)
-	t.lastUsed = now
+	d.noteUse(now, t)
 	a.call.attempts = slices.DeleteFunc(a.call.attempts, func(x *attempt) bool { return x == a })
 	a.call.answer.Close(a.number)
 	if t.removed && len(t.open) == 0 {
