--- a/internal/experiment/experiment_suite_test.go
+++ b/internal/experiment/experiment_suite_test.go
@@ -93,6 +93,28 @@
 	})
 })
 
+// An answer of 200 tokens takes a slow target 13 s longer than the others, and
+// a load elsewhere 0.3 s. Judged by first tokens only, a straggler kept the
+// adapters that it held and with them their requests.
+var _ = Describe("Long answers", func() {
+	It("do not stay at stragglers that hold their adapter", func() {
+		cfg := experiment.DefaultConfig(1)
+		cfg.Adapters, cfg.From, cfg.To = 3000, 60*time.Second, 300*time.Second
+		trace := experiment.NewTrace(experiment.TraceConfig{
+			Seed: 1, Length: cfg.To, Adapters: 3000, Zipf: 1.2, Entries: 3,
+			Short: experiment.Load{Rate: 6, Prompt: 100, Output: 200},
+		})
+		without, err := experiment.Run(cfg, experiment.Chosen(), trace)
+		Expect(err).NotTo(HaveOccurred())
+		cfg.SlowTargets, cfg.SlowFactor, cfg.SlowFrom = 2, 5, 10*time.Second
+		with, err := experiment.Run(cfg, experiment.Chosen(), trace)
+		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("busiest without, with", []float64{without.Busiest, with.Busiest})
+		AddReportEntry("p99 without, with", []time.Duration{without.Short.P99, with.Short.P99})
+		Expect(with.Short.P99).To(BeNumerically("<=", without.Short.P99*3/2))
+	})
+})
+
 var _ = Describe("BestFixedSet", func() {
 	It("counts the requests outside the most requested adapters", func() {
 		var trace []experiment.Request
