Ping sessions every 10 s

A session that is silent is ended after 25 s on both sides; work that is sent to it is noticed after the 1 s of a reservation.

--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -19,10 +19,12 @@
 	// minBackoff and maxBackoff bound the delay between connection attempts.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
-	// pingInterval keeps a session alive and refreshes the load report.
-	pingInterval = 5 * time.Second
-	// idleTimeout ends a session whose target answers no pings.
-	idleTimeout = 12 * time.Second
+	// pingInterval keeps a session alive and refreshes the load report. At 128
+	// sessions a ping every 5 s took 2.6 of the 3 KB/s for control.
+	pingInterval = 10 * time.Second
+	// idleTimeout ends a session whose target answers no pings. A target that
+	// is asked for work and stays silent is noticed after one second.
+	idleTimeout = 25 * time.Second
 )
 
 // Up tells the router that a session is open.
--- a/target/session/session.go
+++ b/target/session/session.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// IdleTimeout ends a session whose peer sends nothing, not even pings.
-	IdleTimeout = 15 * time.Second
+	// IdleTimeout ends a session whose peer sends nothing, not even the ping
+	// that comes every 10 s.
+	IdleTimeout = 25 * time.Second
 	// MaxSessions bounds the sessions of one target process.
 	MaxSessions = 1024
 )
