--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # test and demo are the two commands of the README.
 GO ?= go
 
-.PHONY: test demo bench faults build fmt lint
+.PHONY: test demo bench faults explore build fmt lint
 test: fmt lint
 	$(GO) test -race -timeout 20m ./...
 
@@ -28,3 +28,12 @@
 # bench prints the table of docs/MEASUREMENTS.md from virtual time.
 bench:
 	$(GO) run ./cmd/agate-load bench
+
+# explore runs the property tests with a seed of the time and more cases than
+# CI does. A failure it finds becomes a test or an entry of KNOWN-RED.txt.
+CHECKS ?= 2000
+PROPERTIES = ./internal/decide/... ./internal/tables ./internal/settings
+explore:
+	@echo "SEED=$(SEED) CHECKS=$(CHECKS)"
+	@for p in $$($(GO) list -f '{{if .XTestImports}}{{.ImportPath}} {{.XTestImports}}{{end}}' $(PROPERTIES) | grep pgregory.net/rapid | cut -d' ' -f1); do \
+		$(GO) test $$p -timeout 30m -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) || exit 1; done
--- a/internal/decide/acceptance/acceptance_suite_test.go
+++ b/internal/decide/acceptance/acceptance_suite_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/acceptance"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 	"agatelanding.example/agatelanding/internal/result"
 )
 
--- a/internal/decide/admission/property_test.go
+++ b/internal/decide/admission/property_test.go
@@ -10,6 +10,7 @@
 
 	"agatelanding.example/agatelanding/internal/decide/admission"
 	"agatelanding.example/agatelanding/internal/decide/slots"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 // model is what a queue must agree with after any interleaving.
--- a/internal/decide/authority/authority_suite_test.go
+++ b/internal/decide/authority/authority_suite_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/authority"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestAuthority(t *testing.T) {
--- a/internal/decide/dispatch/property_test.go
+++ b/internal/decide/dispatch/property_test.go
@@ -15,6 +15,7 @@
 	"agatelanding.example/agatelanding/internal/decide/dispatch"
 	"agatelanding.example/agatelanding/internal/decide/picker"
 	"agatelanding.example/agatelanding/internal/decide/retry"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/wire"
--- a/internal/decide/idempotency/idempotency_suite_test.go
+++ b/internal/decide/idempotency/idempotency_suite_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/idempotency"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestIdempotency(t *testing.T) {
--- a/internal/decide/loadbudget/loadbudget_suite_test.go
+++ b/internal/decide/loadbudget/loadbudget_suite_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/loadbudget"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestLoadBudget(t *testing.T) {
--- a/internal/decide/picker/picker_suite_test.go
+++ b/internal/decide/picker/picker_suite_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/picker"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestPicker(t *testing.T) {
--- a/internal/decide/placement/placement_suite_test.go
+++ b/internal/decide/placement/placement_suite_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/placement"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestPlacement(t *testing.T) {
--- a/internal/decide/reassembly/reassembly_suite_test.go
+++ b/internal/decide/reassembly/reassembly_suite_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/reassembly"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestReassembly(t *testing.T) {
--- a/internal/decide/scheduler/events_test.go
+++ b/internal/decide/scheduler/events_test.go
@@ -11,6 +11,7 @@
 
 	"agatelanding.example/agatelanding/internal/decide/scheduler"
 	"agatelanding.example/agatelanding/internal/decide/slots"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/wire"
--- a/internal/decide/slots/slots_suite_test.go
+++ b/internal/decide/slots/slots_suite_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"agatelanding.example/agatelanding/internal/decide/slots"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 )
 
 func TestSlots(t *testing.T) {
--- a/internal/settings/settings_suite_test.go
+++ b/internal/settings/settings_suite_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/settings"
 )
--- a/internal/tables/tables_suite_test.go
+++ b/internal/tables/tables_suite_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
 )
