--- a/internal/decide/dispatch/pick.go
+++ b/internal/decide/dispatch/pick.go
@@ -8,6 +8,7 @@
 	"agatelanding.example/agatelanding/internal/decide/picker"
 	"agatelanding.example/agatelanding/internal/decide/placement"
 	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/tables"
 )
 
 // loadWaits is the time from the first request for an absent adapter until it
@@ -19,7 +20,7 @@
 func (d *Dispatcher) placementKey(p *pool, c *call) string {
 	switch {
 	case c.Route.Adapter != "":
-		return p.row.BaseModel + "/" + c.Route.Adapter
+		return tables.PlacementKey(p.row, c.Route.Adapter)
 	case c.PrefixHash != 0:
 		return p.buckets[c.PrefixHash%prefixBuckets]
 	default:
--- a/internal/decide/dispatch/state.go
+++ b/internal/decide/dispatch/state.go
@@ -199,10 +199,7 @@
 // setTargets puts a row in force.
 func (p *pool) setTargets(row *tables.Pool, targets []*target) {
 	p.row, p.targets, p.update = row, targets, nil
-	list := make([]placement.Target, len(targets))
-	for i, t := range targets {
-		list[i] = placement.Target{Name: t.Name, FailureDomain: t.FailureDomain}
-	}
+	list := tables.PlacementTargets(row)
 	if p.ranker != nil && p.ranker.Same(list) {
 		return
 	}
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -146,12 +146,15 @@
 
 var stopNames = [...]string{"retry", "code", "attempts", "budget", "time", "delivered", "overload", "sent"}
 
+// Undefined is the name of a Stop that has none.
+const Undefined = "undefined"
+
 // String returns the name of the reason.
 func (s Stop) String() string {
 	if int(s) < len(stopNames) {
 		return stopNames[s]
 	}
-	return "undefined"
+	return Undefined
 }
 
 // Counter returns the name of the counter for the reason.
--- a/internal/decide/scheduler/homes.go
+++ b/internal/decide/scheduler/homes.go
@@ -45,10 +45,7 @@
 // set puts a pool list in force. The first list after the start of the process
 // counts as a change, because the list before it is not known.
 func (h *homes) set(now time.Time, pool *tables.Pool) {
-	targets := make([]placement.Target, 0, len(pool.Targets))
-	for _, t := range pool.Targets {
-		targets = append(targets, placement.Target{Name: t.Name, FailureDomain: t.FailureDomain})
-	}
+	targets := tables.PlacementTargets(pool)
 	switch {
 	case h.ranker == nil:
 		h.raise(now.Add(h.grace))
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -30,6 +30,9 @@
 			m.counter(retriedName(info.Code))
 		}
 	}
+	for stop := retry.StopCode; stop.String() != retry.Undefined; stop++ {
+		m.counter(notRetriedName(stop))
+	}
 	return m
 }
 
@@ -41,6 +44,10 @@
 	return fmt.Sprintf("retried_total{code=\"%d\",reason=%q}", code, code.String())
 }
 
+func notRetriedName(stop retry.Stop) string {
+	return fmt.Sprintf("not_retried_total{reason=%q}", stop.String())
+}
+
 func (m *Metrics) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, m.registry)
 }
@@ -67,9 +74,7 @@
 func (m *Metrics) Retried(code result.Code) { m.counter(retriedName(code)).Inc(1) }
 
 // NotRetried counts a failed attempt that ended the request.
-func (m *Metrics) NotRetried(stop retry.Stop) {
-	m.counter(fmt.Sprintf("not_retried_total{reason=\"%d\"}", stop)).Inc(1)
-}
+func (m *Metrics) NotRetried(stop retry.Stop) { m.counter(notRetriedName(stop)).Inc(1) }
 
 // Count adds one to a named counter.
 func (m *Metrics) Count(name string) { m.counter(name + "_total").Inc(1) }
