Move the keys of a draining plain service to other targets

Cause: a call that runs once goes to the home of its key only, and a draining target stayed a home. It got new calls until it left the table, against the promise that a leaving target gets no new work. Homes are now ranked over the targets that do not drain, at entries, target processes and agatectl explain alike. A moved key is run after home_grace_ms and 5 s, as after a removal; a draining target still answers a recorded key from its record.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -110,13 +110,13 @@
 // rank follows the entry: a call that is not idempotent goes to the home of
 // its key, other requests to the ranks of their adapter or path.
 func (e *Explanation) rank(route *tables.Route, pool *tables.Pool, req request) {
-	ranks := req.ranks
+	ranks, list := req.ranks, tables.PlacementTargets(pool)
 	switch {
 	case !route.Repeatable && req.key == "":
 		e.why("the call is not idempotent: it needs an Idempotency-Key, whose home is one of %s; name it with --key", plural(len(pool.Targets), "target"))
 		return
 	case !route.Repeatable:
-		e.HashKey, ranks = req.key, 1
+		e.HashKey, ranks, list = req.key, 1, tables.HomeTargets(pool)
 		e.why("the call is not idempotent: it runs at most once, at the home of its key and nowhere else")
 	case route.Adapter != "":
 		e.HashKey = tables.PlacementKey(pool, route.Adapter)
@@ -125,14 +125,14 @@
 		e.HashKey = req.method + req.path
 		e.why("without an adapter, targets are ranked by rendezvous hashing of method and path")
 	}
-	for i, index := range placement.NewRanker(tables.PlacementTargets(pool)).Rank(e.HashKey, ranks) {
-		t := pool.Targets[index]
+	for i, index := range placement.NewRanker(list).Rank(e.HashKey, ranks) {
+		t, _ := pool.TargetByName(list[index].Name)
 		e.Targets = append(e.Targets, RankedTarget{Rank: i + 1, Target: t})
 		if t.Draining && route.Repeatable {
 			e.why("target %s is draining and is skipped", t.Name)
 		}
 		if t.Draining && !route.Repeatable {
-			e.why("home %s is draining; it stays the home of its keys until it leaves the pool table", t.Name)
+			e.why("home %s is draining, as is every target of the pool", t.Name)
 		}
 	}
 }
--- a/internal/decide/dispatch/pick.go
+++ b/internal/decide/dispatch/pick.go
@@ -55,7 +55,7 @@
 // same for the life of the call, whatever the tables say later.
 func (d *Dispatcher) homeOf(now time.Time, p *pool, c *call) (*target, result.Code) {
 	if c.home == "" {
-		c.home = p.targets[p.ranker.Rank(c.Key, 1)[0]].Name
+		c.home = p.keyHomes[p.keyRanker.Rank(c.Key, 1)[0]].Name
 	}
 	t, ok := d.targets[c.home]
 	switch {
--- a/internal/decide/dispatch/state.go
+++ b/internal/decide/dispatch/state.go
@@ -148,14 +148,18 @@
 
 // pool is what the entry knows of one pool.
 type pool struct {
-	row      *tables.Pool
-	ranker   *placement.Ranker
-	homes    *placement.Directory
-	targets  []*target
-	buckets  []string
-	retry    *retry.Policy
-	hedger   *retry.Hedger
-	outliers *picker.Outliers
+	row    *tables.Pool
+	ranker *placement.Ranker
+	// keyHomes are the targets that may be homes of keys, keyRanker ranks
+	// them.
+	keyHomes  []placement.Target
+	keyRanker *placement.Ranker
+	homes     *placement.Directory
+	targets   []*target
+	buckets   []string
+	retry     *retry.Policy
+	hedger    *retry.Hedger
+	outliers  *picker.Outliers
 	// own and others are the sums over the targets, connected counts the
 	// sessions. They give the mean load without a pass over the pool.
 	own       int
@@ -199,6 +203,8 @@
 // setTargets puts a row in force.
 func (p *pool) setTargets(row *tables.Pool, targets []*target) {
 	p.row, p.targets, p.update = row, targets, nil
+	p.keyHomes = tables.HomeTargets(row)
+	p.keyRanker = placement.NewRanker(p.keyHomes)
 	list := tables.PlacementTargets(row)
 	if p.ranker != nil && p.ranker.Same(list) {
 		return
--- a/internal/decide/scheduler/homes.go
+++ b/internal/decide/scheduler/homes.go
@@ -45,7 +45,7 @@
 // set puts a pool list in force. The first list after the start of the process
 // counts as a change, because the list before it is not known.
 func (h *homes) set(now time.Time, pool *tables.Pool) {
-	targets := tables.PlacementTargets(pool)
+	targets := tables.HomeTargets(pool)
 	switch {
 	case h.ranker == nil:
 		h.raise(now.Add(h.grace))
--- a/internal/decide/scheduler/scheduler_suite_test.go
+++ b/internal/decide/scheduler/scheduler_suite_test.go
@@ -108,6 +108,7 @@
 		Entry("key from before the start", tables.KindService, func(*world) {}, once("k", fresh.Add(-time.Minute)), result.KeyUnknown),
 		Entry("key that is too long", tables.KindService, func(*world) {}, once(fmt.Sprintf("%300d", 1), fresh), result.KeyInvalid),
 		Entry("key with an older target list", tables.KindService, func(*world) {}, func(m *wire.Reserve) { once("k", fresh)(m); m.PoolDigest = 9 }, result.NotHome),
+		Entry("key at a target that drains", tables.KindService, func(w *world) { w.drain() }, once("k", fresh), result.NotHome),
 		// The entry knows a newer list, by which the home may have moved.
 		Entry("key with a newer revision", tables.KindService, func(*world) {}, func(m *wire.Reserve) { once("k", fresh)(m); m.Revision = 99 }, result.StaleConfiguration),
 		// Another process may have been home and executed the key.
@@ -153,6 +154,7 @@
 		Entry("at once", 10, func(*world) {}, result.OK, 1),
 		Entry("while leaving", 10, func(w *world) { w.do("leave", w.s.Leave(w.now)) }, result.OK, 1),
 		Entry("after its home moved", 10, func(w *world) { w.configure(func(row *tables.PoolRow) { row.Pool.Targets[0].Name = "t2" }) }, result.OK, 1),
+		Entry("after it drains", 10, func(w *world) { w.drain() }, result.OK, 1),
 		Entry("after a pause", 10, func(w *world) { w.pause(time.Minute) }, result.OK, 1),
 		// A part of the answer must not look like all of it.
 		Entry("its answer too large for a record", 65<<10, func(*world) {}, result.AnswerCut, 0),
--- a/internal/decide/scheduler/world_test.go
+++ b/internal/decide/scheduler/world_test.go
@@ -389,3 +389,11 @@
 		w.end(c, result.OK)
 	}
 }
+
+// drain puts a table in force in which this target drains beside another.
+func (w *world) drain() {
+	w.configure(func(row *tables.PoolRow) {
+		row.Pool.Targets = append(row.Pool.Targets, tables.Target{Name: "t2"})
+		row.Pool.Targets[0].Draining = true
+	})
+}
--- a/internal/faults/leaving_test.go
+++ b/internal/faults/leaving_test.go
@@ -3,6 +3,7 @@
 package faults_test
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -63,6 +64,27 @@
 	)
 })
 
+var _ = Describe("A draining plain service", func() {
+	// Calls that run once go to the home of their key only, so the homes must
+	// move away from a target that drains.
+	It("receives no new calls after a few seconds", func() {
+		f := start(procfleet.Options{Entries: 2, Services: 3})
+		time.Sleep(7 * time.Second) // keys are known after clock margin and home grace
+		effects := func() int {
+			_, body := procfleet.Get(f.Services[0].BackendURL + "/effects")
+			return strings.Count(body, ":")
+		}
+		r := until(options(f, 30, 0, 1), func() {
+			Expect(effects()).To(BeNumerically(">", 0))
+			drain(f, true)
+			time.Sleep(3 * time.Second)
+			Consistently(effects, 2*time.Second, 100*time.Millisecond).Should(Equal(effects()))
+		})
+		expectTruthful(r)
+		Expect(r.Broken).To(BeZero(), "%v", r.Details)
+	})
+})
+
 func drain(f *procfleet.Fleet, draining bool) {
 	f.Pools.Pools[0].Targets[0].Draining = draining
 	Expect(f.Publish()).To(Succeed())
--- a/internal/tables/diff.go
+++ b/internal/tables/diff.go
@@ -235,5 +235,21 @@
 	return list
 }
 
+// HomeTargets returns the targets that are homes of idempotency keys: those
+// that do not drain, or all if every one does. Entries and target processes
+// must use the same list.
+func HomeTargets(p *Pool) []placement.Target {
+	var list []placement.Target
+	for i, t := range PlacementTargets(p) {
+		if !p.Targets[i].Draining {
+			list = append(list, t)
+		}
+	}
+	if len(list) == 0 {
+		return PlacementTargets(p)
+	}
+	return list
+}
+
 // PlacementKey is the key by which an adapter is ranked in a pool.
 func PlacementKey(p *Pool, adapter string) string { return p.BaseModel + "/" + adapter }
--- a/internal/tables/model.go
+++ b/internal/tables/model.go
@@ -71,7 +71,7 @@
 	// Address is the IP address and port of the target process.
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
-	// Draining targets get no new work and stay homes of recorded keys.
+	// Draining targets get no new work; keys have their homes elsewhere.
 	Draining bool `json:"draining,omitempty"`
 }
 
