--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,7 +111,8 @@
 
 	e.front = &front.Front{
 		Snapshot: e.snapshot.Load, MaxBody: e.settings.MaxBodyBytes, MaxOpen: e.settings.MaxOpen,
-		System: e.system, Router: e.router, Metrics: e.metrics,
+		WriteTimeout: front.DefaultWriteTimeout,
+		System:       e.system, Router: e.router, Metrics: e.metrics,
 	}
 	e.server = e.front.Server()
 	go func() { _ = e.server.Serve(e.callers) }()
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -27,8 +27,8 @@
 	// a request.
 	HeaderTimeout = 5 * time.Second
 	BodyTimeout   = 30 * time.Second
-	// writeTimeout bounds one write to a caller who does not read.
-	writeTimeout = 30 * time.Second
+	// DefaultWriteTimeout bounds one write to a caller who does not read.
+	DefaultWriteTimeout = 30 * time.Second
 	// MaxHeader is the largest request header in bytes.
 	MaxHeader = 32 << 10
 )
@@ -41,9 +41,11 @@
 	MaxBody int64
 	// MaxOpen is the most requests that are open at once.
 	MaxOpen int64
-	System  *actor.ActorSystem
-	Router  *actor.PID
-	Metrics *telemetry.Metrics
+	// WriteTimeout bounds one write to a caller who does not read.
+	WriteTimeout time.Duration
+	System       *actor.ActorSystem
+	Router       *actor.PID
+	Metrics      *telemetry.Metrics
 
 	open   atomic.Int64
 	number atomic.Uint64
--- a/entry/front/write.go
+++ b/entry/front/write.go
@@ -47,7 +47,7 @@
 	f.answerHeader(w, call, outcome)
 	w.Header().Set("Content-Type", outcome.ContentType)
 	w.Header().Set("Content-Length", strconv.Itoa(size))
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.WriteTimeout))
 	w.WriteHeader(outcome.Status)
 	for _, d := range data {
 		if _, err := w.Write(d); err != nil {
@@ -103,7 +103,7 @@
 }
 
 func (f *Front) writeData(w http.ResponseWriter, control *http.ResponseController, data [][]byte) bool {
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(f.WriteTimeout))
 	for _, d := range data {
 		if _, err := w.Write(d); err != nil {
 			return false
