Send a removed target the row that lacks it before its session ends

Cause: an entry closed the session with a removed target without telling it of the new table. The target went on to be home of keys for entries that still followed the old one. It now gets the row first, and the router ends the session behind the messages sent before; Stop would have overtaken them.

--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -161,7 +161,9 @@
 
 func (r *Router) disconnect(ctx actor.Context, target string) {
 	if pid, ok := r.sessions[target]; ok {
-		ctx.Stop(pid)
+		// Poison comes after the messages that were sent before, Stop would
+		// overtake them.
+		ctx.Poison(pid)
 		delete(r.sessions, target)
 	}
 }
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -153,6 +153,11 @@
 		if seen[t.Name] || d.targets[t.Name] != t {
 			continue
 		}
+		if d.connected(t) && d.pools[t.pool.row.Name] == t.pool {
+			// With the row that lacks it, the target is no home of keys any
+			// more and refuses calls of entries that follow the old row.
+			d.sendPool(t)
+		}
 		t.removed = true
 		if len(t.open) == 0 {
 			d.retire(t)
--- a/internal/decide/dispatch/poolrow_test.go
+++ b/internal/decide/dispatch/poolrow_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,10 +19,10 @@
 	now := time.Unix(1_800_000_000, 0)
 	var d *dispatch.Dispatcher
 
-	// rows returns for each PoolUpdate to target e0 whether it has the row.
-	rows := func(actions []dispatch.Action) (whole []bool) {
+	// rowsTo returns for each PoolUpdate to a target whether it has the row.
+	rowsTo := func(target string, actions []dispatch.Action) (whole []bool) {
 		for _, a := range actions {
-			if send, ok := a.(dispatch.Send); ok && send.Target == "e0" {
+			if send, ok := a.(dispatch.Send); ok && send.Target == target {
 				if m, ok := send.Message.(*wire.PoolUpdate); ok {
 					Expect(m.RowHash).NotTo(BeZero())
 					whole = append(whole, len(m.Row) > 0)
@@ -30,6 +31,7 @@
 		}
 		return whole
 	}
+	rows := func(actions []dispatch.Action) []bool { return rowsTo("e0", actions) }
 	up := func() []bool {
 		return rows(d.SessionUp(now, "e0", &wire.Hello{Process: "e0", Incarnation: 1, State: wire.StateServing}))
 	}
@@ -51,6 +53,16 @@
 		Expect(rows(d.SetSnapshot(now, snapshot(3, 3, 1)))).To(Equal([]bool{true}))
 	})
 
+	// A removed target would go on executing keys for entries that follow the
+	// old table.
+	It("is sent to a target that the table no longer names, before its session ends", func() {
+		d.SessionUp(now, "e1", &wire.Hello{Process: "e1", Incarnation: 1, State: wire.StateServing})
+		actions := d.SetSnapshot(now, snapshot(2, 1, 1))
+		Expect(rowsTo("e1", actions)).To(Equal([]bool{true}))
+		Expect(slices.IndexFunc(actions, func(a dispatch.Action) bool { _, ok := a.(dispatch.Disconnect); return ok })).
+			To(BeNumerically(">", slices.IndexFunc(actions, func(a dispatch.Action) bool { s, ok := a.(dispatch.Send); return ok && s.Target == "e1" })))
+	})
+
 	It("is sent again on a new session and when the target asks", func() {
 		d.SessionDown(now, "e0")
 		Expect(up()).To(Equal([]bool{true}))
--- a/internal/decide/idempotency/idempotency.go
+++ b/internal/decide/idempotency/idempotency.go
@@ -10,8 +10,8 @@
 //   - A caller that gives the same key another creation time can repeat a call
 //     after its record has expired. A UUIDv7 carries its time in the key.
 //   - A key without a creation time is protected for RecordLife only.
-//   - A target that is removed from its pool keeps executing keys that entries
-//     with the same old list send to it. The new home executes no key created
+//   - A target that is removed from its pool, and that no entry with the new
+//     list reaches, keeps executing keys that entries with the old list send. The new home executes no key created
 //     within the grace that the caller passes in HomeSince, which is longer
 //     than a change takes to be in force everywhere. If the old entry and the
 //     old target stay cut off from the change for longer, and a caller sends
