Show queues, slots and refusals in the status table

The table left out nested values and stopped at twelve columns in alphabetical order, so sessions, queues and refusals of a process were missing. Counters are shown by name and lists by their length, the columns that operators look at come first. The test of simple fields had an object of counters as its value that is not shown; it now has an object of objects.

--- a/internal/ctl/ctl_suite_test.go
+++ b/internal/ctl/ctl_suite_test.go
@@ -222,7 +222,8 @@
 		Expect(got.Exit).To(Equal(exit))
 		Expect(got.Out + got.Errors).To(MatchRegexp(want))
 	},
-		Entry("prints simple fields", `{"load": {"x": 1}, "a": 1, "role": "entry", "revision": 18446744073709551615}`, 200, ctl.ExitOK, `ADDRESS +ROLE +REVISION +A\n127.0.0.1:\d+ +entry +18446744073709551615 +1\n`),
+		Entry("prints counters by name and lists by their length", `{"refused": {"queue_full": 2, "no_target": 1}, "resident": [{}, {}], "none": {}}`, 200, ctl.ExitOK, `ADDRESS +RESIDENT +REFUSED\n127.0.0.1:\d+ +2 +no_target=1,queue_full=2\n`),
+		Entry("prints simple fields", `{"load": {"x": {}}, "a": 1, "role": "entry", "revision": 18446744073709551615}`, 200, ctl.ExitOK, `ADDRESS +ROLE +REVISION +A\n127.0.0.1:\d+ +entry +18446744073709551615 +1\n`),
 		Entry("prints JSON", `{"load": {"x": 1}}`, 200, ctl.ExitOK, `"x": 1`, "--json"),
 		Entry("reports a refusal", `{}`, 503, ctl.ExitUnreadable, "5008 platform_unreached: .*503"),
 		Entry("follows no redirect", `{}`, 302, ctl.ExitUnreadable, "answered 302"),
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -25,11 +25,14 @@
 	// maxParallel bounds the processes asked at the same time.
 	maxParallel = 32
 	// maxColumns keeps a row of the table readable.
-	maxColumns = 12
+	maxColumns = 16
 )
 
 // leading are the fields of a status page that come first in the table.
-var leading = []string{"role", "process", "name", "state", "ready", "revision", "failure_domain", "version"}
+var leading = []string{
+	"role", "process", "name", "state", "ready", "revision", "failure_domain", "version",
+	"sessions", "in_flight", "running", "waiting", "slots", "resident", "records", "refused",
+}
 
 // client talks to each process directly: a proxy or a redirect would answer
 // for another one.
@@ -52,8 +55,8 @@
 	cmd := &cobra.Command{
 		Use:   "status ADDR...",
 		Short: "Show the state of running processes",
-		Long: "status reads http://ADDR/status of each process. The table has the simple fields of the\n" +
-			"page; --json prints everything.\n\n" + exitText,
+		Long: "status reads http://ADDR/status of each process. The table has the simple fields and\n" +
+			"counters of the page and the length of lists; --json prints everything.\n\n" + exitText,
 		Example: "  agatectl status 127.0.0.1:8081 127.0.0.1:9101",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -155,9 +158,9 @@
 	for _, page := range pages {
 		cells := []string{page.Address}
 		for _, column := range columns {
-			cell := "-"
-			if value, ok := page.Status[column]; ok && isSimple(value) {
-				cell = fmt.Sprint(value)
+			cell := noCell
+			if value, ok := page.Status[column]; ok {
+				cell = cellOf(value)
 			}
 			cells = append(cells, cell)
 		}
@@ -171,10 +174,10 @@
 	present := make(map[string]bool)
 	for _, page := range pages {
 		for name, value := range page.Status {
-			present[name] = present[name] || isSimple(value)
+			present[name] = present[name] || cellOf(value) != noCell
 		}
 	}
-	maps.DeleteFunc(present, func(_ string, simple bool) bool { return !simple })
+	maps.DeleteFunc(present, func(_ string, shown bool) bool { return !shown })
 	var columns []string
 	for _, name := range append(slices.Clone(leading), slices.Sorted(maps.Keys(present))...) {
 		if present[name] && !slices.Contains(columns, name) {
@@ -184,10 +187,27 @@
 	return columns[:min(len(columns), maxColumns)]
 }
 
-func isSimple(v any) bool {
-	switch v.(type) {
+// noCell stands for a value that the table does not show.
+const noCell = "-"
+
+// cellOf shows a simple value as it is, a list by its length and counters by
+// name.
+func cellOf(v any) string {
+	switch x := v.(type) {
 	case string, bool, json.Number:
-		return true
+		return fmt.Sprint(x)
+	case []any:
+		return fmt.Sprint(len(x))
+	case map[string]any:
+		var counters []string
+		for _, name := range slices.Sorted(maps.Keys(x)) {
+			if n, ok := x[name].(json.Number); ok {
+				counters = append(counters, name+"="+n.String())
+			}
+		}
+		if len(counters) > 0 {
+			return strings.Join(counters, ",")
+		}
 	}
-	return false
+	return noCell
 }
