Log the end of each request at the debug level

Request number, code, target, attempts and revision are fields. Nothing is written per request at the default level, and the fields are left out then.

--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -152,6 +152,11 @@
 		answer.finish(a.Outcome)
 		delete(r.answers, a.Number)
 	}
+	if r.log.DebugEnabled() {
+		r.log.With("request", a.Number).With("code", int(a.Outcome.Code)).With("reason", a.Outcome.Code).
+			With("target", a.Outcome.Target).With("attempts", a.Outcome.Attempts).
+			With("revision", r.local.Hello().Revision).Debug("request ended")
+	}
 }
 
 func (r *Router) connect(ctx actor.Context, a dispatch.Connect) {
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -53,6 +53,13 @@
 // Info logs a change of state.
 func (l *Logger) Info(text string) { l.entry.Info(l.line(text)) }
 
+// DebugEnabled reports whether Debug writes anything, so that a caller on a hot
+// path can leave out the fields.
+func (l *Logger) DebugEnabled() bool {
+	logger, ok := log.Log.(*log.Logger)
+	return ok && logger.Level <= log.DebugLevel
+}
+
 // Debug logs details that are off by default.
 func (l *Logger) Debug(text string) { l.entry.Debug(l.line(text)) }
 
--- a/internal/telemetry/telemetry_suite_test.go
+++ b/internal/telemetry/telemetry_suite_test.go
@@ -64,9 +64,15 @@
 		Expect(telemetry.SetupLogs(&b, "info")).To(Succeed())
 		telemetry.For("router").With("b", "two words").With("a", 1).Info("session open")
 		telemetry.For("router").Debug("not shown")
+		Expect(telemetry.For("router").DebugEnabled()).To(BeFalse())
 		Expect(b.String()).To(MatchRegexp(`^\S+Z info  router: session open a="1" b="two words"\n$`))
 	})
 
+	It("say whether details are shown", func() {
+		Expect(telemetry.SetupLogs(&bytes.Buffer{}, "debug")).To(Succeed())
+		Expect(telemetry.For("router").DebugEnabled()).To(BeTrue())
+	})
+
 	It("refuse an unknown level", func() {
 		Expect(result.CodeOf(telemetry.SetupLogs(&bytes.Buffer{}, "loud"))).To(Equal(result.SettingInvalid))
 	})
