scheduler: ask for a pool row on the session of the update

PoolUpdate was the only message of an entry without its session, so a target that needs the whole row emitted an action of its own that the core filtered out of the list. It now takes the session like its siblings and sends the PartQuery itself; the action is gone. Removed an unused log search of the fault harness. Behaviour is the same; the test asserts the message in place of the action.

--- a/internal/decide/scheduler/events_test.go
+++ b/internal/decide/scheduler/events_test.go
@@ -24,7 +24,7 @@
 		(*scheduler.Scheduler).Tick, (*scheduler.Scheduler).Leave, (*scheduler.Scheduler).OrderRefused,
 		func(s *scheduler.Scheduler, now time.Time) actions { return s.SessionUp(now, 2) },
 		func(s *scheduler.Scheduler, now time.Time) actions { return s.SessionLost(now, 1) },
-		func(s *scheduler.Scheduler, now time.Time) actions { return s.PoolUpdate(now, &wire.PoolUpdate{}) },
+		func(s *scheduler.Scheduler, now time.Time) actions { return s.PoolUpdate(now, 1, &wire.PoolUpdate{}) },
 		func(s *scheduler.Scheduler, now time.Time) actions { return s.Grant(now, &wire.LoadGrant{}) },
 		func(s *scheduler.Scheduler, now time.Time) actions { return s.Reserve(now, 1, &wire.Reserve{}) },
 		func(s *scheduler.Scheduler, now time.Time) actions { return s.Run(now, 1, &wire.Run{}) },
--- a/internal/decide/scheduler/poolrow_test.go
+++ b/internal/decide/scheduler/poolrow_test.go
@@ -14,7 +14,7 @@
 
 var _ = Describe("A pool update without its row", func() {
 	now := time.Unix(1_800_000_000, 0)
-	ask := []scheduler.Action{scheduler.AskRow{}}
+	ask := scheduler.ToSession{Session: 7, Message: &wire.PartQuery{Key: wire.PoolRowKey}}
 
 	update := func(revision, hash uint64, whole bool) *wire.PoolUpdate {
 		m := &wire.PoolUpdate{Revision: revision, Digest: 5, RowHash: hash}
@@ -33,16 +33,16 @@
 			s := scheduler.New(now, scheduler.Config{Name: "t1"}, silentRecorder{})
 			var held uint64
 			for _, m := range before {
-				s.PoolUpdate(now, m)
+				s.PoolUpdate(now, 7, m)
 				held = m.Revision
 			}
-			actions := s.PoolUpdate(now, update(revision, 1, false))
+			actions := s.PoolUpdate(now, 7, update(revision, 1, false))
 			if asks {
-				Expect(actions).To(Equal(ask))
+				Expect(actions).To(Equal([]scheduler.Action{ask}))
 				Expect(s.Status(now).Revision).To(Equal(held))
 				return
 			}
-			Expect(actions).NotTo(ContainElement(scheduler.AskRow{}))
+			Expect(actions).NotTo(ContainElement(ask))
 			Expect(s.Status(now).Revision).To(Equal(max(held, revision)))
 		},
 		Entry("same row", uint64(4), false, update(3, 1, true)),
--- a/internal/decide/scheduler/queue_test.go
+++ b/internal/decide/scheduler/queue_test.go
@@ -40,7 +40,7 @@
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	f := &queueFixture{at: time.Unix(1_700_000_000, 0), ended: make(map[uint64]result.Code), refused: make(map[uint64]result.Code), advice: make(map[int64]int)}
 	f.Scheduler = scheduler.New(f.at, scheduler.Config{Name: "t1", Rand: rand.New(rand.NewSource(1))}, silentRecorder{})
-	f.collect(f.PoolUpdate(f.at, &wire.PoolUpdate{Revision: 1, Row: row, LoadMembers: []string{"t1"}}))
+	f.collect(f.PoolUpdate(f.at, 1, &wire.PoolUpdate{Revision: 1, Row: row, LoadMembers: []string{"t1"}}))
 	f.collect(f.SessionUp(f.at, 1))
 	state := scheduler.EngineState{View: authority.EngineView{Incarnation: 1}}
 	f.collect(f.EngineProbed(f.at, state))
--- a/internal/decide/scheduler/scheduler.go
+++ b/internal/decide/scheduler/scheduler.go
@@ -148,13 +148,13 @@
 
 // PoolUpdate puts the pool's row in force unless it is older than the current.
 // Every entry sends it, so that a row that is in force already costs little.
-func (s *Scheduler) PoolUpdate(now time.Time, m *wire.PoolUpdate) []Action {
+func (s *Scheduler) PoolUpdate(now time.Time, session SessionID, m *wire.PoolUpdate) []Action {
 	s.enter(now)
 	if m.Revision < s.revision {
 		return s.take()
 	}
 	if len(m.Row) == 0 {
-		return s.rowUnchanged(now, m)
+		return s.rowUnchanged(now, session, m)
 	}
 	if !bytes.Equal(m.Row, s.rowJSON) || m.Digest != s.digest {
 		var row tables.PoolRow
@@ -179,10 +179,10 @@
 // rowUnchanged takes a newer revision whose row is the one in force. An entry
 // leaves out what it sent before, but another entry may have sent a newer row
 // since; the target then asks for the whole.
-func (s *Scheduler) rowUnchanged(now time.Time, m *wire.PoolUpdate) []Action {
+func (s *Scheduler) rowUnchanged(now time.Time, session SessionID, m *wire.PoolUpdate) []Action {
 	if s.revision == 0 || m.RowHash != s.rowHash || m.Digest != s.digest {
 		s.rec.Count("pool_rows_asked")
-		s.act(AskRow{})
+		s.send(session, &wire.PartQuery{Key: wire.PoolRowKey})
 		return s.take()
 	}
 	s.revision = m.Revision
--- a/internal/decide/scheduler/types.go
+++ b/internal/decide/scheduler/types.go
@@ -71,9 +71,6 @@
 // process finishes what runs and exits.
 type StepDown struct{}
 
-// AskRow asks the entry whose PoolUpdate was taken last for the whole row.
-type AskRow struct{}
-
 // CancelExecution ends a running request.
 type CancelExecution struct{ ID wire.AttemptID }
 
@@ -94,7 +91,6 @@
 func (ProbeEngine) isAction()     {}
 func (TakeFence) isAction()       {}
 func (StepDown) isAction()        {}
-func (AskRow) isAction()          {}
 
 // EngineState is a look at the engine.
 type EngineState struct {
--- a/internal/decide/scheduler/world_test.go
+++ b/internal/decide/scheduler/world_test.go
@@ -115,7 +115,7 @@
 	change(&w.row)
 	row, _ := json.Marshal(w.row)
 	w.update = wire.PoolUpdate{Revision: w.update.Revision + 1, Digest: uint64(len(w.row.Pool.Targets)), Row: row, LoadMembers: []string{"t1"}}
-	w.do("pool", w.s.PoolUpdate(w.now, &w.update))
+	w.do("pool", w.s.PoolUpdate(w.now, 1, &w.update))
 }
 
 // pass lets time pass in regular ticks; the engine answers looks and orders.
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -89,7 +89,7 @@
 	case *wire.Resume:
 		t.perform(t.core.Resume(now, session, m))
 	case *wire.PoolUpdate:
-		t.perform(t.core.PoolUpdate(now, m))
+		t.perform(t.core.PoolUpdate(now, session, m))
 	case *wire.LoadGrant:
 		t.perform(t.core.Grant(now, m))
 	default:
--- a/internal/procfleet/process.go
+++ b/internal/procfleet/process.go
@@ -4,7 +4,6 @@
 package procfleet
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -96,22 +95,6 @@
 	}
 }
 
-// LogLines returns the lines of the process's log that contain text.
-func (p *Process) LogLines(text string) []string {
-	f, err := os.Open(filepath.Join(p.dir, p.Name+".log"))
-	if err != nil {
-		return nil
-	}
-	defer f.Close()
-	var lines []string
-	for scanner := bufio.NewScanner(f); scanner.Scan(); {
-		if strings.Contains(scanner.Text(), text) {
-			lines = append(lines, scanner.Text())
-		}
-	}
-	return lines
-}
-
 // Post sends a control request to a stand-in.
 func Post(url string) error {
 	resp, err := http.Post(url, "", nil)
--- a/target/core/core.go
+++ b/target/core/core.go
@@ -3,7 +3,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -107,13 +106,7 @@
 		return c.scheduler.Resume(now, r.ID, m)
 	case *wire.PoolUpdate:
 		before := c.scheduler.Status(now).Revision
-		actions := slices.DeleteFunc(c.scheduler.PoolUpdate(now, m), func(a scheduler.Action) bool {
-			_, ask := a.(scheduler.AskRow)
-			if ask {
-				c.write(ctx, r.ID, &wire.PartQuery{Key: wire.PoolRowKey})
-			}
-			return ask
-		})
+		actions := c.scheduler.PoolUpdate(now, r.ID, m)
 		if after := c.scheduler.Status(now); after.Revision != before {
 			c.log.With("revision", after.Revision).Info("pool row in force")
 			c.onView(after)
