--- a/cmd/agate-entry/main.go
+++ b/cmd/agate-entry/main.go
@@ -3,11 +3,16 @@
 
 import (
 	"agatelanding.example/agatelanding/entry"
+	"agatelanding.example/agatelanding/entry/edge"
 	"agatelanding.example/agatelanding/internal/daemon"
+	"agatelanding.example/agatelanding/platform"
 )
 
 func main() {
-	daemon.Main(daemon.Command("agate-entry", "Takes callers' requests and carries them to targets",
+	cmd := daemon.Command("agate-entry", "Takes callers' requests and carries them to targets",
 		func(s *entry.Settings) string { return s.LogLevel },
-		func(s entry.Settings) daemon.Process { return entry.New(s) }))
+		func(s entry.Settings) daemon.Process { return entry.New(s) })
+	cmd.AddCommand(daemon.PlatformCommand("Serves on the users' platform", platform.LoadSettings,
+		func(s platform.Settings) daemon.Process { return edge.New(s) }))
+	daemon.Main(cmd)
 }
--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -25,6 +25,9 @@
 	// idleTimeout ends a session whose target answers no pings. A target that
 	// is asked for work and stays silent is noticed after one second.
 	idleTimeout = 25 * time.Second
+	// idlePings is the number of pings without an answer that end a session
+	// with an interval of its own.
+	idlePings = 3
 )
 
 // Up tells the router that a session is open.
@@ -47,6 +50,24 @@
 	Hello func() wire.Hello
 	// Keys is nil for plain TCP.
 	Keys *trust.Keys
+	// PingInterval replaces the default where a lost VM must be noticed
+	// sooner; 0 stands for the default.
+	PingInterval time.Duration
+}
+
+func (l Local) pingInterval() time.Duration {
+	if l.PingInterval > 0 {
+		return l.PingInterval
+	}
+	return pingInterval
+}
+
+// idleTimeout ends a session whose target answers no pings.
+func (l Local) idleTimeout() time.Duration {
+	if l.PingInterval > 0 {
+		return idlePings * l.PingInterval
+	}
+	return idleTimeout
 }
 
 // session is the actor of one target.
@@ -154,7 +175,7 @@
 
 func (s *session) read(root *actor.RootContext, self *actor.PID, conn *wire.Conn, generation int) {
 	for {
-		message, err := conn.Read(idleTimeout)
+		message, err := conn.Read(s.local.idleTimeout())
 		if err != nil {
 			root.Send(self, &lost{generation: generation, err: err})
 			return
@@ -167,7 +188,7 @@
 // keeps the memory of a session small.
 func (s *session) armPing(root *actor.RootContext, self *actor.PID) {
 	message := &ping{generation: s.generation}
-	time.AfterFunc(pingInterval, func() {
+	time.AfterFunc(s.local.pingInterval(), func() {
 		select {
 		case <-s.stopped:
 		default:
--- /dev/null
+++ b/internal/catalog/routes.go
@@ -0,0 +1,63 @@
+package catalog
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// NewConfig returns a configuration with an index of its routes.
+func NewConfig(version int64, routes []*Route, pools map[string]*Pool, limits Limits) *Config {
+	c := &Config{Version: version, Pools: pools, Limits: limits, hosts: make(map[string][]*Route), count: len(routes)}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.hosts[host] = append(c.hosts[host], r)
+	}
+	for _, list := range c.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// RouteCount returns the number of routes.
+func (c *Config) RouteCount() int { return c.count }
+
+// Match returns the route with the longest prefix that begins path.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	list, ok := c.hosts[strings.ToLower(host)]
+	if !ok {
+		name, _, err := net.SplitHostPort(host)
+		if err != nil {
+			return nil, false
+		}
+		list = c.hosts[strings.ToLower(name)]
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Pick chooses the pool of one request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	rest := draw * total
+	for _, s := range r.Split {
+		if rest < s.Weight {
+			return s.Pool
+		}
+		rest -= s.Weight
+	}
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			return s.Pool
+		}
+	}
+	return ""
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,27 @@
 	return cmd
 }
 
+// PlatformCommand returns the command that runs a program with the settings
+// file of the users' platform, which load finds and checks.
+func PlatformCommand[T any](short string, load func() (T, error), build func(T) Process) *cobra.Command {
+	var logLevel string
+	cmd := &cobra.Command{
+		Use: "platform", Short: short, Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := load()
+			if err != nil {
+				return err
+			}
+			if err := telemetry.SetupLogs(os.Stdout, logLevel); err != nil {
+				return err
+			}
+			return serve(cmd.Context(), build(s))
+		},
+	}
+	cmd.Flags().StringVar(&logLevel, "log-level", "info", "least severe level that is logged: debug, info, warn or error")
+	return cmd
+}
+
 func writeDefaults[T any](w io.Writer) error {
 	v := new(T)
 	if d, ok := any(v).(settings.Defaulter); ok {
--- /dev/null
+++ b/internal/decide/engineagent/orders.go
@@ -0,0 +1,213 @@
+package engineagent
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/slots"
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+// lookFailures is the number of looks without an answer after which the engine
+// counts as gone.
+const lookFailures = 2
+
+func (a *Agent) takeLook(now time.Time) {
+	if a.looking.IsZero() {
+		a.looking = now
+		a.act(TakeLook{})
+	}
+}
+
+// Looked takes a look at the engine.
+func (a *Agent) Looked(now time.Time, look Look) []Action {
+	asked := a.looking
+	a.looking, a.lookedAt = time.Time{}, now
+	if asked.IsZero() || a.ordering {
+		// The look is older than the order or was given up.
+		return a.take()
+	}
+	if look.Instance == "" && a.row != nil && a.row.Instance != "" && a.seen && look.Incarnation == a.look.Incarnation {
+		look.Instance = a.look.Instance
+	}
+	if a.seen && look.Incarnation != a.look.Incarnation {
+		a.restarted(now)
+	}
+	if !a.seen || !maps.Equal(look.Held, a.look.Held) || !maps.Equal(look.Coming, a.look.Coming) {
+		a.listed = false
+	}
+	a.remember(look)
+	a.look, a.seen, a.stale, a.failures = look, true, false, 0
+	a.slots.Reset(now, occupied(look))
+	a.pump(now)
+	return a.take()
+}
+
+// restarted forgets what was at the engine before its restart. The entries see
+// the broken connections and release their requests.
+func (a *Agent) restarted(now time.Time) {
+	a.rec.Count("engine_restarts")
+	a.recent, a.listed = nil, false
+	for _, j := range a.sortedJobs() {
+		if j.phase != waiting {
+			a.drop(now, j)
+		}
+	}
+}
+
+// remember keeps the adapters that left the engine's slots.
+func (a *Agent) remember(look Look) {
+	for x := range a.look.Held {
+		if _, held := look.Held[x]; held {
+			continue
+		}
+		a.recent = slices.DeleteFunc(a.recent, func(y Adapter) bool { return x == y })
+		a.recent = append(a.recent, x)
+		if len(a.recent) > maxRecent {
+			a.recent = a.recent[1:]
+		}
+	}
+}
+
+// occupied returns the adapters that take a slot of the engine.
+func occupied(look Look) []slots.Key {
+	var keys []slots.Key
+	for x := range look.Held {
+		keys = append(keys, key(x))
+	}
+	for x := range look.Coming {
+		if _, held := look.Held[x]; !held {
+			keys = append(keys, key(x))
+		}
+	}
+	slices.SortFunc(keys, slots.Key.Compare)
+	return keys
+}
+
+// LookFailed records a look without an answer.
+func (a *Agent) LookFailed(now time.Time) []Action {
+	a.looking, a.lookedAt, a.stale = time.Time{}, now, true
+	a.failures++
+	if a.failures >= lookFailures {
+		a.refuseWaiting(now, result.EngineUnavailable)
+	}
+	return a.take()
+}
+
+// Ordered takes the outcome of the order that was given last.
+func (a *Agent) Ordered(now time.Time, outcome OrderOutcome) []Action {
+	a.ordering = false
+	// Each order is followed by a look, whatever became of it: the look
+	// shows what the engine holds and the number of orders it has accepted.
+	a.stale = true
+	a.rec.Count("orders_" + outcome.String())
+	if outcome == OrderFenced {
+		a.fence += fenceStep
+	}
+	if outcome == OrderRefused {
+		a.refuseFor(now, a.order.Adapter)
+	}
+	a.pump(now)
+	return a.take()
+}
+
+// refuseFor ends the requests that wait for an adapter which the engine
+// cannot load.
+func (a *Agent) refuseFor(now time.Time, adapter Adapter) {
+	for _, j := range slices.Clone(a.queue) {
+		if j.adapter == adapter {
+			a.refuse(j, result.AdapterLoadFailed, minRetryAfter)
+			a.drop(now, j)
+		}
+	}
+}
+
+// giveOrder gives the next order if one is needed and may be given.
+func (a *Agent) giveOrder(now time.Time) {
+	if a.ordering || a.row == nil || a.leaving {
+		return
+	}
+	if a.stale || !a.seen {
+		a.takeLook(now)
+		return
+	}
+	if !a.looking.IsZero() || a.look.Busy {
+		return
+	}
+	if order, ok := a.nextOrder(now); ok {
+		order.After, order.Fence = a.look.Orders, a.fence
+		order.Instance = a.look.Instance
+		a.order, a.ordering = order, true
+		a.act(GiveOrder{Order: order})
+	}
+}
+
+func (a *Agent) nextOrder(now time.Time) (Order, bool) {
+	if model, ok := a.missingModel(); ok {
+		return Order{Kind: Load, Adapter: Adapter{Model: model}}, true
+	}
+	if len(a.look.Coming) >= maxComing {
+		return Order{}, false
+	}
+	for _, j := range a.queue {
+		if j.adapter.Name == "" || !a.holdsModel(j.adapter.Model) {
+			continue
+		}
+		if _, ok := a.ready(j); ok {
+			continue
+		}
+		if version, coming := a.look.Coming[j.adapter]; coming && (version >= j.want || j.want == 0) {
+			continue
+		}
+		if _, held := a.look.Held[j.adapter]; held {
+			// A newer version takes the place of the one that is held.
+			return Order{Kind: Load, Adapter: j.adapter, Version: j.want}, true
+		}
+		plan := a.slots.Plan(now, key(j.adapter))
+		switch {
+		case plan.Load:
+			a.rec.Count("adapter_loads")
+			return Order{Kind: Load, Adapter: j.adapter, Version: j.want}, true
+		case plan.Evict != nil:
+			if victim, ok := a.victim(*plan.Evict); ok {
+				return Order{Kind: Unload, Adapter: victim}, true
+			}
+		}
+	}
+	return Order{}, false
+}
+
+// victim returns the adapter of a slot. One that is on its way cannot be
+// unloaded yet.
+func (a *Agent) victim(k slots.Key) (Adapter, bool) {
+	for x := range a.look.Held {
+		if key(x) == k {
+			return x, true
+		}
+	}
+	return Adapter{}, false
+}
+
+// missingModel returns a base model that the engine should hold and does not.
+// An engine that has started again holds none.
+func (a *Agent) missingModel() (string, bool) {
+	used := 0.0
+	for _, m := range a.row.Models {
+		if a.holdsModel(m.Name) {
+			used += m.WeightsMB
+		}
+	}
+	fits := func(m float64) bool { return used+m <= a.row.MemoryMB }
+	for _, j := range a.queue {
+		for _, m := range a.row.Models {
+			if m.Name == j.adapter.Model && !a.holdsModel(m.Name) && fits(m.WeightsMB) {
+				return m.Name, true
+			}
+		}
+	}
+	if len(a.look.Models) == 0 && len(a.row.Models) > 0 && fits(a.row.Models[0].WeightsMB) {
+		return a.row.Models[0].Name, true
+	}
+	return "", false
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -46,6 +46,18 @@
 		return KindPing, nil
 	case *Pong:
 		return KindPong, nil
+	case *Attach:
+		return KindAttach, nil
+	case *Started:
+		return KindStarted, nil
+	case *Release:
+		return KindRelease, nil
+	case *EngineRow:
+		return KindEngineRow, nil
+	case *EngineReport:
+		return KindEngineReport, nil
+	case *Items:
+		return KindItems, nil
 	}
 	return 0, result.New(result.MalformedMessage, fmt.Sprintf("no kind for %T", message))
 }
@@ -88,6 +100,18 @@
 		return new(Ping)
 	case KindPong:
 		return new(Pong)
+	case KindAttach:
+		return new(Attach)
+	case KindStarted:
+		return new(Started)
+	case KindRelease:
+		return new(Release)
+	case KindEngineRow:
+		return new(EngineRow)
+	case KindEngineReport:
+		return new(EngineReport)
+	case KindItems:
+		return new(Items)
 	}
 	return nil
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -57,6 +57,12 @@
 	KindPartReply
 	KindPing
 	KindPong
+	KindAttach
+	KindStarted
+	KindRelease
+	KindEngineRow
+	KindEngineReport
+	KindItems
 )
 
 // RequestID identifies one request of one entry incarnation.
@@ -127,12 +133,23 @@
 	PoolDigest uint64 `msgpack:"pd"`
 	// PrefixHash identifies the start of the prompt.
 	PrefixHash uint64 `msgpack:"ph,omitempty"`
+	// Model is the base model, for engines that hold several.
+	Model string `msgpack:"mo,omitempty"`
+	// Prompt is the number of tokens that the engine has to read.
+	Prompt int `msgpack:"pt,omitempty"`
+	// Rank is the priority of the request; 0 is the most urgent.
+	Rank int `msgpack:"rk,omitempty"`
+	// Instance is the incarnation of the engine that the entry means.
+	Instance string `msgpack:"in,omitempty"`
 }
 
 // Reserved accepts a reservation.
 type Reserved struct {
 	ID   AttemptID  `msgpack:"id"`
 	Load LoadReport `msgpack:"l"`
+	// Version is the version of the adapter that the engine holds; 0 if the
+	// request names none.
+	Version int `msgpack:"ve,omitempty"`
 }
 
 // Refused refuses a reservation; the request was not run.
@@ -259,3 +276,81 @@
 	Sequence uint64     `msgpack:"s"`
 	Load     LoadReport `msgpack:"l"`
 }
+
+// Attach tells a target process of a request that runs at its engine, after a
+// new session. The process pins the adapter until Release.
+type Attach struct {
+	ID      AttemptID `msgpack:"id"`
+	Model   string    `msgpack:"mo"`
+	Adapter string    `msgpack:"ad"`
+}
+
+// Started tells a target process that the engine has read the prompt of a
+// request and gave its first event.
+type Started struct {
+	ID AttemptID `msgpack:"id"`
+	// TookMS is the time from the send to the first event.
+	TookMS int64 `msgpack:"t"`
+}
+
+// Release ends a reservation: the request has ended at the engine.
+type Release struct {
+	ID AttemptID `msgpack:"id"`
+	// LatePauses is true if a pause of the stream was over its route's limit.
+	LatePauses bool `msgpack:"lp,omitempty"`
+}
+
+// EngineModel is a base model of an engine pool.
+type EngineModel struct {
+	Name      string  `msgpack:"n"`
+	WeightsMB float64 `msgpack:"w"`
+	// Adapters is the number of adapters of the model that an engine holds.
+	Adapters int `msgpack:"a"`
+}
+
+// EngineRow gives a target process what it needs to know of its pool.
+type EngineRow struct {
+	Revision uint64        `msgpack:"v"`
+	Slots    int           `msgpack:"s"`
+	MemoryMB float64       `msgpack:"m"`
+	Models   []EngineModel `msgpack:"mo"`
+	// Instance is the incarnation of the engine that the entry knows.
+	Instance string `msgpack:"in"`
+	// Fence is the highest fencing number that the entry has seen from the
+	// process, so that a new process on a VM whose clock was set back does
+	// not fall below it.
+	Fence uint64 `msgpack:"f"`
+}
+
+// EngineReport is the load of an engine as its target process sees it.
+type EngineReport struct {
+	Running int `msgpack:"r"`
+	Waiting int `msgpack:"w"`
+	// Backlog is the number of prompt tokens that are admitted or wait and
+	// are not read yet.
+	Backlog int `msgpack:"b"`
+	// RetryAfterMS is when a refused request would find room.
+	RetryAfterMS int64 `msgpack:"ra"`
+	// Held lists the adapters in the engine's slots, Recent those that it
+	// loads again without the weight store, as MODEL/ADAPTER.
+	Held    []string `msgpack:"h,omitempty"`
+	Recent  []string `msgpack:"rc,omitempty"`
+	Listed  bool     `msgpack:"li,omitempty"`
+	Fence   uint64   `msgpack:"f"`
+	Leaving bool     `msgpack:"le,omitempty"`
+}
+
+// Item is one change of the published state, as an entry read it.
+type Item struct {
+	Key      string `msgpack:"k"`
+	Revision uint64 `msgpack:"r"`
+	Removed  bool   `msgpack:"d,omitempty"`
+	Value    []byte `msgpack:"v,omitempty"`
+}
+
+// Items passes changes of the published state to another entry, with the
+// addresses of the entries that the sender knows.
+type Items struct {
+	Items []Item   `msgpack:"i,omitempty"`
+	Peers []string `msgpack:"p,omitempty"`
+}
--- /dev/null
+++ b/target/agent/agent.go
@@ -0,0 +1,110 @@
+// Package agent is the process beside one model engine on the users' platform.
+// It admits requests to the engine and is the only one to give it orders;
+// entries send the requests to the engine themselves.
+//
+// The supervisor tree has two children under the root: core, which owns all
+// state, and sessions, with one child for each connected entry. A failed
+// session is stopped; a failed core ends the process, and the next one learns
+// the state from the engine and the entries.
+package agent
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"agatelanding.example/agatelanding/internal/decide/engineagent"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/runtime"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+	"agatelanding.example/agatelanding/platform"
+	"agatelanding.example/agatelanding/target/session"
+)
+
+const (
+	// sessionIdle ends the session of an entry that does not ping. Entries
+	// ping every second.
+	sessionIdle = 3500 * time.Millisecond
+	// flushTime lets the last frames leave before the sockets close.
+	flushTime = 50 * time.Millisecond
+)
+
+// Agent is one process. It implements daemon.Process.
+type Agent struct {
+	settings platform.Settings
+	address  string
+	metrics  *telemetry.Metrics
+	log      *telemetry.Logger
+	started  time.Time
+	listener net.Listener
+	system   *actor.ActorSystem
+	core     *actor.PID
+	sessions *actor.PID
+	failed   chan error
+}
+
+// New returns a process that is not yet started.
+func New(s platform.Settings) *Agent {
+	return &Agent{
+		settings: s, address: s.InternalAddress(s.IP), metrics: telemetry.NewMetrics(), log: telemetry.For("agent"),
+		started: time.Now(), failed: make(chan error, 1),
+	}
+}
+
+// Provision takes the listen address.
+func (a *Agent) Provision() error {
+	if a.settings.Target == "" {
+		return result.New(result.SettingInvalid, "a process beside an engine needs the address of the engine")
+	}
+	listener, err := net.Listen("tcp", a.address)
+	if err != nil {
+		return result.Wrap(result.AddressInUse, err)
+	}
+	a.listener = listener
+	return nil
+}
+
+// Start begins to serve.
+func (a *Agent) Start() {
+	a.system = runtime.NewSystem()
+	root := a.system.Root.WithGuardian(runtime.FailProcess(a.fail))
+	decisions := engineagent.New(a.started, uint64(a.started.UnixMilli()), a.metrics)
+	engine := platform.NewEngine(a.settings.Target, a.settings.Name)
+	a.core = root.Spawn(coreProps(decisions, engine))
+	a.sessions = root.Spawn(session.Props(a.core, a.hello, sessionIdle))
+	go session.Accept(a.system, a.sessions, a.listener)
+	a.log.With("name", a.settings.Name).With("engine", a.settings.Target).With("listen", a.address).Info("target process started")
+}
+
+func (a *Agent) hello() wire.Hello {
+	return wire.Hello{
+		Process: a.address, Role: wire.RoleTarget, Incarnation: a.started.UnixNano(),
+		FailureDomain: a.settings.FailureDomain, State: wire.StateServing,
+	}
+}
+
+func (a *Agent) fail(reason any) {
+	select {
+	case a.failed <- result.Newf(result.Internal, "the core failed: %v", reason):
+	default:
+	}
+}
+
+// Failed implements daemon.Process.
+func (a *Agent) Failed() <-chan error { return a.failed }
+
+// Shutdown tells the entries, which go on with what runs at the engine, and
+// ends.
+func (a *Agent) Shutdown(context.Context) {
+	a.log.Info("planned stop begins")
+	a.system.Root.Send(a.core, &leave{})
+	time.Sleep(flushTime)
+	_ = a.listener.Close()
+	_ = a.system.Root.StopFuture(a.sessions).Wait()
+	_ = a.system.Root.StopFuture(a.core).Wait()
+	a.system.Shutdown()
+	a.log.Info("planned stop ends")
+}
--- a/target/session/session.go
+++ b/target/session/session.go
@@ -47,6 +47,8 @@
 type Supervisor struct {
 	Core  *actor.PID
 	Hello func() wire.Hello
+	// Idle ends a session whose entry sends nothing for this long.
+	Idle time.Duration
 
 	next     atomic.Uint64
 	sessions int
@@ -54,9 +56,9 @@
 }
 
 // Props returns the properties of the supervisor.
-func Props(core *actor.PID, hello func() wire.Hello) *actor.Props {
+func Props(core *actor.PID, hello func() wire.Hello, idle time.Duration) *actor.Props {
 	return actor.PropsFromProducer(func() actor.Actor {
-		return &Supervisor{Core: core, Hello: hello, log: telemetry.For("sessions")}
+		return &Supervisor{Core: core, Hello: hello, Idle: idle, log: telemetry.For("sessions")}
 	}, actor.WithSupervisor(runtime.StopChildren()))
 }
 
@@ -72,7 +74,7 @@
 		s.sessions++
 		ctx.Spawn(actor.PropsFromProducer(func() actor.Actor {
 			return &session{
-				id: scheduler.SessionID(s.next.Add(1)), core: s.Core, hello: s.Hello,
+				id: scheduler.SessionID(s.next.Add(1)), core: s.Core, hello: s.Hello, idle: s.Idle,
 				conn: wire.NewConn(m.Conn), log: s.log,
 			}
 		}))
@@ -86,6 +88,7 @@
 	id    scheduler.SessionID
 	core  *actor.PID
 	hello func() wire.Hello
+	idle  time.Duration
 	conn  *wire.Conn
 	log   *telemetry.Logger
 }
@@ -117,7 +120,7 @@
 		root.Send(s.core, &Opened{ID: s.id, Writer: self, Peer: peer})
 		for err == nil {
 			var message any
-			if message, err = s.conn.Read(IdleTimeout); err == nil {
+			if message, err = s.conn.Read(s.idle); err == nil {
 				root.Send(s.core, &Received{ID: s.id, Message: message})
 			}
 		}
--- a/target/target.go
+++ b/target/target.go
@@ -97,7 +97,7 @@
 	root := t.system.Root.WithGuardian(runtime.FailProcess(t.fail))
 	t.core = root.Spawn(core.Props(s, d, func(v scheduler.Status) { t.view.Store(&v) }, t.stepDown))
 	d.Bind(t.system, t.core)
-	t.sessions = root.Spawn(session.Props(t.core, t.hello))
+	t.sessions = root.Spawn(session.Props(t.core, t.hello, session.IdleTimeout))
 	go session.Accept(t.system, t.sessions, t.listener)
 	t.admin.Serve()
 	t.log.With("name", t.settings.Name).With("listen", t.listener.Addr()).Info("target process started")
