--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -70,16 +70,20 @@
 	// stopping fails readiness, leaving refuses new requests.
 	stopping atomic.Bool
 	leaving  atomic.Bool
+	// grace is the time between the stop signal and the kill.
+	grace  atomic.Int64
 	cancel   context.CancelFunc
 	failed   chan error
 }
 
 // New returns an entry that is not yet started.
 func New(s platform.Settings) *Edge {
-	return &Edge{
+	e := &Edge{
 		settings: s, metrics: telemetry.NewMetrics(), log: telemetry.For("entry"), started: time.Now(),
 		first: make(chan struct{}), failed: make(chan error, 1),
 	}
+	e.grace.Store(int64(s.Bounds.Grace))
+	return e
 }
 
 // Provision takes the listen addresses.
@@ -141,6 +145,17 @@
 	}
 }
 
+// Reconfigure implements daemon.Reconfigurable. Addresses stay as they are until
+// the next start.
+func (e *Edge) Reconfigure(s platform.Settings) {
+	b := s.Bounds
+	e.budget.SetBounds(b.RetryRatio, b.RetrySlack)
+	e.keeper.bounds.Store(&b)
+	e.grace.Store(int64(b.Grace))
+	e.mesh.Learn(s.Seeds)
+	e.log.With("seeds", len(s.Seeds)).Info("settings in force")
+}
+
 // Failed implements daemon.Process.
 func (e *Edge) Failed() <-chan error { return e.failed }
 
@@ -234,7 +249,7 @@
 	}
 	pause(ctx, balancerNotice)
 	e.leaving.Store(true)
-	end := begun.Add(e.settings.Bounds.Grace - killMargin)
+	end := begun.Add(time.Duration(e.grace.Load()) - killMargin)
 	for e.open.Load() > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(idlePoll)
 	}
--- a/entry/edge/keeper.go
+++ b/entry/edge/keeper.go
@@ -30,7 +30,7 @@
 // keeper follows the published state: from the store, and from other entries.
 type keeper struct {
 	store   *platform.Store
-	bounds  platform.Bounds
+	bounds  atomic.Pointer[platform.Bounds]
 	metrics *telemetry.Metrics
 	log     *telemetry.Logger
 	// publish puts a view in force, share passes changes to other entries.
@@ -59,17 +59,19 @@
 }
 
 func newKeeper(store *platform.Store, bounds platform.Bounds, metrics *telemetry.Metrics) *keeper {
-	return &keeper{
-		store: store, bounds: bounds, metrics: metrics, log: telemetry.For("keeper"), started: time.Now(),
+	k := &keeper{
+		store: store, metrics: metrics, log: telemetry.For("keeper"), started: time.Now(),
 		changes: make(chan change, 64), states: make(chan chan []wire.Item),
 		catalog: catalog.New(), entries: make(map[string]platform.Entry),
 	}
+	k.bounds.Store(&bounds)
+	return k
 }
 
 // current tells whether the store was heard within the time in which a
 // configuration must be in force.
 func (k *keeper) current() bool {
-	return time.Since(k.started)-time.Duration(k.heard.Load()) < k.bounds.ConfigApply
+	return time.Since(k.started)-time.Duration(k.heard.Load()) < k.bounds.Load().ConfigApply
 }
 
 // state returns all items, for another entry.
@@ -192,7 +194,6 @@
 
 // follow reads the store and watches it until ctx ends.
 func (k *keeper) follow(ctx context.Context) {
-	pace := min(k.bounds.Drain, k.bounds.ConfigApply) / paceShare
 	backoff := leastBackoff
 	lost := false
 	revision := uint64(0)
@@ -218,10 +219,16 @@
 		k.heard.Store(int64(time.Since(k.started)))
 		c.back, lost, backoff = lost, false, leastBackoff
 		k.changes <- c
-		pause(ctx, pace-time.Since(began))
+		pause(ctx, k.pace()-time.Since(began))
 	}
 }
 
+// pace is the least time between two watches.
+func (k *keeper) pace() time.Duration {
+	b := k.bounds.Load()
+	return min(b.Drain, b.ConfigApply) / paceShare
+}
+
 // read lists the store once and watches it from then on.
 func (k *keeper) read(ctx context.Context, revision *uint64) (change, error) {
 	if *revision == 0 {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -64,7 +64,7 @@
 	m.known = make(map[string]time.Time)
 	m.links = make(map[*link]bool)
 	m.mu.Unlock()
-	m.learn(m.Seeds)
+	m.Learn(m.Seeds)
 	if listener != nil {
 		go m.accept(ctx, listener)
 	}
@@ -83,7 +83,8 @@
 	}
 }
 
-func (m *Mesh) learn(addresses []string) {
+// Learn takes addresses of entries.
+func (m *Mesh) Learn(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, a := range addresses {
@@ -178,7 +179,7 @@
 	first := l.address == ""
 	l.address = addresses[0]
 	m.mu.Unlock()
-	m.learn(addresses)
+	m.Learn(addresses)
 	if first {
 		m.Log.With("peer", addresses[0]).Info("peer reached")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,7 +75,11 @@
 			if err := telemetry.SetupLogs(os.Stdout, logLevel); err != nil {
 				return err
 			}
-			return serve(cmd.Context(), build(s))
+			p := build(s)
+			ctx, cancel := context.WithCancel(cmd.Context())
+			defer cancel()
+			follow(ctx, s, load, p)
+			return serve(ctx, p)
 		},
 	}
 	cmd.Flags().StringVar(&logLevel, "log-level", "info", "least severe level that is logged: debug, info, warn or error")
--- a/internal/decide/retry/window.go
+++ b/internal/decide/retry/window.go
@@ -18,14 +18,14 @@
 // entry takes the ratio of its own requests and an equal part of the slack, so
 // that nobody has to hand it out. It may be used by any goroutine.
 type Window struct {
-	ratio, slack float64
-	part         time.Duration
+	part time.Duration
 	// start gives the parts their numbers. The time of day may jump.
 	start time.Time
 
-	mu      sync.Mutex
-	entries int
-	pools   map[string]*windowCount
+	mu           sync.Mutex
+	ratio, slack float64
+	entries      int
+	pools        map[string]*windowCount
 }
 
 type windowCount struct {
@@ -54,6 +54,13 @@
 	w.entries = max(1, n)
 }
 
+// SetBounds changes the ratio and the slack.
+func (w *Window) SetBounds(ratio, slack float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio, w.slack = ratio, slack
+}
+
 func (w *Window) count(now time.Time, pool string) *windowCount {
 	c, ok := w.pools[pool]
 	if !ok {
--- a/internal/runtime/system.go
+++ b/internal/runtime/system.go
@@ -59,6 +59,13 @@
 	return c
 }
 
+// ReloadSignals returns a channel that receives SIGHUP.
+func ReloadSignals() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
 // Intervals of the tick that drives what depends on time. An idle process
 // ticks slowly because a tick every 10 ms took 1.2% of a core, against a
 // budget of 1.4% for all control work.
