--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,7 @@
 	// grace is the time between the stop signal and the kill.
 	grace  atomic.Int64
 	cancel   context.CancelFunc
+	closing  sync.Once
 	failed   chan error
 }
 
@@ -258,7 +260,9 @@
 }
 
 // Close ends the process's parts at once.
-func (e *Edge) Close() {
+func (e *Edge) Close() { e.closing.Do(e.close) }
+
+func (e *Edge) close() {
 	e.cancel()
 	if server := e.server.Load(); server != nil {
 		_ = server.Close()
--- /dev/null
+++ b/entry/edge/edge_suite_test.go
@@ -0,0 +1,507 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/entry/edge"
+	"agatelanding.example/agatelanding/internal/fixture"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/platform"
+	"agatelanding.example/agatelanding/platform/standin"
+	"agatelanding.example/agatelanding/target/agent"
+)
+
+func TestEdge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "edge")
+}
+
+var _ = BeforeSuite(func() { Expect(telemetry.SetupLogs(GinkgoWriter, "info")).To(Succeed()) })
+
+// network is a part of the loopback range that one fleet uses, so that fleets
+// of one test run do not meet.
+var network atomic.Int64
+
+// fleet is one entry before stand-ins, with real processes beside engines.
+type fleet struct {
+	store     *standin.Store
+	storeAddr string
+	edges     []*edge.Edge
+	settings  []platform.Settings
+	engines   []*standin.Replica
+	services  []*standin.Replica
+	agents    []*agent.Agent
+	servers   map[string]*http.Server
+	port      int
+	net       int64
+	seeds     []string
+}
+
+func listen(address string) net.Listener {
+	l, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	return l
+}
+
+func (f *fleet) serve(ip string, h http.Handler) string {
+	l := listen(ip + ":0")
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	f.servers[l.Addr().String()] = server
+	DeferCleanup(server.Close)
+	return l.Addr().String()
+}
+
+func bounds() platform.Bounds {
+	return platform.Bounds{
+		Drain: 400 * time.Millisecond, ConfigApply: 400 * time.Millisecond, Grace: 8 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
+	}
+}
+
+func newFleet(engines, services int) *fleet {
+	_, port, err := net.SplitHostPort(fixture.FreeAddress())
+	Expect(err).NotTo(HaveOccurred())
+	f := &fleet{store: standin.NewStore(), servers: make(map[string]*http.Server), net: network.Add(1)}
+	f.port, _ = strconv.Atoi(port)
+	f.storeAddr = f.serve("127.0.0.1", f.store)
+	for i := range engines {
+		f.addEngine(i)
+	}
+	for i := range services {
+		r := standin.NewReplica(fmt.Sprintf("s-%d", i), "", 0)
+		f.services = append(f.services, r)
+		f.store.Put("servers/"+r.ID, r.Describe("ledger", f.serve("127.0.0.1", r), "z1", "ready"))
+	}
+	f.configure(1, nil)
+	return f
+}
+
+func (f *fleet) engineIP(i int) string { return fmt.Sprintf("127.1.%d.%d", f.net, i+1) }
+
+func (f *fleet) addEngine(i int) {
+	r := standin.NewReplica(fmt.Sprintf("e-%d", i), "m", 2)
+	address := f.serve(f.engineIP(i), r)
+	f.engines = append(f.engines, r)
+	f.agents = append(f.agents, f.startAgent(i, address))
+	f.store.Put("servers/"+r.ID, r.Describe("llm", address, "z1", "ready"))
+}
+
+func (f *fleet) startAgent(i int, engine string) *agent.Agent {
+	a := agent.New(platform.Settings{
+		Name: fmt.Sprintf("vm-%d", i), IP: f.engineIP(i), FailureDomain: "z1", InternalPorts: [2]int{f.port, f.port}, Target: engine, Bounds: bounds(),
+	})
+	Expect(a.Provision()).To(Succeed())
+	a.Start()
+	DeferCleanup(func() { a.Shutdown(context.Background()) })
+	return a
+}
+
+func route(name, prefix, kind, service string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "hostname": "h.example", "prefix": prefix, "kind": kind, "timeout_ms": 3000, "target_latency_ms": 200,
+		"service": service, "max_attempts": 2, "resumable": kind == "stream", "gap_aim_ms": 300,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+func (f *fleet) configure(version int, more map[string]any, extra ...map[string]any) {
+	routes := []map[string]any{
+		route("query", "/query/", "stream", "llm", map[string]any{"timeout_ms": 6000}),
+		route("brief", "/brief/", "stream", "llm", map[string]any{"resumable": false, "max_attempts": 1}),
+		route("release", "/release/", "non_idempotent", "ledger", map[string]any{"max_attempts": 1, "timeout_ms": 600}),
+		route("lookup", "/lookup/", "idempotent", "ledger", nil),
+	}
+	value := map[string]any{
+		"version": version, "routes": append(routes, extra...),
+		"services": []map[string]any{
+			{"name": "llm", "max_connections": 100, "engine": map[string]any{
+				"slots": 8, "kv_capacity": 100000, "weights_mb": 100, "adapter_slots": 2,
+				"models": []map[string]any{{"name": "m", "weights_mb": 50, "adapter_mb": 1}},
+			}},
+			{"name": "ledger", "max_connections": 100},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+	for k, v := range more {
+		value[k] = v
+	}
+	f.store.Put("op/config", value)
+}
+
+// start starts an entry and waits until it is ready.
+func (f *fleet) start() *edge.Edge {
+	s := platform.Settings{
+		Name: fmt.Sprintf("entry-%d", len(f.edges)), IP: "127.0.0.1", FailureDomain: "z1", InternalPorts: [2]int{f.port, f.port},
+		Listen: fixture.FreeAddress(), Ready: fixture.FreeAddress(), Peers: fixture.FreeAddress(), Seeds: f.seeds, Store: f.storeAddr, Bounds: bounds(),
+	}
+	f.seeds = append(f.seeds, s.Peers)
+	e := edge.New(s)
+	Expect(e.Provision()).To(Succeed())
+	e.Start()
+	DeferCleanup(e.Close)
+	f.edges = append(f.edges, e)
+	f.settings = append(f.settings, s)
+	Eventually(func() int { return f.readiness(len(f.edges) - 1) }).Within(3 * time.Second).Should(Equal(http.StatusOK))
+	return e
+}
+
+func (f *fleet) readiness(i int) int {
+	resp, err := http.Get("http://" + f.settings[i].Ready + "/readiness")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+var ids atomic.Int64
+
+type answer struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fleet) call(ctx context.Context, i int, method, path string, header map[string]string, body string) answer {
+	id := fmt.Sprintf("req-%d", ids.Add(1))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.settings[i].Listen+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", "6000")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{id: id, err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{id: id, status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func (f *fleet) query(adapter string) answer {
+	return f.call(context.Background(), 0, "POST", "/query/x?q=1", map[string]string{"Model": "m/" + adapter, "Token-Usage": "100,20"}, "prompt")
+}
+
+func (f *fleet) brief(adapter string) answer {
+	return f.call(context.Background(), 0, "POST", "/brief/x", map[string]string{"Model": "m/" + adapter, "Token-Usage": "100,20"}, "prompt")
+}
+
+func (f *fleet) release() answer { return f.call(context.Background(), 0, "POST", "/release/1", nil, "open") }
+func (f *fleet) lookup() answer  { return f.call(context.Background(), 0, "GET", "/lookup/1", nil, "") }
+
+func runsOf(id string, replicas []*standin.Replica) []standin.Run {
+	var runs []standin.Run
+	for _, r := range replicas {
+		for _, run := range r.Runs() {
+			if run.ID == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+var _ = Describe("The whole path", func() {
+	It("passes requests and answers on unchanged", func() {
+		f := newFleet(2, 2)
+		f.start()
+		a := f.query("a1")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(Equal(standin.Stream(a.id, 5)))
+		Expect(a.header.Get("Response-Signature")).To(HavePrefix("signed-by-e-"))
+		runs := runsOf(a.id, f.engines)
+		Expect(runs).To(HaveLen(1))
+		Expect(runs[0].URI).To(Equal("/query/x?q=1"))
+		Expect(runs[0].Body).To(Equal("prompt"))
+		Expect(runs[0].Adapter).To(Equal("a1"))
+
+		a = f.release()
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(Equal(standin.Answer(a.id)))
+		Expect(runsOf(a.id, f.services)).To(HaveLen(1))
+	})
+
+	It("serves more adapters than the engines have slots and never overfills one", func() {
+		f := newFleet(2, 1)
+		f.start()
+		for i := range 24 {
+			a := f.query(fmt.Sprintf("a%d", i%9))
+			Expect(a.status).To(Equal(200), a.body)
+		}
+		for _, r := range f.engines {
+			Expect(r.Overfilled()).To(BeFalse())
+		}
+	})
+
+	It("refuses what no route allows, a body over the limit and a request without id", func() {
+		f := newFleet(1, 1)
+		f.start()
+		Expect(f.call(context.Background(), 0, "GET", "/nothing/", nil, "").status).To(Equal(404))
+		Expect(f.call(context.Background(), 0, "POST", "/release/", nil, strings.Repeat("x", 70_000)).status).To(Equal(413))
+		Expect(f.call(context.Background(), 0, "GET", "/lookup/", map[string]string{"Attempt-Id": ""}, "").status).To(Equal(400))
+		Expect(f.lookup().status).To(Equal(200))
+	})
+
+	It("puts a changed configuration in force", func() {
+		f := newFleet(1, 1)
+		f.start()
+		Expect(f.call(context.Background(), 0, "GET", "/added/", nil, "").status).To(Equal(404))
+		f.configure(5, nil, route("added", "/added/", "idempotent", "ledger", nil))
+		Eventually(func() int { return f.call(context.Background(), 0, "GET", "/added/", nil, "").status }).Within(time.Second).Should(Equal(200))
+	})
+
+	// Each announced version must answer within seconds.
+	It("serves the newest version of an adapter", func() {
+		f := newFleet(1, 1)
+		f.start()
+		Expect(f.query("a1").status).To(Equal(200))
+		f.store.Put("op/version/m.a1", map[string]any{"model": "m", "adapter": "a1", "version": 3})
+		Eventually(func() string {
+			f.query("a1")
+			look, err := platform.NewEngine(f.engineAddress(0), "x").Look(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			return fmt.Sprint(look.Held)
+		}).Within(2 * time.Second).Should(ContainSubstring("3"))
+	})
+})
+
+func (f *fleet) engineAddress(i int) string {
+	for address := range f.servers {
+		if strings.HasPrefix(address, f.engineIP(i)+":") {
+			return address
+		}
+	}
+	return ""
+}
+
+var _ = Describe("Under faults", func() {
+	// What may run once must not be sent again after it may have run.
+	DescribeTable("a non-idempotent request runs at most once", func(fault standin.Fault, status, runs int) {
+		f := newFleet(1, 2)
+		f.start()
+		for _, s := range f.services {
+			s.Break(fault)
+		}
+		a := f.release()
+		Expect(a.status).To(Equal(status))
+		Expect(runsOf(a.id, f.services)).To(HaveLen(runs))
+	},
+		Entry("declined everywhere: not run, come back", standin.Decline, 503, 0),
+		Entry("failed: the target's own answer", standin.Fail, 500, 1),
+		Entry("answer cut: nothing is promised", standin.Cut, 502, 1),
+		Entry("answer without signature: nothing is promised", standin.Unsigned, 502, 1),
+		Entry("no answer: nothing is promised, at the route's timeout", standin.Hang, 504, 1),
+	)
+
+	It("a declined request goes to another target", func() {
+		f := newFleet(1, 2)
+		f.start()
+		f.services[0].Break(standin.Decline)
+		f.services[1].Break(standin.Decline)
+		Expect(f.release().status).To(Equal(503))
+		f.services[0].Break(standin.Decline)
+		statuses := []int{f.release().status, f.release().status}
+		Expect(statuses).To(Equal([]int{200, 200}))
+	})
+
+	It("a refusal names the time to come back", func() {
+		f := newFleet(1, 1)
+		f.start()
+		f.services[0].Break(standin.Decline)
+		a := f.release()
+		Expect(a.status).To(Equal(503))
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).To(BeNumerically(">", 0))
+		Expect(a.header).NotTo(HaveKey("Response-Signature"))
+	})
+
+	DescribeTable("an idempotent request is answered by another target", func(fault standin.Fault) {
+		f := newFleet(1, 2)
+		f.start()
+		f.services[0].Break(fault)
+		for range 2 {
+			a := f.lookup()
+			Expect(a.status).To(Equal(200))
+			Expect(a.body).To(Equal(standin.Answer(a.id)))
+		}
+	},
+		Entry("failed", standin.Fail), Entry("cut", standin.Cut), Entry("no answer", standin.Hang), Entry("no signature", standin.Unsigned),
+	)
+
+	// A caller gets each event once and in order, whatever breaks.
+	DescribeTable("a resumable stream continues at another engine", func(fault standin.Fault) {
+		f := newFleet(2, 1)
+		f.start()
+		f.engines[0].Break(fault)
+		f.engines[1].Break(fault)
+		a := f.query("a1")
+		Expect(a.err).To(HaveOccurred())
+		f.engines[0].Break(fault)
+		ok := 0
+		for range 2 {
+			a := f.query("a1")
+			if a.err == nil && a.status == 200 {
+				Expect(a.body).To(Equal(standin.Stream(a.id, 5)))
+				ok++
+			}
+		}
+		Expect(ok).To(Equal(2))
+	}, Entry("cut", standin.Cut))
+
+	It("a stream that may not be resumed is broken off, never ended as if it were whole", func() {
+		f := newFleet(1, 1)
+		f.start()
+		Expect(f.brief("a1").status).To(Equal(200))
+		f.engines[0].Break(standin.Cut)
+		a := f.brief("a1")
+		Expect(a.err).To(HaveOccurred())
+		Expect(runsOf(a.id, f.engines)).To(HaveLen(1))
+	})
+
+	// The replica must stop work for callers that have left.
+	It("a caller who leaves ends the run", func() {
+		f := newFleet(1, 1)
+		f.start()
+		Expect(f.query("a1").status).To(Equal(200))
+		f.engines[0].EventTime = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+		defer cancel()
+		a := f.call(ctx, 0, "POST", "/query/x", map[string]string{"Model": "m/a1"}, "")
+		Expect(a.err).To(HaveOccurred())
+		time.Sleep(700 * time.Millisecond)
+		Expect(runsOf(a.id, f.engines)[0].Ended).To(BeFalse())
+	})
+
+	It("a draining target gets no new request", func() {
+		f := newFleet(1, 2)
+		f.start()
+		first := f.lookup()
+		Expect(first.status).To(Equal(200))
+		for i, s := range f.services {
+			if len(runsOf(first.id, f.services[i:i+1])) > 0 {
+				f.store.Put("servers/"+s.ID, s.Describe("ledger", "127.0.0.1:1", "z1", "draining"))
+				time.Sleep(400 * time.Millisecond)
+				before := len(s.Runs())
+				for range 6 {
+					Expect(f.lookup().status).To(Equal(200))
+				}
+				Expect(s.Runs()).To(HaveLen(before))
+			}
+		}
+	})
+
+	It("the loss of the process beside an engine loses nothing that the engine holds", func() {
+		f := newFleet(1, 1)
+		f.start()
+		Expect(f.query("a1").status).To(Equal(200))
+		f.engines[0].EventTime = 60 * time.Millisecond
+		running := make(chan answer, 1)
+		go func() { running <- f.query("a1") }()
+		time.Sleep(100 * time.Millisecond)
+		f.agents[0].Shutdown(context.Background())
+		a := <-running
+		Expect(a.body).To(Equal(standin.Stream(a.id, 5)))
+		Expect(f.query("a1").status).To(Equal(200))
+		a = f.query("a2")
+		Expect(a.status).To(Equal(503))
+		Expect(runsOf(a.id, f.engines)).To(BeEmpty())
+		f.startAgent(0, f.engineAddress(0))
+		Eventually(func() int { return f.query("a2").status }).Within(3 * time.Second).Should(Equal(200))
+		Expect(f.engines[0].Overfilled()).To(BeFalse())
+	})
+
+	// The store turns one entry away while it serves the other.
+	It("an entry follows the configuration through another entry", func() {
+		f := newFleet(1, 1)
+		f.start()
+		private := f.storeAddr
+		gate := &gate{to: f.store}
+		f.storeAddr = f.serve("127.0.0.1", gate)
+		f.start()
+		f.storeAddr = private
+		gate.closed.Store(true)
+		f.configure(9, nil, route("added", "/added/", "idempotent", "ledger", nil))
+		Eventually(func() int { return f.call(context.Background(), 1, "GET", "/added/", nil, "").status }).Within(2 * time.Second).Should(Equal(200))
+	})
+
+	It("an entry starts without the store, from another entry", func() {
+		f := newFleet(1, 1)
+		f.start()
+		f.store.Refuse(true)
+		f.start()
+		Expect(f.call(context.Background(), 1, "GET", "/lookup/1", nil, "").status).To(Equal(200))
+	})
+
+	It("an entry that does not hear the store does not deny a route that may be new", func() {
+		f := newFleet(1, 1)
+		f.start()
+		f.store.Refuse(true)
+		time.Sleep(600 * time.Millisecond)
+		Expect(f.call(context.Background(), 0, "GET", "/added/", nil, "").status).To(Equal(503))
+		Expect(f.lookup().status).To(Equal(200))
+	})
+})
+
+// gate is a store that can be closed for one entry.
+type gate struct {
+	to     http.Handler
+	closed atomic.Bool
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.closed.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.to.ServeHTTP(w, r)
+}
+
+var _ = Describe("A planned stop", func() {
+	It("fails readiness at once, answers what is open, refuses what comes late and ends", func() {
+		f := newFleet(1, 1)
+		e := f.start()
+		Expect(f.query("a1").status).To(Equal(200))
+		f.engines[0].EventTime = 800 * time.Millisecond
+		running := make(chan answer, 1)
+		go func() { running <- f.query("a1") }()
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan struct{})
+		go func() {
+			e.Shutdown(context.Background())
+			close(stopped)
+		}()
+		Eventually(func() int { return f.readiness(0) }).Within(300 * time.Millisecond).Should(Equal(503))
+		By("requests of callers that have not noticed are still served")
+		Expect(f.lookup().status).To(Equal(200))
+		time.Sleep(2700 * time.Millisecond)
+		late := f.lookup()
+		Expect(late.status).To(Equal(503))
+		Expect(late.header.Get("Retry-After")).NotTo(BeEmpty())
+		a := <-running
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(standin.Stream(a.id, 5)))
+		Eventually(stopped).Within(2 * time.Second).Should(BeClosed())
+	})
+})
--- a/entry/edge/keeper.go
+++ b/entry/edge/keeper.go
@@ -205,6 +205,8 @@
 			k.log.With("revision", revision).Info("the history of the store is gone; reading it again")
 			revision = 0
 			continue
+		case ctx.Err() != nil:
+			return
 		case err != nil:
 			k.metrics.Count("store_failures")
 			if !lost {
--- /dev/null
+++ b/internal/catalog/catalog_suite_test.go
@@ -0,0 +1,152 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/catalog"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func config(version int64, routes ...*catalog.Route) *catalog.Config {
+	return catalog.NewConfig(version, routes, map[string]*catalog.Pool{}, catalog.Limits{})
+}
+
+func target(id string) *catalog.Target {
+	return &catalog.Target{ID: id, Pool: "p", Address: "10.0.0.1:80"}
+}
+
+var _ = Describe("Routes", func() {
+	short := &catalog.Route{Name: "short", Host: "Rota.example", Prefix: "/a/"}
+	long := &catalog.Route{Name: "long", Host: "rota.example", Prefix: "/a/b/"}
+	c := config(1, short, long)
+
+	// A request on the wrong route runs in the wrong pool.
+	DescribeTable("match host and longest prefix", func(host, path, want string) {
+		r, ok := c.Match(host, path)
+		Expect(ok).To(Equal(want != ""))
+		if ok {
+			Expect(r.Name).To(Equal(want))
+		}
+	},
+		Entry("longest", "rota.example", "/a/b/c", "long"),
+		Entry("shorter", "rota.example", "/a/c", "short"),
+		Entry("host in other case, with port", "ROTA.example:8080", "/a/c", "short"),
+		Entry("no route for the path", "rota.example", "/ab/c", ""),
+		Entry("no route for the host", "other.example", "/a/c", ""),
+	)
+
+	It("split by weight and never to a pool of weight 0", func() {
+		r := &catalog.Route{Split: []catalog.Share{{Pool: "x", Weight: 90}, {Pool: "y", Weight: 10}, {Pool: "z"}}}
+		Expect(r.Pick(0)).To(Equal("x"))
+		Expect(r.Pick(0.89)).To(Equal("x"))
+		Expect(r.Pick(0.91)).To(Equal("y"))
+		Expect(r.Pick(0.9999999)).To(Equal("y"))
+	})
+})
+
+var _ = Describe("An engine", func() {
+	// More adapters than memory or slots hold crash an engine.
+	It("holds what both its slots and its memory allow", func() {
+		e := &catalog.Engine{MemoryMB: 75_800, AdapterSlots: 25}
+		Expect(e.Capacity(catalog.Model{WeightsMB: 72_700, AdapterMB: 66})).To(Equal(25))
+		Expect(e.Capacity(catalog.Model{WeightsMB: 75_000, AdapterMB: 66})).To(Equal(12))
+		Expect(e.Capacity(catalog.Model{WeightsMB: 80_000, AdapterMB: 66})).To(Equal(0))
+	})
+})
+
+var _ = Describe("A catalog", func() {
+	var c *catalog.Catalog
+	BeforeEach(func() { c = catalog.New() })
+
+	// Entries hear of changes from the store and from each other, in any
+	// order. An older one must not undo a newer one.
+	It("keeps the newest change of each key in whatever order they come", func() {
+		Expect(c.Apply(at(0), catalog.Item{Key: "t", Revision: 7, Target: target("a")})).To(BeTrue())
+		drained := target("a")
+		drained.Draining = true
+		Expect(c.Apply(at(0), catalog.Item{Key: "t", Revision: 9, Target: drained})).To(BeTrue())
+		Expect(c.Apply(at(0), catalog.Item{Key: "t", Revision: 8, Target: target("a")})).To(BeFalse())
+		Expect(c.View().Targets["a"].Draining).To(BeTrue())
+	})
+
+	It("never goes back to an older configuration", func() {
+		Expect(c.Apply(at(0), catalog.Item{Key: "c", Revision: 5, Config: config(12)})).To(BeTrue())
+		Expect(c.Apply(at(0), catalog.Item{Key: "c", Revision: 6, Config: config(11)})).To(BeFalse())
+		Expect(c.View().Config.Version).To(Equal(int64(12)))
+	})
+
+	It("does not publish a heartbeat that says nothing new", func() {
+		c.Apply(at(0), catalog.Item{Key: "t", Revision: 1, Target: target("a")})
+		before := c.View()
+		Expect(c.Apply(at(1), catalog.Item{Key: "t", Revision: 2, Target: target("a")})).To(BeFalse())
+		Expect(c.View()).To(BeIdenticalTo(before))
+	})
+
+	It("takes an entry that cannot be read for no target", func() {
+		c.Apply(at(0), catalog.Item{Key: "t", Revision: 1, Target: target("a")})
+		Expect(c.Apply(at(1), catalog.Item{Key: "t", Revision: 2})).To(BeTrue())
+		Expect(c.View().Targets).To(BeEmpty())
+	})
+
+	It("drops a removed target at once while the store is well", func() {
+		c.Apply(at(0), catalog.Item{Key: "t", Revision: 1, Target: target("a")})
+		Expect(c.Apply(at(1), catalog.Item{Key: "t", Revision: 2, Removed: true})).To(BeTrue())
+		Expect(c.View().Targets).To(BeEmpty())
+	})
+
+	// All targets lapse together when the store is away for longer than their
+	// leases. Dropping them would refuse every request until they are back.
+	It("keeps targets that lapsed in an outage until they had time to return", func() {
+		c.Apply(at(0), catalog.Item{Key: "t", Revision: 1, Target: target("a")})
+		c.Apply(at(0), catalog.Item{Key: "u", Revision: 2, Target: target("b")})
+		c.StoreLost()
+		Expect(c.Apply(at(5), catalog.Item{Key: "t", Revision: 3, Removed: true})).To(BeFalse())
+		c.StoreBack(at(6))
+		Expect(c.Apply(at(6.1), catalog.Item{Key: "u", Revision: 4, Removed: true})).To(BeFalse())
+		Expect(c.Expire(at(7.9))).To(BeFalse())
+		Expect(c.View().Targets).To(HaveLen(2))
+		Expect(c.Apply(at(8), catalog.Item{Key: "t", Revision: 5, Target: target("a")})).To(BeTrue())
+		Expect(c.Expire(at(8.6))).To(BeTrue())
+		Expect(c.View().Targets).To(HaveKey("a"))
+		Expect(c.View().Targets).NotTo(HaveKey("b"))
+	})
+
+	It("drops a draining target also in an outage", func() {
+		t := target("a")
+		t.Draining = true
+		c.Apply(at(0), catalog.Item{Key: "t", Revision: 1, Target: t})
+		c.StoreLost()
+		Expect(c.Apply(at(1), catalog.Item{Key: "t", Revision: 2, Removed: true})).To(BeTrue())
+	})
+
+	// After the store has dropped its history, removals are seen only as what
+	// a complete list does not name.
+	It("finds the targets that a complete list does not name", func() {
+		c.Apply(at(0), catalog.Item{Key: "s/a", Revision: 1, Target: target("a")})
+		c.Apply(at(0), catalog.Item{Key: "s/b", Revision: 2, Target: target("b")})
+		c.Apply(at(0), catalog.Item{Key: "s/c", Revision: 9, Target: target("c")})
+		items := c.Missing(8, map[string]bool{"s/a": true}, func(string) bool { return true })
+		Expect(items).To(Equal([]catalog.Item{{Key: "s/b", Revision: 8, Removed: true}}))
+	})
+
+	It("keeps the newest version of an adapter", func() {
+		v := func(n int) *catalog.AdapterVersion {
+			return &catalog.AdapterVersion{AdapterKey: catalog.AdapterKey{Model: "m", Adapter: "a1"}, Version: n}
+		}
+		c.Apply(at(0), catalog.Item{Key: "v", Revision: 1, Adapter: v(3)})
+		c.Apply(at(0), catalog.Item{Key: "v", Revision: 2, Adapter: v(2)})
+		Expect(c.View().Versions[catalog.AdapterKey{Model: "m", Adapter: "a1"}]).To(Equal(3))
+	})
+})
--- /dev/null
+++ b/internal/decide/steering/steering_suite_test.go
@@ -0,0 +1,343 @@
+package steering_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/steering"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+func TestSteering(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "steering")
+}
+
+type recorder struct{}
+
+func (recorder) Count(string)        {}
+func (recorder) Retried(result.Code) {}
+
+// entry drives a steering and keeps what it asked for.
+type entry struct {
+	now     time.Time
+	s       *steering.Steering
+	view    *catalog.View
+	sent    []steering.Send
+	granted map[uint64]steering.Grant
+	refused map[uint64]steering.Refused
+	up      map[string]bool
+}
+
+func newEntry(pool *catalog.Pool, targets ...*catalog.Target) *entry {
+	e := &entry{
+		now: time.Unix(1_800_000_000, 0), granted: map[uint64]steering.Grant{}, refused: map[uint64]steering.Refused{}, up: map[string]bool{},
+		s: steering.New(steering.Config{Entry: "e", Incarnation: 1, FailureDomain: "z1"}, recorder{}),
+	}
+	e.view = &catalog.View{
+		Config: catalog.NewConfig(1, nil, map[string]*catalog.Pool{"p": pool}, catalog.Limits{}), Targets: map[string]*catalog.Target{},
+		Pools: map[string][]*catalog.Target{}, Versions: map[catalog.AdapterKey]int{},
+	}
+	for _, t := range targets {
+		e.view.Targets[t.ID] = t
+		e.view.Pools["p"] = append(e.view.Pools["p"], t)
+	}
+	e.do(e.s.SetView(e.now, e.view))
+	return e
+}
+
+func (e *entry) do(actions []steering.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case steering.Granted:
+			e.granted[a.Number] = a.Grant
+		case steering.Refused:
+			e.refused[a.Number] = a
+		case steering.Send:
+			e.sent = append(e.sent, a)
+		}
+	}
+}
+
+func (e *entry) reach(ids ...string) {
+	for _, id := range ids {
+		e.do(e.s.SessionUp(e.now, id))
+		e.report(id, &wire.EngineReport{Listed: true})
+	}
+}
+
+func (e *entry) report(id string, r *wire.EngineReport) { e.do(e.s.Message(e.now, id, r)) }
+
+// reserves returns the targets that were asked for a request, in order.
+func (e *entry) reserves(number uint64) []string {
+	var ids []string
+	for _, s := range e.sent {
+		if m, ok := s.Message.(*wire.Reserve); ok && m.ID.Request.Number == number {
+			ids = append(ids, s.Target)
+		}
+	}
+	return ids
+}
+
+func (e *entry) want(number uint64, adapter string, tried ...string) {
+	e.do(e.s.Want(e.now, steering.Request{
+		Number: number, Pool: "p", Model: "m", Adapter: adapter, Prompt: 500, Deadline: e.now.Add(time.Second), Tried: tried,
+	}))
+}
+
+func (e *entry) reservation(number uint64) wire.AttemptID {
+	return wire.AttemptID{Request: wire.RequestID{Entry: "e", Incarnation: 1, Number: number}, Attempt: 1}
+}
+
+func (e *entry) accept(number uint64, id string, version int) {
+	e.do(e.s.Message(e.now, id, &wire.Reserved{ID: e.reservation(number), Version: version}))
+}
+
+func (e *entry) decline(number uint64, id string, after time.Duration) {
+	e.do(e.s.Message(e.now, id, &wire.Refused{ID: e.reservation(number), Code: result.BudgetExceeded, RetryAfterMS: after.Milliseconds()}))
+}
+
+func targets(n int) []*catalog.Target {
+	var list []*catalog.Target
+	for i := range n {
+		list = append(list, &catalog.Target{
+			ID: fmt.Sprintf("t%d", i), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", i+1), FailureDomain: fmt.Sprintf("z%d", i%4+1), Slots: 6,
+		})
+	}
+	return list
+}
+
+func engines() *catalog.Pool {
+	return &catalog.Pool{Name: "p", Engine: &catalog.Engine{Slots: 8, MemoryMB: 100, AdapterSlots: 2, Models: []catalog.Model{{Name: "m", WeightsMB: 50}}}}
+}
+
+var _ = Describe("A request for an engine", func() {
+	var e *entry
+	BeforeEach(func() {
+		e = newEntry(engines(), targets(4)...)
+		e.reach("t0", "t1", "t2", "t3")
+	})
+
+	It("goes where its adapter is held", func() {
+		e.report("t2", &wire.EngineReport{Listed: true, Held: []string{"m/a7"}})
+		e.want(1, "a7")
+		Expect(e.reserves(1)).To(Equal([]string{"t2"}))
+		e.accept(1, "t2", 5)
+		Expect(e.granted[1].Target.ID).To(Equal("t2"))
+		Expect(e.granted[1].Version).To(Equal(5))
+	})
+
+	It("prefers an engine that loads the adapter from its own memory over the store", func() {
+		e.report("t3", &wire.EngineReport{Listed: true, Recent: []string{"m/a7"}})
+		e.want(1, "a7")
+		Expect(e.reserves(1)).To(Equal([]string{"t3"}))
+	})
+
+	// Entries that disagree fetch an adapter twice.
+	It("goes to the same engine from every entry when no engine has its adapter", func() {
+		other := newEntry(engines(), targets(4)...)
+		other.reach("t0", "t1", "t2", "t3")
+		for n := range uint64(20) {
+			adapter := fmt.Sprintf("a%d", n)
+			e.want(n, adapter)
+			other.want(n, adapter)
+			Expect(e.reserves(n)).To(Equal(other.reserves(n)))
+			e.do(e.s.Done(e.now, n, steering.Abandoned, false))
+			other.do(other.s.Done(other.now, n, steering.Abandoned, false))
+			for _, id := range []string{"t0", "t1", "t2", "t3"} {
+				e.report(id, &wire.EngineReport{})
+				other.report(id, &wire.EngineReport{})
+			}
+		}
+	})
+
+	// A hot adapter at one engine: its prompts pile up there while others are
+	// idle. The second copy is worth a load.
+	It("gets a second home when its adapter is hot and its home is loaded", func() {
+		e.report("t0", &wire.EngineReport{Listed: true, Held: []string{"m/hot"}, Running: 7, Backlog: 4000})
+		asked := map[string]bool{}
+		for n := range uint64(30) {
+			e.want(n, "hot")
+			for _, id := range e.reserves(n) {
+				asked[id] = true
+				e.accept(n, id, 1)
+			}
+			e.now = e.now.Add(50 * time.Millisecond)
+		}
+		Expect(len(asked)).To(BeNumerically(">=", 2))
+	})
+
+	It("tries another engine when one refuses, and passes on the earliest time to come back", func() {
+		e.want(1, "a1")
+		var asked []string
+		for range 4 {
+			ids := e.reserves(1)
+			last := ids[len(ids)-1]
+			Expect(asked).NotTo(ContainElement(last))
+			asked = append(asked, last)
+			e.decline(1, last, time.Duration(300+100*len(asked))*time.Millisecond)
+		}
+		Expect(e.refused[1].Code).To(Equal(result.BudgetExceeded))
+		Expect(e.refused[1].RetryAfter).To(Equal(400 * time.Millisecond))
+	})
+
+	It("never goes to a target that was tried or that drains", func() {
+		draining := *e.view.Targets["t3"]
+		draining.Draining = true
+		e.view.Pools["p"][3] = &draining
+		e.view.Targets["t3"] = &draining
+		e.do(e.s.SetView(e.now, e.view))
+		e.want(1, "", "t0", "t1", "t2")
+		Expect(e.refused).To(HaveKey(uint64(1)))
+	})
+
+	// The process beside an engine is gone; the engine lives. Orders are not
+	// possible, but what the engine holds can be used.
+	It("goes straight to an engine whose process is lost, for what the engine holds", func() {
+		e.report("t1", &wire.EngineReport{Listed: true, Held: []string{"m/a1"}})
+		for _, id := range []string{"t0", "t1", "t2", "t3"} {
+			e.do(e.s.SessionDown(e.now, id))
+		}
+		e.want(1, "a1")
+		Expect(e.granted[1].Target.ID).To(Equal("t1"))
+		Expect(e.granted[1].Direct).To(BeTrue())
+		e.want(2, "a2")
+		Expect(e.refused[2].Code).To(Equal(result.NoTarget))
+	})
+
+	It("moves on when the session ends before the answer", func() {
+		e.want(1, "a1")
+		first := e.reserves(1)[0]
+		e.do(e.s.SessionDown(e.now, first))
+		Expect(e.reserves(1)).To(HaveLen(2))
+		Expect(e.reserves(1)[1]).NotTo(Equal(first))
+	})
+
+	// A stopped process keeps its connections open.
+	It("moves on when the process is silent", func() {
+		e.want(1, "a1")
+		e.now = e.now.Add(800 * time.Millisecond)
+		e.do(e.s.Tick(e.now))
+		Expect(e.reserves(1)).To(HaveLen(2))
+	})
+
+	It("waits where the process is alive", func() {
+		e.want(1, "a1")
+		e.now = e.now.Add(800 * time.Millisecond)
+		e.report(e.reserves(1)[0], &wire.EngineReport{})
+		e.do(e.s.Tick(e.now))
+		Expect(e.reserves(1)).To(HaveLen(1))
+	})
+
+	It("is refused at its deadline and takes its reservation back", func() {
+		e.want(1, "a1")
+		id := e.reserves(1)[0]
+		e.now = e.now.Add(1100 * time.Millisecond)
+		e.report(id, &wire.EngineReport{})
+		e.do(e.s.Tick(e.now))
+		Expect(e.refused[1].Code).To(Equal(result.DeadlinePassed))
+		Expect(e.sent[len(e.sent)-1]).To(Equal(steering.Send{Target: id, Message: &wire.Release{ID: e.reservation(1)}}))
+		By("a late admission is given back")
+		e.accept(1, id, 1)
+		Expect(e.granted).NotTo(HaveKey(uint64(1)))
+		Expect(e.sent[len(e.sent)-1]).To(Equal(steering.Send{Target: id, Message: &wire.Release{ID: e.reservation(1)}}))
+	})
+
+	It("is attached again after a new session while it runs", func() {
+		e.want(1, "a1")
+		id := e.reserves(1)[0]
+		e.accept(1, id, 1)
+		e.do(e.s.SessionDown(e.now, id))
+		e.do(e.s.SessionUp(e.now, id))
+		Expect(e.sent).To(ContainElement(steering.Send{Target: id, Message: &wire.Attach{ID: e.reservation(1), Model: "m", Adapter: "a1"}}))
+	})
+
+	It("does not know what another incarnation under the same ID holds", func() {
+		e.report("t0", &wire.EngineReport{Listed: true, Held: []string{"m/a1"}})
+		next := *e.view.Targets["t0"]
+		next.Born = 5
+		e.view.Targets["t0"], e.view.Pools["p"][0] = &next, &next
+		e.do(e.s.SetView(e.now, e.view))
+		for _, id := range []string{"t1", "t2", "t3"} {
+			e.do(e.s.SessionDown(e.now, id))
+		}
+		e.want(1, "a1")
+		Expect(e.refused[1].Code).To(Equal(result.NoTarget))
+	})
+
+	It("tells the process the newest version that is wanted", func() {
+		e.view.Versions[catalog.AdapterKey{Model: "m", Adapter: "a1"}] = 4
+		e.want(1, "a1")
+		Expect(e.sent[len(e.sent)-1].Message.(*wire.Reserve).Version).To(Equal("4"))
+	})
+})
+
+var _ = Describe("A request for a plain service", func() {
+	It("spreads over the targets and queues beyond their places", func() {
+		e := newEntry(&catalog.Pool{Name: "p"}, targets(2)...)
+		for n := range uint64(13) {
+			e.want(n, "")
+		}
+		Expect(e.granted).To(HaveLen(12))
+		e.do(e.s.Done(e.now, 3, steering.Answered, false))
+		Expect(e.granted).To(HaveKey(uint64(12)))
+	})
+
+	It("is refused from the queue at its deadline", func() {
+		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
+		for n := range uint64(7) {
+			e.want(n, "")
+		}
+		e.now = e.now.Add(1100 * time.Millisecond)
+		e.do(e.s.Tick(e.now))
+		Expect(e.refused[6].Code).To(Equal(result.DeadlinePassed))
+	})
+
+	It("avoids a target that fails, and tries it again later", func() {
+		e := newEntry(&catalog.Pool{Name: "p"}, targets(2)...)
+		n := uint64(0)
+		place := func() string {
+			n++
+			e.want(n, "")
+			return e.granted[n].Target.ID
+		}
+		bad := place()
+		e.do(e.s.Done(e.now, n, steering.Broke, false))
+		for range 5 {
+			Expect(place()).NotTo(Equal(bad))
+			e.do(e.s.Done(e.now, n, steering.Answered, false))
+		}
+		e.now = e.now.Add(30 * time.Second)
+		seen := map[string]bool{}
+		for range 2 {
+			seen[place()] = true
+		}
+		Expect(seen).To(HaveKey(bad))
+	})
+
+	It("uses an unreachable target only when there is no other", func() {
+		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
+		e.want(1, "")
+		e.do(e.s.Done(e.now, 1, steering.Unreached, false))
+		e.want(2, "")
+		Expect(e.granted).To(HaveKey(uint64(2)))
+		e.want(3, "", "t0")
+		Expect(e.refused[3].Code).To(Equal(result.NoTarget))
+	})
+})
+
+var _ = Describe("An entry without a configuration", func() {
+	It("refuses with the time to come back", func() {
+		s := steering.New(steering.Config{}, recorder{})
+		actions := s.Want(time.Now(), steering.Request{Number: 1, Pool: "p"})
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].(steering.Refused).Code).To(Equal(result.NoConfiguration))
+		Expect(actions[0].(steering.Refused).RetryAfter).To(BeNumerically(">", 0))
+	})
+})
--- a/target/agent/agent.go
+++ b/target/agent/agent.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -43,6 +44,7 @@
 	system   *actor.ActorSystem
 	core     *actor.PID
 	sessions *actor.PID
+	closing  sync.Once
 	failed   chan error
 }
 
@@ -98,7 +100,9 @@
 
 // Shutdown tells the entries, which go on with what runs at the engine, and
 // ends.
-func (a *Agent) Shutdown(context.Context) {
+func (a *Agent) Shutdown(context.Context) { a.closing.Do(a.shutdown) }
+
+func (a *Agent) shutdown() {
 	a.log.Info("planned stop begins")
 	a.system.Root.Send(a.core, &leave{})
 	time.Sleep(flushTime)
