engineagent: admit by pace and due time, limit loads by how long they take

Changes: the pace of the engine is taken from fresh looks and a slow one gets prompts one by one; requests that can be on time go first; parallel loads are limited by how long they take, the most useful first; requests whose adapter would come too late and engines without a model are refused at once; orders are repeated with a backoff.

--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -18,14 +18,14 @@
 	LookInterval = 250 * time.Millisecond
 	// BusyLookInterval is the time between two looks while adapters load.
 	BusyLookInterval = 15 * time.Millisecond
+	// PaceInterval is the time between two looks while requests run: it
+	// covers a few steps of an engine.
+	PaceInterval = 30 * time.Millisecond
 	// lookLife is how long a look without an answer is waited for.
 	lookLife = time.Second
 	// orphanLife is how long the adapter of a request stays pinned after the
 	// loss of its entry's session. The entry attaches the request again.
 	orphanLife = 10 * time.Second
-	// maxComing is the number of adapters that may be on their way to one
-	// engine, a figure of the platform.
-	maxComing = 4
 	// maxRecent bounds the adapters that the engine is believed to load
 	// without the weight store.
 	maxRecent = 128
@@ -46,22 +46,31 @@
 	jobs  map[wire.AttemptID]*job
 	queue []*job
 	flow  flow
+	pace  pace
+	loads loads
+	// instances holds the IDs of the engine's incarnations by their start.
+	instances map[int64]string
 
 	// ordering is true while an order has no outcome, looking since when a
 	// look is under way. stale is true while only a new look may be
 	// followed by an order.
-	ordering  bool
-	order     Order
-	looking   time.Time
-	lookedAt  time.Time
-	stale     bool
-	failures  int
-	fence     uint64
-	recent    []Adapter
-	listed    bool
-	leaving   bool
-	pausedFor time.Time
-	actions   []Action
+	ordering bool
+	order    Order
+	// given holds when each order was given last; no order is given before
+	// ordersFrom, and rejected counts those in a row that were not accepted.
+	given      map[orderKey]time.Time
+	ordersFrom time.Time
+	rejected   int
+	looking    time.Time
+	lookedAt   time.Time
+	stale      bool
+	failures   int
+	fence      uint64
+	recent     []Adapter
+	listed     bool
+	leaving    bool
+	pausedFor  time.Time
+	actions    []Action
 }
 
 // New returns an agent that gives no order before SetRow. fence is the first
@@ -69,7 +78,8 @@
 func New(now time.Time, fence uint64, rec Recorder) *Agent {
 	return &Agent{
 		rec: rec, slots: slots.New(0, slots.Frequency), guard: authority.New(now), fence: fence, stale: true,
-		jobs: make(map[wire.AttemptID]*job),
+		jobs: make(map[wire.AttemptID]*job), instances: make(map[int64]string), loads: newLoads(),
+		given: make(map[orderKey]time.Time),
 	}
 }
 
@@ -90,6 +100,9 @@
 	if row.Fence >= a.fence {
 		a.fence = row.Fence + 1
 	}
+	if row.Born != 0 {
+		a.instances[row.Born] = row.Instance
+	}
 	if a.row == nil || row.Revision >= a.row.Revision {
 		a.row = row
 		capacity := 0
@@ -110,7 +123,7 @@
 	want, _ := strconv.Atoi(m.Version)
 	j := &job{
 		id: m.ID, session: session, adapter: Adapter{Model: m.Model, Name: m.Adapter}, want: want,
-		prompt: m.Prompt, rank: m.Rank, arrived: now, deadline: now.Add(time.Duration(m.BudgetMS) * time.Millisecond),
+		prompt: m.Prompt, rank: m.Rank, arrived: now, due: now.Add(time.Duration(m.AimMS) * time.Millisecond), deadline: now.Add(time.Duration(m.BudgetMS) * time.Millisecond),
 	}
 	if code, after := a.admissible(now, j, m.Instance); code != result.OK {
 		a.refuse(j, code, after)
@@ -121,17 +134,11 @@
 		a.slots.Touch(now, key(j.adapter), 0)
 		a.slots.Pin(key(j.adapter))
 	}
-	at, _ := slices.BinarySearchFunc(a.queue, j, compareJobs)
-	a.queue = slices.Insert(a.queue, at, j)
+	a.queue = append(a.queue, j)
 	a.pump(now)
 	return a.take()
 }
 
-// compareJobs orders the queue: the more urgent rank first, then by arrival.
-func compareJobs(x, y *job) int {
-	return cmp.Or(cmp.Compare(x.rank, y.rank), x.arrived.Compare(y.arrived), 1)
-}
-
 // admissible refuses at once what cannot be served.
 func (a *Agent) admissible(now time.Time, j *job, instance string) (result.Code, time.Duration) {
 	switch {
@@ -139,9 +146,9 @@
 		return result.TargetLeaving, 0
 	case a.row == nil || !a.seen:
 		return result.NoConfiguration, LookInterval
-	case a.failures > 0:
+	case a.failures > 0, !a.holdsModel(j.adapter.Model):
 		return result.EngineUnavailable, LookInterval
-	case instance != "" && a.look.Instance != "" && instance != a.look.Instance:
+	case instance != "" && a.instance() != "" && instance != a.instance():
 		return result.EngineUnavailable, 0
 	}
 	if start := a.startDelay(now, j); now.Add(start).After(j.deadline) {
@@ -176,7 +183,7 @@
 func (a *Agent) Started(now time.Time, m *wire.Started) []Action {
 	if j, ok := a.jobs[m.ID]; ok && j.phase == reading {
 		j.phase = answering
-		a.flow.read(now, j.prompt)
+		a.flow.read(j.prompt)
 	}
 	a.pump(now)
 	return a.take()
@@ -199,7 +206,7 @@
 	case waiting:
 		a.queue = slices.DeleteFunc(a.queue, func(x *job) bool { return x == j })
 	case reading:
-		a.flow.read(now, j.prompt)
+		a.flow.read(j.prompt)
 		a.flow.running--
 	case answering:
 		a.flow.running--
@@ -266,8 +273,11 @@
 		a.looking = time.Time{}
 	}
 	interval := LookInterval
-	if len(a.look.Coming) > 0 || a.look.Busy {
+	switch {
+	case len(a.look.Coming) > 0 || a.look.Busy:
 		interval = BusyLookInterval
+	case a.flow.running > 0:
+		interval = PaceInterval
 	}
 	if now.Sub(a.lookedAt) >= interval {
 		a.takeLook(now)
@@ -281,6 +291,9 @@
 	if len(a.look.Coming) > 0 || a.look.Busy || len(a.queue) > 0 {
 		return BusyLookInterval
 	}
+	if a.flow.running > 0 {
+		return PaceInterval
+	}
 	return LookInterval
 }
 
@@ -303,6 +316,8 @@
 	r := &wire.EngineReport{
 		Running: a.flow.running, Waiting: len(a.queue), Backlog: a.flow.unread + promptsOf(a.queue),
 		RetryAfterMS: a.flow.retryAfter(a.queue).Milliseconds(), Fence: a.fence, Leaving: a.leaving,
+		Slow: a.pace.slow(), Unready: a.unready(),
+		LoadMS: a.loads.wait(a.missing()).Milliseconds(),
 	}
 	if all || !a.listed {
 		a.listed = true
@@ -321,6 +336,9 @@
 	return r
 }
 
+// unready tells whether the engine cannot serve any request now.
+func (a *Agent) unready() bool { return !a.seen || a.failures > 0 || len(a.look.Models) == 0 }
+
 // Listed tells whether entries have the present lists of adapters.
 func (a *Agent) Listed() bool { return a.listed }
 
--- a/internal/decide/engineagent/engineagent_suite_test.go
+++ b/internal/decide/engineagent/engineagent_suite_test.go
@@ -39,7 +39,9 @@
 	held        map[string]int
 	coming      map[string]int
 	broken      bool
-	log         []engineagent.Order
+	// slowModel keeps a base model from being loaded.
+	slowModel bool
+	log       []engineagent.Order
 }
 
 func newEngine(slots int) *engine {
@@ -72,7 +74,7 @@
 	e.orders++
 	switch {
 	case o.Adapter.Name == "":
-		e.model = true
+		e.model = !e.slowModel
 	case o.Kind == engineagent.Unload:
 		delete(e.held, o.Adapter.Name)
 	default:
@@ -111,6 +113,9 @@
 	refused map[uint64]engineagent.Refuse
 	// deaf makes the engine accept orders without an answer.
 	deaf bool
+	// runs gives looks with requests in the engine's batch.
+	runs     func(passed time.Duration) engineagent.Look
+	lookedAt time.Time
 }
 
 var start = time.Unix(1_800_000_000, 0)
@@ -137,7 +142,12 @@
 		case engineagent.Refuse:
 			b.refused[a.ID.Request.Number] = a
 		case engineagent.TakeLook:
-			b.do(b.agent.Looked(b.now, b.engine.look()))
+			look := b.engine.look()
+			if b.runs != nil {
+				look = b.runs(b.now.Sub(b.lookedAt))
+			}
+			b.lookedAt = b.now
+			b.do(b.agent.Looked(b.now, look))
 		case engineagent.GiveOrder:
 			outcome := b.engine.order(a.Order)
 			if b.deaf {
--- a/internal/decide/engineagent/flow.go
+++ b/internal/decide/engineagent/flow.go
@@ -1,19 +1,26 @@
 package engineagent
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/result"
 )
 
 const (
+	// readRate is the prompt tokens per millisecond that an engine is taken to
+	// read.
+	readRate = 20.0
 	// promptWindow is the number of prompt tokens that an engine may have
-	// unread at once. The engine reads prompts in pieces between the tokens
-	// of its streams; more of them stretch the pauses of all streams.
-	promptWindow = 3000
-	// initialReadRate is the prompt tokens per millisecond that an engine is
-	// taken to read before it was measured.
-	initialReadRate = 20.0
+	// unread at once. It reads up to some 2,000 in each step, so that more of
+	// them stretch the pauses of all its streams; slowWindow holds while the
+	// engine is slow.
+	promptWindow = 2000
+	slowWindow   = 500
+	// startMargin is the time from the admission to the first event that is
+	// counted on when a request is taken for late.
+	startMargin = 80 * time.Millisecond
 	// initialRun is the time of an answer before any was measured.
 	initialRun = 2 * time.Second
 	// learnShare is the weight of a new sample in a running mean.
@@ -37,7 +44,16 @@
 	f.running++
 }
 
-func (f *flow) read(_ time.Time, prompt int) { f.unread = max(0, f.unread-prompt) }
+func (f *flow) read(prompt int) { f.unread = max(0, f.unread-prompt) }
+
+// admits tells whether the next prompt may go to the engine.
+func (f *flow) admits(prompt int, slow bool) bool {
+	window := promptWindow
+	if slow {
+		window = slowWindow
+	}
+	return f.unread == 0 || f.unread+prompt <= window
+}
 
 func (f *flow) ended(took time.Duration, _ bool) {
 	if f.run == 0 {
@@ -56,7 +72,7 @@
 // retryAfter is when the requests that wait now will have been admitted.
 func (f *flow) retryAfter(queue []*job) time.Duration {
 	tokens := f.unread + promptsOf(queue)
-	return max(minRetryAfter, time.Duration(float64(tokens)/initialReadRate)*time.Millisecond)
+	return max(minRetryAfter, time.Duration(float64(tokens)/readRate)*time.Millisecond)
 }
 
 func promptsOf(queue []*job) int {
@@ -77,22 +93,42 @@
 			ahead++
 		}
 	}
-	delay := time.Duration(float64(tokens)/initialReadRate) * time.Millisecond
+	delay := time.Duration(float64(tokens)/readRate) * time.Millisecond
+	if _, ok := a.ready(j); !ok {
+		delay = max(delay, a.loads.wait(a.missing()))
+	}
 	if over := a.flow.running + ahead + 1 - a.row.Slots; over > 0 {
 		delay = max(delay, time.Duration(float64(a.flow.meanRun())*float64(over)/float64(max(1, a.row.Slots))))
 	}
 	return delay
 }
 
+// sortQueue orders the queue: requests that can still be on time before those
+// that are late, then the more urgent rank, then the one that is due first. At
+// an engine that cannot serve all, late ones would otherwise make the next ones
+// late as well.
+func (a *Agent) sortQueue(now time.Time) {
+	late := func(j *job) int {
+		if now.Add(startMargin).After(j.due) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(a.queue, func(x, y *job) int {
+		return cmp.Or(cmp.Compare(late(x), late(y)), cmp.Compare(x.rank, y.rank), x.due.Compare(y.due))
+	})
+}
+
 // admit lets waiting requests go to the engine while it has a slot and few
 // unread prompts.
 func (a *Agent) admit(now time.Time) {
 	if a.row == nil || !a.seen || a.failures > 0 {
 		return
 	}
+	a.sortQueue(now)
 	for i := 0; i < len(a.queue) && a.flow.running < a.row.Slots; {
 		j := a.queue[i]
-		if a.flow.unread > 0 && a.flow.unread+j.prompt > promptWindow {
+		if !a.flow.admits(j.prompt, a.pace.slow()) {
 			return
 		}
 		version, ok := a.ready(j)
--- a/internal/decide/engineagent/orders.go
+++ b/internal/decide/engineagent/orders.go
@@ -13,6 +13,17 @@
 // counts as gone.
 const lookFailures = 2
 
+const (
+	// repeatAfter is the time before the same order is given again. An engine
+	// that takes an order without effect, such as a replacement that waits for
+	// the runs of the old version, would otherwise be asked without end.
+	repeatAfter = 500 * time.Millisecond
+	// orderBackoff is the delay after an order that was not accepted, doubled
+	// with each up to mostOrderBackoff.
+	orderBackoff     = 30 * time.Millisecond
+	mostOrderBackoff = time.Second
+)
+
 func (a *Agent) takeLook(now time.Time) {
 	if a.looking.IsZero() {
 		a.looking = now
@@ -28,32 +39,37 @@
 		// The look is older than the order or was given up.
 		return a.take()
 	}
-	if look.Instance == "" && a.row != nil && a.row.Instance != "" && a.seen && look.Incarnation == a.look.Incarnation {
-		look.Instance = a.look.Instance
-	}
 	if a.seen && look.Incarnation != a.look.Incarnation {
 		a.restarted(now)
 	}
 	if !a.seen || !maps.Equal(look.Held, a.look.Held) || !maps.Equal(look.Coming, a.look.Coming) {
 		a.listed = false
 	}
+	a.loads.looked(now, look, a.recent)
 	a.remember(look)
+	a.pace.observe(asked, a.look, look)
 	a.look, a.seen, a.stale, a.failures = look, true, false, 0
 	a.slots.Reset(now, occupied(look))
 	a.pump(now)
 	return a.take()
 }
 
+// instance is the ID of the engine as it is now, empty while no entry has told
+// it. The engine does not say it itself.
+func (a *Agent) instance() string { return a.instances[a.look.Incarnation] }
+
 // restarted forgets what was at the engine before its restart. The entries see
 // the broken connections and release their requests.
 func (a *Agent) restarted(now time.Time) {
 	a.rec.Count("engine_restarts")
-	a.recent, a.listed = nil, false
+	a.recent, a.listed, a.pace, a.loads = nil, false, pace{}, newLoads()
+	clear(a.given)
 	for _, j := range a.sortedJobs() {
 		if j.phase != waiting {
 			a.drop(now, j)
 		}
 	}
+	a.refuseWaiting(now, result.EngineUnavailable)
 }
 
 // remember keeps the adapters that left the engine's slots.
@@ -102,6 +118,10 @@
 	// shows what the engine holds and the number of orders it has accepted.
 	a.stale = true
 	a.rec.Count("orders_" + outcome.String())
+	a.backOff(now, outcome)
+	if outcome == OrderAccepted && a.order.Kind == Load && a.order.Adapter.Name != "" {
+		a.loads.began(now, a.order.Adapter)
+	}
 	if outcome == OrderFenced {
 		a.fence += fenceStep
 	}
@@ -132,12 +152,13 @@
 		a.takeLook(now)
 		return
 	}
-	if !a.looking.IsZero() || a.look.Busy {
+	if !a.looking.IsZero() || a.look.Busy || now.Before(a.ordersFrom) {
 		return
 	}
 	if order, ok := a.nextOrder(now); ok {
+		a.given[orderKey{order.Kind, order.Adapter, order.Version}] = now
 		order.After, order.Fence = a.look.Orders, a.fence
-		order.Instance = a.look.Instance
+		order.Instance = a.instance()
 		a.order, a.ordering = order, true
 		a.act(GiveOrder{Order: order})
 	}
@@ -145,39 +166,67 @@
 
 func (a *Agent) nextOrder(now time.Time) (Order, bool) {
 	if model, ok := a.missingModel(); ok {
-		return Order{Kind: Load, Adapter: Adapter{Model: model}}, true
+		return a.unlessGiven(now, Order{Kind: Load, Adapter: Adapter{Model: model}})
 	}
-	if len(a.look.Coming) >= maxComing {
+	if len(a.look.Coming) >= a.loads.limit() {
 		return Order{}, false
 	}
-	for _, j := range a.queue {
-		if j.adapter.Name == "" || !a.holdsModel(j.adapter.Model) {
+	for _, d := range a.demands(now) {
+		if version, coming := a.look.Coming[d.adapter]; coming && (version >= d.want || d.want == 0) {
 			continue
 		}
-		if _, ok := a.ready(j); ok {
-			continue
-		}
-		if version, coming := a.look.Coming[j.adapter]; coming && (version >= j.want || j.want == 0) {
-			continue
-		}
-		if _, held := a.look.Held[j.adapter]; held {
+		if _, held := a.look.Held[d.adapter]; held {
 			// A newer version takes the place of the one that is held.
-			return Order{Kind: Load, Adapter: j.adapter, Version: j.want}, true
+			if order, ok := a.unlessGiven(now, Order{Kind: Load, Adapter: d.adapter, Version: d.want}); ok {
+				return order, true
+			}
+			continue
 		}
-		plan := a.slots.Plan(now, key(j.adapter))
+		plan := a.slots.Plan(now, key(d.adapter))
 		switch {
 		case plan.Load:
-			a.rec.Count("adapter_loads")
-			return Order{Kind: Load, Adapter: j.adapter, Version: j.want}, true
+			if order, ok := a.unlessGiven(now, Order{Kind: Load, Adapter: d.adapter, Version: d.want}); ok {
+				a.rec.Count("adapter_loads")
+				return order, true
+			}
 		case plan.Evict != nil:
 			if victim, ok := a.victim(*plan.Evict); ok {
-				return Order{Kind: Unload, Adapter: victim}, true
+				return a.unlessGiven(now, Order{Kind: Unload, Adapter: victim})
 			}
 		}
 	}
 	return Order{}, false
 }
 
+// orderKey names what an order asks for.
+type orderKey struct {
+	kind    OrderKind
+	adapter Adapter
+	version int
+}
+
+// unlessGiven returns an order unless it was given a moment ago.
+func (a *Agent) unlessGiven(now time.Time, o Order) (Order, bool) {
+	for k, at := range a.given {
+		if now.Sub(at) >= repeatAfter {
+			delete(a.given, k)
+		}
+	}
+	_, given := a.given[orderKey{o.Kind, o.Adapter, o.Version}]
+	return o, !given
+}
+
+// backOff delays the next order after one that was not accepted.
+func (a *Agent) backOff(now time.Time, outcome OrderOutcome) {
+	if outcome == OrderAccepted {
+		a.rejected = 0
+		return
+	}
+	delete(a.given, orderKey{a.order.Kind, a.order.Adapter, a.order.Version})
+	a.ordersFrom = now.Add(min(orderBackoff<<min(a.rejected, 6), mostOrderBackoff))
+	a.rejected++
+}
+
 // victim returns the adapter of a slot. One that is on its way cannot be
 // unloaded yet.
 func (a *Agent) victim(k slots.Key) (Adapter, bool) {
--- a/internal/decide/engineagent/types.go
+++ b/internal/decide/engineagent/types.go
@@ -35,8 +35,6 @@
 
 // Look is what the engine says of itself.
 type Look struct {
-	// Instance is the engine's id, empty if it does not say.
-	Instance string
 	// Incarnation is the start of the engine; it changes with a restart.
 	Incarnation int64
 	// Orders counts the orders that the engine accepted since its start.
@@ -49,6 +47,17 @@
 	// Held and Coming map the adapters to their versions.
 	Held   map[Adapter]int
 	Coming map[Adapter]int
+	// Runs lists the requests in the engine's batch.
+	Runs []Run
+}
+
+// Run is a request in the engine's batch.
+type Run struct {
+	ID string
+	// Tokens is the number of tokens in the engine's memory, Events that of
+	// the events that it gave.
+	Tokens int
+	Events int
 }
 
 // OrderKind is the kind of an order.
@@ -154,12 +163,14 @@
 	session SessionID
 	adapter Adapter
 	// want is the oldest version that may serve the request.
-	want     int
-	prompt   int
-	rank     int
-	phase    phase
-	arrived  time.Time
-	granted  time.Time
+	want    int
+	prompt  int
+	rank    int
+	phase   phase
+	arrived time.Time
+	granted time.Time
+	// due is when a first event is no longer on time.
+	due      time.Time
 	deadline time.Time
 	// orphaned is when the session was lost.
 	orphaned time.Time
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -158,7 +158,7 @@
 func (s *Steering) sendRow(t *target) {
 	row := &wire.EngineRow{
 		Revision: uint64(s.view.Config.Version), Slots: t.engine.Slots, MemoryMB: t.engine.MemoryMB,
-		Instance: t.ID, Fence: t.fence,
+		Instance: t.ID, Born: t.Born, Fence: t.fence,
 	}
 	for _, m := range t.engine.Models {
 		row.Models = append(row.Models, wire.EngineModel{Name: m.Name, WeightsMB: m.WeightsMB, Adapters: t.engine.Capacity(m)})
@@ -304,7 +304,7 @@
 	s.act(Send{Target: t.ID, Message: &wire.Reserve{
 		ID: s.id(r), Pool: r.Pool, Model: r.Model, Adapter: r.Adapter, Version: s.wantVersion(r),
 		BudgetMS: max(0, r.Deadline.Sub(now).Milliseconds()), Tokens: r.Output, Prompt: r.Prompt, Rank: r.Rank,
-		Repeatable: true, Instance: t.ID,
+		Repeatable: true, Instance: t.ID, AimMS: max(0, r.Aim.Sub(now).Milliseconds()),
 	}})
 }
 
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -19,16 +19,18 @@
 	// overCost is the wait for a slot at an engine whose slots are all taken.
 	overCost = 100.0
 	// recentCost is a load from the engine's own memory; absentCost one from
-	// the weight store, which is shared and priced. An adapter that is asked
+	// the weight store besides its time, because the store is shared. An adapter that is asked
 	// for often repays a load, so that its cost falls with the rate.
 	recentCost     = 45.0
-	absentLeast    = 40.0
-	absentCost     = 320.0
+	absentCost     = 300.0
 	absentPerRate  = 3.0
 	rankCost       = 15.0
 	otherZoneCost  = 6.0
 	directCost     = 150.0
 	serviceRunning = 30.0
+	// slowCost is the delay at an engine that works at a fraction of its pace
+	// for a moment.
+	slowCost = 80.0
 	// failureCost is the cost of a target that fails every request.
 	failureCost = 400.0
 	// failureShare is the weight of one outcome in the failure rate, and
@@ -103,6 +105,9 @@
 	if !t.up && !held {
 		return 0, false
 	}
+	if t.up && t.report.Unready {
+		return 0, false
+	}
 	cost := float64(t.report.Backlog+t.pending) / readRate
 	load := t.report.Running + t.report.Waiting
 	if !t.up {
@@ -110,6 +115,9 @@
 		cost += directCost
 	}
 	cost += runningCost * float64(load)
+	if t.report.Slow {
+		cost += slowCost
+	}
 	if over := load + 1 - t.engine.Slots; over > 0 {
 		cost += overCost * float64(over)
 	}
@@ -118,7 +126,7 @@
 	case t.recent[name]:
 		cost += recentCost
 	default:
-		cost += absentLeast + absentCost/(1+absentPerRate*rate) + rankCost*float64(rank)
+		cost += float64(t.report.LoadMS) + absentCost/(1+absentPerRate*rate) + rankCost*float64(rank)
 	}
 	return cost + t.commonCost(now, domain), true
 }
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -29,6 +29,8 @@
 	Output int
 	// Rank is the priority; 0 is the most urgent.
 	Rank int
+	// Aim is when a first event is no longer on time.
+	Aim time.Time
 	// Deadline is when waiting for a target has become useless.
 	Deadline time.Time
 	// Tried lists targets that must not get the request again.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,7 +165,7 @@
 	started := time.Now()
 	grant, number, refused := x.h.Broker.Acquire(ctx, steering.Request{
 		Pool: x.pool, Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.PromptTokens, Output: x.meta.OutputTokens,
-		Rank: x.route.Priority, Deadline: started.Add(waitLimit(x.route, x.left())), Tried: x.tried,
+		Rank: x.route.Priority, Aim: x.arrived.Add(x.route.LatencyTarget), Deadline: started.Add(waitLimit(x.route, x.left())), Tried: x.tried,
 	})
 	x.waited += time.Since(started)
 	return grant, number, refused
@@ -250,7 +250,7 @@
 		line = line.With("route", x.route.Name).With("pool", x.pool)
 	}
 	if x.meta.Adapter != "" {
-		line = line.With("adapter", x.meta.Adapter).With("version", x.version)
+		line = line.With("adapter", x.meta.Adapter).With("version", x.version).With("prompt", x.meta.PromptTokens)
 	}
 	if x.stream.events > 0 {
 		line = line.With("events", x.stream.events).With("first_ms", x.stream.first.Milliseconds()).
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -141,6 +141,8 @@
 	Rank int `msgpack:"rk,omitempty"`
 	// Instance is the incarnation of the engine that the entry means.
 	Instance string `msgpack:"in,omitempty"`
+	// AimMS is the time left in which a first event is still on time.
+	AimMS int64 `msgpack:"am,omitempty"`
 }
 
 // Reserved accepts a reservation.
@@ -314,8 +316,10 @@
 	Slots    int           `msgpack:"s"`
 	MemoryMB float64       `msgpack:"m"`
 	Models   []EngineModel `msgpack:"mo"`
-	// Instance is the incarnation of the engine that the entry knows.
+	// Instance is the ID of the engine that the entry knows, Born the start of
+	// that incarnation in Unix milliseconds.
 	Instance string `msgpack:"in"`
+	Born     int64  `msgpack:"bo"`
 	// Fence is the highest fencing number that the entry has seen from the
 	// process, so that a new process on a VM whose clock was set back does
 	// not fall below it.
@@ -338,6 +342,12 @@
 	Listed  bool     `msgpack:"li,omitempty"`
 	Fence   uint64   `msgpack:"f"`
 	Leaving bool     `msgpack:"le,omitempty"`
+	// LoadMS is how long a request for an absent adapter would wait for it.
+	LoadMS int64 `msgpack:"lm,omitempty"`
+	// Unready is true while the engine does not answer or holds no model.
+	Unready bool `msgpack:"un,omitempty"`
+	// Slow is true while the engine works at a fraction of its usual pace.
+	Slow bool `msgpack:"sl,omitempty"`
 }
 
 // Item is one change of the published state, as an entry read it.
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -176,7 +176,8 @@
 	}
 	listed := c.agent.Listed()
 	r := c.agent.Report(false)
-	same := listed && r.Running == c.last.Running && r.Waiting == c.last.Waiting && r.Backlog == c.last.Backlog && r.Leaving == c.last.Leaving
+	same := listed && r.Running == c.last.Running && r.Waiting == c.last.Waiting && r.Backlog == c.last.Backlog && r.Leaving == c.last.Leaving &&
+		r.Slow == c.last.Slow && r.Unready == c.last.Unready
 	if same && since < quietInterval {
 		return
 	}
