Spread prompts at slow engines; long prompts go where few streams run

A slow engine now gets prompts at 4 tokens/ms and entries avoid it; a prompt of 5,000 tokens or more is placed by how many streams it pauses.

--- a/internal/decide/engineagent/flow.go
+++ b/internal/decide/engineagent/flow.go
@@ -18,6 +18,11 @@
 	// engine is slow.
 	promptWindow = 2000
 	slowWindow   = 500
+	// slowRate is the prompt tokens per millisecond that a slow engine gets: a
+	// part of what it reads, so that most of its steps are short.
+	slowRate = 4.0
+	// mostCredit bounds the tokens that a slow engine may get at once.
+	mostCredit = 800.0
 	// startMargin is the time from the admission to the first event that is
 	// counted on when a request is taken for late.
 	startMargin = 80 * time.Millisecond
@@ -37,22 +42,32 @@
 	running int
 	// run is the mean time of an answer.
 	run time.Duration
+	// credit is the prompt tokens that a slow engine may get at filled. It is
+	// negative after a long prompt.
+	credit float64
+	filled time.Time
 }
 
 func (f *flow) granted(prompt int) {
 	f.unread += prompt
 	f.running++
+	f.credit -= float64(prompt)
 }
 
 func (f *flow) read(prompt int) { f.unread = max(0, f.unread-prompt) }
 
+// fill adds the credit since the last call.
+func (f *flow) fill(now time.Time) {
+	f.credit = min(mostCredit, max(f.credit, -promptWindow)+slowRate*float64(now.Sub(f.filled))/float64(time.Millisecond))
+	f.filled = now
+}
+
 // admits tells whether the next prompt may go to the engine.
 func (f *flow) admits(prompt int, slow bool) bool {
-	window := promptWindow
 	if slow {
-		window = slowWindow
+		return f.credit > 0 && (f.unread == 0 || f.unread+prompt <= slowWindow)
 	}
-	return f.unread == 0 || f.unread+prompt <= window
+	return f.unread == 0 || f.unread+prompt <= promptWindow
 }
 
 func (f *flow) ended(took time.Duration, _ bool) {
@@ -125,6 +140,7 @@
 	if a.row == nil || !a.seen || a.failures > 0 {
 		return
 	}
+	a.flow.fill(now)
 	a.sortQueue(now)
 	for i := 0; i < len(a.queue) && a.flow.running < a.row.Slots; {
 		j := a.queue[i]
--- a/internal/decide/engineagent/load_test.go
+++ b/internal/decide/engineagent/load_test.go
@@ -117,7 +117,7 @@
 	// quiet-1 of kkawa-rota: of the streams with a pause over the limit, four
 	// in five had it while the engine read prompts at 10 tokens a ms instead
 	// of 24. Fewer prompts at once keep its pauses short.
-	It("is seen within 200 ms, and prompts are admitted one by one meanwhile", func() {
+	It("is seen within 200 ms, and prompts are admitted one by one and with gaps meanwhile", func() {
 		b := newBench(4)
 		b.engine.held["a1"] = 1
 		b.pass(300 * time.Millisecond)
@@ -135,9 +135,18 @@
 		b.reserve(3, "a1", func(m *wire.Reserve) { m.Prompt = 600 })
 		Expect(b.granted).To(Equal([]uint64{1, 2}))
 
+		By("prompts that follow each other without a gap make every pause a long one")
+		b.started(2)
+		Expect(b.granted).To(Equal([]uint64{1, 2, 3}))
+		b.started(3)
+		b.reserve(4, "a1", func(m *wire.Reserve) { m.Prompt = 600 })
+		b.pass(50 * time.Millisecond)
+		Expect(b.granted).To(Equal([]uint64{1, 2, 3}))
+		b.pass(100 * time.Millisecond)
+		Expect(b.granted).To(Equal([]uint64{1, 2, 3, 4}))
+
 		e.step = 6 * time.Millisecond
 		b.pass(300 * time.Millisecond)
 		Expect(b.agent.Report(true).Slow).To(BeFalse())
-		Expect(b.granted).To(Equal([]uint64{1, 2, 3}))
 	})
 })
--- a/internal/decide/steering/steering_suite_test.go
+++ b/internal/decide/steering/steering_suite_test.go
@@ -173,6 +173,28 @@
 		Expect(len(asked)).To(BeNumerically(">=", 2))
 	})
 
+	// A prompt of several thousand tokens pauses all streams of its engine for
+	// as long as callers accept.
+	It("goes where few streams run when its prompt is long", func() {
+		e.report("t0", &wire.EngineReport{Listed: true, Held: []string{"m/a1"}, Running: 12})
+		e.report("t1", &wire.EngineReport{Listed: true, Recent: []string{"m/a1"}, Running: 2})
+		ask := func(number uint64, prompt int) string {
+			e.do(e.s.Want(e.now, steering.Request{Number: number, Pool: "p", Model: "m", Adapter: "a1", Prompt: prompt, Deadline: e.now.Add(time.Second)}))
+			return e.reserves(number)[0]
+		}
+		e.view.Config.Pools["p"].Engine.Slots = 64
+		Expect(ask(1, 500)).To(Equal("t0"))
+		Expect(ask(2, 7000)).To(Equal("t1"))
+	})
+
+	It("avoids an engine that is slow for a moment", func() {
+		e.report("t0", &wire.EngineReport{Listed: true, Held: []string{"m/a1"}, Slow: true})
+		e.report("t1", &wire.EngineReport{Listed: true, Held: []string{"m/a1"}, Running: 20})
+		e.view.Config.Pools["p"].Engine.Slots = 64
+		e.want(1, "a1")
+		Expect(e.reserves(1)).To(Equal([]string{"t1"}))
+	})
+
 	It("tries another engine when one refuses, and passes on the earliest time to come back", func() {
 		e.want(1, "a1")
 		var asked []string
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -16,6 +16,11 @@
 	readRate = 20.0
 	// runningCost is the effect of a running request on the pace of another.
 	runningCost = 3.0
+	// longPrompt is the length of a prompt whose reading alone pauses all
+	// streams of an engine for about as long as callers accept, and
+	// longRunningCost what it costs for each of them.
+	longPrompt      = 5000
+	longRunningCost = 25.0
 	// overCost is the wait for a slot at an engine whose slots are all taken.
 	overCost = 100.0
 	// recentCost is a load from the engine's own memory; absentCost one from
@@ -30,7 +35,7 @@
 	serviceRunning = 30.0
 	// slowCost is the delay at an engine that works at a fraction of its pace
 	// for a moment.
-	slowCost = 80.0
+	slowCost = 200.0
 	// failureCost is the cost of a target that fails every request.
 	failureCost = 400.0
 	// failureShare is the weight of one outcome in the failure rate, and
@@ -114,6 +119,9 @@
 		load = t.open
 		cost += directCost
 	}
+	if r.Prompt >= longPrompt {
+		cost += longRunningCost * float64(load)
+	}
 	cost += runningCost * float64(load)
 	if t.report.Slow {
 		cost += slowCost
