--- a/internal/decide/engineagent/flow.go
+++ b/internal/decide/engineagent/flow.go
@@ -20,7 +20,7 @@
 	slowWindow   = 500
 	// slowRate is the prompt tokens per millisecond that a slow engine gets: a
 	// part of what it reads, so that most of its steps are short.
-	slowRate = 4.0
+	slowRate = 2.5
 	// mostCredit bounds the tokens that a slow engine may get at once.
 	mostCredit = 800.0
 	// startMargin is the time from the admission to the first event that is
