--- /dev/null
+++ b/internal/decide/retry/window_test.go
@@ -0,0 +1,79 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/decide/retry"
+)
+
+var _ = Describe("A window of repeats", func() {
+	const ratio, slack, span = 0.2, 54.0, 10 * time.Second
+	now := time.Now()
+
+	// All entries together must stay within the bound without telling each
+	// other: in any window, ratio x requests + slack.
+	It("keeps four entries within their common bound under any load", func() {
+		windows := make([]*retry.Window, 4)
+		for i := range windows {
+			windows[i] = retry.NewWindow(ratio, slack, span)
+			windows[i].SetEntries(len(windows))
+		}
+		type event struct {
+			at     time.Duration
+			repeat bool
+		}
+		var events []event
+		for step := range 600 {
+			at := time.Duration(step) * 50 * time.Millisecond
+			for i, w := range windows {
+				for range 1 + (step/100+i)%3 {
+					w.Request(now.Add(at), "p")
+					events = append(events, event{at: at})
+					if w.Spend(now.Add(at), "p") {
+						events = append(events, event{at: at, repeat: true})
+					}
+				}
+			}
+		}
+		for from := time.Duration(0); from < 20*time.Second; from += 250 * time.Millisecond {
+			requests, repeats := 0, 0
+			for _, e := range events {
+				switch {
+				case e.at < from || e.at >= from+span:
+				case e.repeat:
+					repeats++
+				default:
+					requests++
+				}
+			}
+			Expect(float64(repeats)).To(BeNumerically("<=", ratio*float64(requests)+slack))
+			Expect(repeats).To(BeNumerically(">", 0))
+		}
+	})
+
+	It("keeps pools apart and frees the budget with time", func() {
+		w := retry.NewWindow(0, 8, span)
+		w.SetEntries(1)
+		spend := func(at time.Duration, pool string) int {
+			n := 0
+			for w.Spend(now.Add(at), pool) {
+				n++
+			}
+			return n
+		}
+		Expect(spend(time.Second, "a")).To(Equal(6))
+		Expect(spend(time.Second, "b")).To(Equal(6))
+		Expect(spend(5*time.Second, "a")).To(Equal(0))
+		Expect(spend(12*time.Second, "a")).To(Equal(6))
+	})
+
+	It("takes a changed bound", func() {
+		w := retry.NewWindow(0, 0, span)
+		Expect(w.Spend(now, "a")).To(BeFalse())
+		w.SetBounds(0, 100)
+		Expect(w.Spend(now, "a")).To(BeTrue())
+	})
+})
--- a/internal/relay/policy.go
+++ b/internal/relay/policy.go
@@ -107,6 +107,26 @@
 	return time.Duration(waitShare * float64(patience))
 }
 
+const (
+	// returnLeast and returnSpread spread the callers of an overload over a
+	// multiple of the time in which the present queue is served. Callers that
+	// come back together meet the same queue and are refused again.
+	returnLeast  = 1.5
+	returnSpread = 2.0
+	// returnShare is the part of the time left up to which callers follow the
+	// advice.
+	returnShare = 1.0 / 3
+	// returnMin is the least advice of a refused request.
+	returnMin = 20 * time.Millisecond
+)
+
+// returnAfter is when a refused caller should come back; queue is the time in
+// which the present queue is served, draw is uniform in [0, 1).
+func returnAfter(queue, left time.Duration, draw float64) time.Duration {
+	after := time.Duration((returnLeast + returnSpread*draw) * float64(queue))
+	return max(returnMin, min(after, time.Duration(returnShare*float64(left))))
+}
+
 // status is the HTTP status of the system's own refusals. Only a request that
 // did not run gets one that promises so.
 func status(code result.Code) int {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -199,7 +199,7 @@
 	code := x.history.refusal(x.left() < leastLeft)
 	after := time.Duration(0)
 	if x.history.ran == 0 {
-		after = max(x.history.retryAfter, leavingRetryAfter)
+		after = returnAfter(x.history.retryAfter, x.left(), rand.Float64())
 	}
 	x.refuse(result.Refuse(code, after, ""))
 }
