Bounded logs, metrics address and decision inputs in log lines

Logs on the platform go to standard output through a writer that never blocks: 300 lines and 96 KB a second, with a count of what was left out. Request lines carry the configuration version, the load and age of the report that the choice of the target went by, and the reservation number by which the target process's lines are found. Metrics and status are served on the last internal port.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -58,6 +58,7 @@
 
 	callers net.Listener
 	ready   net.Listener
+	admin   *telemetry.Admin
 	control net.Listener
 	system  *actor.ActorSystem
 	broker  *broker.Broker
@@ -72,10 +73,10 @@
 	stopping atomic.Bool
 	leaving  atomic.Bool
 	// grace is the time between the stop signal and the kill.
-	grace  atomic.Int64
-	cancel   context.CancelFunc
-	closing  sync.Once
-	failed   chan error
+	grace   atomic.Int64
+	cancel  context.CancelFunc
+	closing sync.Once
+	failed  chan error
 }
 
 // New returns an entry that is not yet started.
@@ -127,6 +128,7 @@
 	go e.keeper.follow(ctx)
 	go e.mesh.Run(ctx, e.control)
 	go e.serveReady()
+	e.admin = telemetry.ServeMetrics(e.settings.MetricsAddress(), e.takesWork, e.status, e.metrics)
 	go e.serveCallers(ctx)
 	e.log.With("name", e.settings.Name).With("failure_domain", e.settings.FailureDomain).With("listen", e.settings.Listen).Info("entry started")
 }
@@ -187,15 +189,37 @@
 	return v != nil && v.Config != nil
 }
 
+func (e *Edge) takesWork() bool { return !e.stopping.Load() && e.configured() }
+
+// status is what the metrics address shows to operators.
+func (e *Edge) status() any {
+	s := struct {
+		Name          string           `json:"name"`
+		FailureDomain string           `json:"failure_domain"`
+		Version       int64            `json:"configuration_version"`
+		Targets       int              `json:"targets"`
+		Entries       int              `json:"entries"`
+		Open          int64            `json:"open"`
+		StoreCurrent  bool             `json:"store_current"`
+		Refused       map[string]int64 `json:"refused"`
+	}{
+		Name: e.settings.Name, FailureDomain: e.settings.FailureDomain, Entries: e.mesh.Entries(), Open: e.open.Load(),
+		StoreCurrent: e.keeper.current(), Refused: e.metrics.Refusals(),
+	}
+	if v := e.view.Load(); v != nil && v.Config != nil {
+		s.Version, s.Targets = v.Config.Version, len(v.Targets)
+	}
+	return s
+}
+
 // serveReady answers the balancer.
 func (e *Edge) serveReady() {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPattern, func(w http.ResponseWriter, _ *http.Request) {
-		if e.stopping.Load() || !e.configured() {
+		if !e.takesWork() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { _ = e.metrics.WriteText(w) })
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
 	_ = server.Serve(e.ready)
 }
@@ -272,6 +296,7 @@
 			_ = l.Close()
 		}
 	}
+	e.admin.Close()
 	e.broker.Stop()
 	e.system.Shutdown()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -72,7 +73,9 @@
 			if err != nil {
 				return err
 			}
-			if err := telemetry.SetupLogs(os.Stdout, logLevel); err != nil {
+			out := telemetry.NewBoundedWriter(os.Stdout, telemetry.LinesPerSecond, telemetry.BytesPerSecond)
+			defer out.Close(logFlush)
+			if err := telemetry.SetupLogs(out, logLevel); err != nil {
 				return err
 			}
 			p := build(s)
@@ -86,6 +89,9 @@
 	return cmd
 }
 
+// logFlush bounds the wait for a reader of the log at the end of a process.
+const logFlush = 100 * time.Millisecond
+
 func writeDefaults[T any](w io.Writer) error {
 	v := new(T)
 	if d, ok := any(v).(settings.Defaulter); ok {
--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -320,7 +320,8 @@
 		LoadMS: a.loads.wait(a.missing()).Milliseconds(),
 	}
 	if all || !a.listed {
-		a.listed = true
+		// A report to one new session leaves the others without the lists.
+		a.listed = a.listed || !all
 		r.Listed = true
 		for x := range a.look.Held {
 			r.Held = append(r.Held, x.String())
--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -50,7 +50,7 @@
 	case *wire.Refused:
 		s.refusedBy(now, t, m)
 	case *wire.EngineReport:
-		s.reported(t, m)
+		s.reported(now, t, m)
 	}
 	return s.take()
 }
@@ -103,13 +103,13 @@
 	s.place(now, r)
 }
 
-func (s *Steering) reported(t *target, m *wire.EngineReport) {
+func (s *Steering) reported(now time.Time, t *target, m *wire.EngineReport) {
 	t.fence = max(t.fence, m.Fence)
 	t.pending = 0
 	if m.Listed {
 		t.held, t.recent = setOf(m.Held), setOf(m.Recent)
 	}
-	t.report = *m
+	t.report, t.reported = *m, now
 }
 
 func setOf(names []string) map[string]bool {
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -43,10 +43,16 @@
 	state  state
 	target *target
 	// asked counts the reservations, since is when the last was sent.
-	asked      int
-	since      time.Time
-	started    bool
-	direct     bool
+	asked   int
+	since   time.Time
+	started bool
+	direct  bool
+	// What the choice of the target went by.
+	running int
+	backlog int
+	age     time.Duration
+	held    bool
+
 	retryAfter time.Duration
 	code       result.Code
 }
@@ -292,6 +298,8 @@
 		return
 	}
 	r.target, r.since = t, now
+	r.running, r.backlog, r.age = t.report.Running, t.report.Backlog, now.Sub(t.reported)
+	r.held = t.held[adapterName(&r.Request)]
 	r.asked++
 	if !t.up {
 		s.rec.Count("direct_grants")
@@ -329,7 +337,9 @@
 	if version == 0 && r.direct {
 		version = s.view.Versions[catalog.AdapterKey{Model: r.Model, Adapter: r.Adapter}]
 	}
-	s.act(Granted{Number: r.Number, Grant: Grant{Target: r.target.Target, Version: version, Direct: r.direct}})
+	s.act(Granted{Number: r.Number, Grant: Grant{
+		Target: r.target.Target, Version: version, Direct: r.direct, Running: r.running, Backlog: r.backlog, Age: r.age, Held: r.held,
+	}})
 }
 
 // placeAtService grants a place at a plain service or queues the request.
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -62,9 +62,11 @@
 	up     bool
 	wanted bool
 	report wire.EngineReport
-	held   map[string]bool
-	recent map[string]bool
-	fence  uint64
+	// reported is when the report came.
+	reported time.Time
+	held     map[string]bool
+	recent   map[string]bool
+	fence    uint64
 	// pending is the prompt tokens that were reserved since the last report.
 	pending int
 	open    int
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -42,6 +42,12 @@
 	Target *catalog.Target
 	// Version is the adapter version at the target, 0 without adapter.
 	Version int
+	// Running and Backlog are the load of the target as it was reported, Age
+	// the time since, Held whether the report named the adapter.
+	Running int
+	Backlog int
+	Age     time.Duration
+	Held    bool
 	// Direct is true if the process beside the target was not asked, because
 	// it cannot be reached.
 	Direct bool
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,11 @@
 	target    string
 	version   int
 	waited    time.Duration
+	// number is that of the last reservation, config the version that the
+	// route comes from, grant the last target and what its choice went by.
+	number uint64
+	config int64
+	grant  steering.Grant
 }
 
 // ServeHTTP implements http.Handler.
@@ -106,7 +111,7 @@
 		}
 		return result.New(result.BadRequest, "the body could not be read")
 	}
-	x.route, x.body, x.lastEvent = route, body, x.meta.LastEvent
+	x.route, x.body, x.lastEvent, x.config = route, body, x.meta.LastEvent, view.Config.Version
 	x.pool = route.Pick(rand.Float64())
 	limitTime := route.Timeout
 	if limitTime <= 0 {
@@ -138,7 +143,7 @@
 			x.giveUp()
 			return
 		}
-		x.target, x.version = grant.Target.ID, grant.Version
+		x.target, x.version, x.grant = grant.Target.ID, grant.Version, grant
 		x.tried = append(x.tried, grant.Target.ID)
 		x.history.sends++
 		done, ran := x.attempt(ctx, grant, number)
@@ -168,6 +173,7 @@
 		Rank: x.route.Priority, Aim: x.arrived.Add(x.route.LatencyTarget), Deadline: started.Add(waitLimit(x.route, x.left())), Tried: x.tried,
 	})
 	x.waited += time.Since(started)
+	x.number = number
 	return grant, number, refused
 }
 
@@ -238,7 +244,7 @@
 }
 
 func (x *exchange) log(text string) {
-	x.h.Log.With("id", x.meta.ID).With("route", x.route.Name).With("target", x.target).With("sends", x.history.sends).
+	x.h.Log.With("id", x.meta.ID).With("number", x.number).With("route", x.route.Name).With("target", x.target).With("sends", x.history.sends).
 		With("ran", x.history.ran).With("cause", x.history.cause).With("ms", time.Since(x.arrived).Milliseconds()).Info(text)
 }
 
@@ -247,11 +253,15 @@
 		With("target", x.target).With("sends", x.history.sends).With("ran", x.history.ran).
 		With("waited_ms", x.waited.Milliseconds()).With("ms", time.Since(x.arrived).Milliseconds())
 	if x.route != nil {
-		line = line.With("route", x.route.Name).With("pool", x.pool)
+		line = line.With("route", x.route.Name).With("pool", x.pool).With("config", x.config).With("number", x.number)
 	}
 	if x.meta.Adapter != "" {
 		line = line.With("adapter", x.meta.Adapter).With("version", x.version).With("prompt", x.meta.PromptTokens)
 	}
+	if x.grant.Age > 0 {
+		line = line.With("load", x.grant.Running).With("backlog", x.grant.Backlog).With("held", x.grant.Held).
+			With("age_ms", x.grant.Age.Milliseconds()).With("direct", x.grant.Direct)
+	}
 	if x.stream.events > 0 {
 		line = line.With("events", x.stream.events).With("first_ms", x.stream.first.Milliseconds()).
 			With("pause_ms", x.stream.pause.Milliseconds())
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -43,8 +43,24 @@
 
 // Close stops the server.
 func (a *Admin) Close() {
-	_ = a.Listener.Close()
+	if a.Listener != nil {
+		_ = a.Listener.Close()
+	}
 	if a.server != nil {
 		_ = a.server.Close()
 	}
 }
+
+// ServeMetrics answers on an address until Close. An address that is in use
+// costs the metrics, not the process.
+func ServeMetrics(address string, ready func() bool, status func() any, m *Metrics) *Admin {
+	a := &Admin{Ready: ready, Status: status, Metrics: m}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		For("metrics").With("address", address).Error(err, "no metrics are served")
+		return a
+	}
+	a.Listener = listener
+	a.Serve()
+	return a
+}
--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,77 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/telemetry"
+)
+
+// stalled is a reader that does not read.
+type stalled struct{ release chan struct{} }
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+var _ = Describe("A bounded log", func() {
+	// A log collector that hangs must not hold up requests.
+	It("never blocks on a reader that stalls, and counts what it leaves out", func() {
+		s := &stalled{release: make(chan struct{})}
+		w := telemetry.NewBoundedWriter(s, 1<<20, 1<<30)
+		begun := time.Now()
+		for range 5000 {
+			_, err := w.Write([]byte("line\n"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+		Expect(w.LeftOut()).To(BeNumerically(">", 3000))
+		close(s.release)
+		w.Close(time.Second)
+	})
+
+	It("keeps to its budget of lines and says how many it left out", func() {
+		out := &buffer{}
+		w := telemetry.NewBoundedWriter(out, 10, 1<<20)
+		for i := range 100 {
+			_, _ = fmt.Fprintf(w, "line %d\n", i)
+		}
+		w.Close(time.Second)
+		Expect(strings.Count(out.String(), "line ")).To(Equal(10))
+		Expect(out.String()).To(ContainSubstring(`lines were left out count="90"`))
+	})
+
+	It("keeps to its budget of bytes", func() {
+		out := &buffer{}
+		w := telemetry.NewBoundedWriter(out, 1000, 50)
+		for range 10 {
+			_, _ = w.Write([]byte("0123456789012345678\n"))
+		}
+		w.Close(time.Second)
+		Expect(strings.Count(out.String(), "0123456789012345678")).To(Equal(2))
+	})
+})
--- a/target/agent/agent.go
+++ b/target/agent/agent.go
@@ -44,6 +44,7 @@
 	system   *actor.ActorSystem
 	core     *actor.PID
 	sessions *actor.PID
+	admin    *telemetry.Admin
 	closing  sync.Once
 	failed   chan error
 }
@@ -77,6 +78,7 @@
 	engine := platform.NewEngine(a.settings.Target, a.settings.Name)
 	a.core = root.Spawn(coreProps(decisions, engine))
 	a.sessions = root.Spawn(session.Props(a.core, a.hello, sessionIdle))
+	a.admin = telemetry.ServeMetrics(a.settings.MetricsAddress(), func() bool { return true }, a.status, a.metrics)
 	go session.Accept(a.system, a.sessions, a.listener)
 	a.log.With("name", a.settings.Name).With("engine", a.settings.Target).With("listen", a.address).Info("target process started")
 }
@@ -88,6 +90,15 @@
 	}
 }
 
+// status is what the metrics address shows to operators.
+func (a *Agent) status() any {
+	reply, err := a.system.Root.RequestFuture(a.core, &getStatus{}, time.Second).Result()
+	if err != nil {
+		return map[string]string{"error": err.Error()}
+	}
+	return reply
+}
+
 func (a *Agent) fail(reason any) {
 	select {
 	case a.failed <- result.Newf(result.Internal, "the core failed: %v", reason):
@@ -107,6 +118,7 @@
 	a.system.Root.Send(a.core, &leave{})
 	time.Sleep(flushTime)
 	_ = a.listener.Close()
+	a.admin.Close()
 	_ = a.system.Root.StopFuture(a.sessions).Wait()
 	_ = a.system.Root.StopFuture(a.core).Wait()
 	a.system.Shutdown()
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -27,6 +27,20 @@
 // leave starts a planned stop.
 type leave struct{}
 
+// getStatus asks for what operators see.
+type getStatus struct{}
+
+// status is what operators see of the process.
+type status struct {
+	Running int      `json:"running"`
+	Waiting int      `json:"waiting"`
+	Orders  uint64   `json:"orders"`
+	Models  []string `json:"models"`
+	Held    []string `json:"held"`
+	Slow    bool     `json:"slow"`
+	Unready bool     `json:"unready"`
+}
+
 // looked is the result of a look at the engine.
 type looked struct {
 	look engineagent.Look
@@ -69,6 +83,8 @@
 		return
 	case *actor.Started, *tick:
 		c.perform(ctx, c.agent.Tick(now))
+	case *getStatus:
+		ctx.Respond(c.status())
 	case *leave:
 		c.perform(ctx, c.agent.Leave(now))
 	case *session.Opened:
@@ -124,6 +140,13 @@
 	return nil
 }
 
+func (c *core) status() status {
+	last, r := c.agent.Last(), c.agent.Report(true)
+	return status{
+		Running: r.Running, Waiting: r.Waiting, Orders: last.Orders, Models: last.Models, Held: r.Held, Slow: r.Slow, Unready: r.Unready,
+	}
+}
+
 func (c *core) noteLook(err error) {
 	if ok := err == nil; ok != c.lookOK {
 		c.lookOK = ok
