Entries ask for state instead of pushing it; window by the steps of an event; trace

Entries now ask two others while they do not hear the store, and reports go out less often to many entries. New connections are given up after 150 ms instead of 400, and the window of unread prompts follows the steps between two events.

agatectl trace gathers the lines of one request from several logs.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -120,10 +120,10 @@
 	e.startBroker()
 	e.keeper = newKeeper(platform.NewStore(e.settings.Store), b, e.metrics)
 	e.mesh = &peers.Mesh{
-		Address: e.settings.Peers, Seeds: e.settings.Seeds, Hello: e.hello, State: e.keeper.state, Receive: e.keeper.receive,
+		Address: e.settings.Peers, Seeds: e.settings.Seeds, Hello: e.hello, Changes: e.keeper.since, Receive: e.keeper.receive,
 		Log: telemetry.For("peers"),
 	}
-	e.keeper.publish, e.keeper.share = e.publish, e.mesh.Broadcast
+	e.keeper.publish, e.keeper.ask = e.publish, e.mesh.Ask
 	go e.keeper.run(ctx)
 	go e.keeper.follow(ctx)
 	go e.mesh.Run(ctx, e.control)
@@ -255,7 +255,7 @@
 func (e *Edge) handler() http.Handler {
 	h := &relay.Handler{
 		View: e.view.Load, Dialect: platform.Dialect{}, Broker: e.broker, Targets: upstream.NewPool(e.metrics),
-		Budget: e.budget, Metrics: e.metrics, Log: telemetry.For("relay"), Current: e.keeper.current, Leaving: e.leaving.Load,
+		Budget: e.budget, Metrics: e.metrics, Log: telemetry.For("relay"), Entry: e.settings.Name, Current: e.keeper.current, Leaving: e.leaving.Load,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.open.Add(1)
--- a/entry/edge/keeper.go
+++ b/entry/edge/keeper.go
@@ -25,6 +25,12 @@
 	mostBackoff  = 500 * time.Millisecond
 	// expireInterval is the time between two looks for lapsed targets.
 	expireInterval = 200 * time.Millisecond
+	// askAfter is how much longer than the pace of watches the store may be
+	// silent before other entries are asked, askInterval the time between two
+	// questions and askCount the entries that are asked each time.
+	askAfter    = 250 * time.Millisecond
+	askInterval = 300 * time.Millisecond
+	askCount    = 2
 )
 
 // keeper follows the published state: from the store, and from other entries.
@@ -33,12 +39,13 @@
 	bounds  atomic.Pointer[platform.Bounds]
 	metrics *telemetry.Metrics
 	log     *telemetry.Logger
-	// publish puts a view in force, share passes changes to other entries.
+	// publish puts a view in force, ask asks some other entries for the
+	// changes after a revision.
 	publish func(*catalog.View)
-	share   func([]wire.Item)
+	ask     func(count int, after uint64)
 
 	changes chan change
-	states  chan chan []wire.Item
+	queries chan query
 	// heard is when the store last answered, as time since started.
 	started time.Time
 	heard   atomic.Int64
@@ -46,12 +53,27 @@
 	// The rest belongs to run.
 	catalog *catalog.Catalog
 	entries map[string]platform.Entry
+	// upto is the revision up to which all changes are known.
+	upto  uint64
+	asked time.Time
+}
+
+// query asks for the changes after a revision.
+type query struct {
+	after uint64
+	reply chan answer
+}
+
+type answer struct {
+	items []wire.Item
+	upto  uint64
 }
 
 // change is news for the keeper.
 type change struct {
 	entries []platform.Entry
-	// full is set for a complete list of the store at revision.
+	// full is set for a complete list of the store. revision is the one up to
+	// which the change is complete, 0 if it is not.
 	full     bool
 	revision uint64
 	// lost and back report on the store; peer is set for news of an entry.
@@ -61,7 +83,7 @@
 func newKeeper(store *platform.Store, bounds platform.Bounds, metrics *telemetry.Metrics) *keeper {
 	k := &keeper{
 		store: store, metrics: metrics, log: telemetry.For("keeper"), started: time.Now(),
-		changes: make(chan change, 64), states: make(chan chan []wire.Item),
+		changes: make(chan change, 64), queries: make(chan query),
 		catalog: catalog.New(), entries: make(map[string]platform.Entry),
 	}
 	k.bounds.Store(&bounds)
@@ -74,25 +96,26 @@
 	return time.Since(k.started)-time.Duration(k.heard.Load()) < k.bounds.Load().ConfigApply
 }
 
-// state returns all items, for another entry.
-func (k *keeper) state() []wire.Item {
-	reply := make(chan []wire.Item, 1)
+// since returns the items that changed after a revision.
+func (k *keeper) since(after uint64) ([]wire.Item, uint64) {
+	q := query{after: after, reply: make(chan answer, 1)}
 	select {
-	case k.states <- reply:
-		return <-reply
+	case k.queries <- q:
+		a := <-q.reply
+		return a.items, a.upto
 	case <-time.After(time.Second):
 		k.log.Warn("the state was not available for a peer")
-		return nil
+		return nil, 0
 	}
 }
 
-// receive takes items of another entry.
-func (k *keeper) receive(items []wire.Item) {
+// receive takes what another entry answered.
+func (k *keeper) receive(items []wire.Item, upto uint64) {
 	entries := make([]platform.Entry, 0, len(items))
 	for _, i := range items {
 		entries = append(entries, platform.Entry{Key: i.Key, Revision: i.Revision, Removed: i.Removed, Value: i.Value})
 	}
-	k.changes <- change{entries: entries, peer: true}
+	k.changes <- change{entries: entries, revision: upto, peer: true}
 }
 
 // run owns the catalog until ctx ends.
@@ -103,9 +126,10 @@
 		select {
 		case c := <-k.changes:
 			k.take(c)
-		case reply := <-k.states:
-			reply <- k.items()
+		case q := <-k.queries:
+			q.reply <- answer{items: k.items(q.after), upto: k.upto}
 		case <-ticker.C:
+			k.askPeers()
 			if k.catalog.Expire(time.Now()) {
 				k.log.Warn("targets did not register again after an outage of the store")
 				k.publish(k.catalog.View())
@@ -116,10 +140,21 @@
 	}
 }
 
-func (k *keeper) items() []wire.Item {
-	items := make([]wire.Item, 0, len(k.entries))
+// askPeers asks other entries while the store is not heard.
+func (k *keeper) askPeers() {
+	silent := time.Since(k.started) - time.Duration(k.heard.Load())
+	if silent > k.pace()+askAfter && time.Since(k.asked) >= askInterval {
+		k.asked = time.Now()
+		k.ask(askCount, k.upto)
+	}
+}
+
+func (k *keeper) items(after uint64) []wire.Item {
+	var items []wire.Item
 	for _, e := range k.entries {
-		items = append(items, wireItem(e))
+		if e.Revision > after {
+			items = append(items, wireItem(e))
+		}
 	}
 	return items
 }
@@ -140,12 +175,10 @@
 		k.catalog.StoreBack(now)
 	}
 	before := k.catalog.View()
-	var news []wire.Item
 	for _, e := range c.entries {
-		if k.apply(now, e) {
-			news = append(news, wireItem(e))
-		}
+		k.apply(now, e)
 	}
+	k.upto = max(k.upto, c.revision)
 	if c.full {
 		k.removeMissing(now, c)
 	}
@@ -158,26 +191,22 @@
 		k.metrics.Gauge("configuration_version", view.Config.Version)
 	}
 	k.publish(view)
-	if len(news) > 0 {
-		k.share(news)
-	}
 }
 
-// apply takes one entry. It reports whether the published state changed.
-func (k *keeper) apply(now time.Time, e platform.Entry) bool {
+// apply takes one entry.
+func (k *keeper) apply(now time.Time, e platform.Entry) {
 	item, err := platform.Decode(e)
 	if err != nil {
 		k.metrics.Count("published_items_malformed")
 		k.log.With("key", e.Key).With("revision", e.Revision).Error(err, "an item cannot be read")
 	}
 	if !k.catalog.Apply(now, item) {
-		return false
+		return
 	}
 	k.entries[e.Key] = e
 	if item.Target != nil && item.Target.Draining {
 		k.log.With("target", item.Target.ID).With("revision", e.Revision).Info("target is leaving")
 	}
-	return true
 }
 
 // removeMissing removes the targets that a complete list does not name.
@@ -246,7 +275,7 @@
 		return change{}, err
 	}
 	*revision = at
-	return change{entries: entries}, nil
+	return change{entries: entries, revision: at}, nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -1,6 +1,8 @@
-// Package peers passes changes of the published state between entries, so
-// that an entry which the store turns away still follows it. Entries find each
-// other through seeds and tell each other the addresses they know.
+// Package peers connects the entries with each other. An entry that does not
+// hear the store asks others for the changes of the published state; while it
+// hears the store, nothing is sent but a beat, so that the cost does not grow
+// with the size of the state. Entries find each other through seeds and tell
+// each other the addresses they know.
 package peers
 
 import (
@@ -24,8 +26,8 @@
 	beatInterval = time.Second
 	silence      = 3 * time.Second
 	// queueLength bounds the messages that wait for a slow peer. One that
-	// falls behind is connected again and gets the whole state.
-	queueLength = 256
+	// falls behind is connected again.
+	queueLength = 64
 	// peerLife is how long a peer that cannot be reached still counts.
 	peerLife = 60 * time.Second
 	// maxBatch bounds the bytes of values in one message.
@@ -39,10 +41,11 @@
 	Address string
 	Seeds   []string
 	Hello   func() wire.Hello
-	// State returns all items, for a new connection.
-	State func() []wire.Item
-	// Receive takes items from a peer.
-	Receive func(items []wire.Item)
+	// Changes returns the items that changed after a revision, and the
+	// revision up to which they are complete.
+	Changes func(after uint64) ([]wire.Item, uint64)
+	// Receive takes what a peer answered.
+	Receive func(items []wire.Item, upto uint64)
 	Log     *telemetry.Logger
 
 	mu    sync.Mutex
@@ -53,7 +56,7 @@
 // link is one connection.
 type link struct {
 	conn  *wire.Conn
-	queue chan *wire.Items
+	queue chan any
 	// address is that of the peer, once it is known.
 	address string
 }
@@ -143,9 +146,9 @@
 	}
 }
 
-// serve runs one connection: both sides send their whole state, then changes.
+// serve runs one connection until it ends.
 func (m *Mesh) serve(ctx context.Context, nc net.Conn, address string) {
-	l := &link{conn: wire.NewConn(nc), queue: make(chan *wire.Items, queueLength), address: address}
+	l := &link{conn: wire.NewConn(nc), queue: make(chan any, queueLength), address: address}
 	defer l.conn.Close()
 	if _, err := l.conn.Handshake(m.Hello()); err != nil {
 		return
@@ -160,16 +163,60 @@
 		if err != nil {
 			return
 		}
-		items, ok := message.(*wire.Items)
-		if !ok {
+		switch x := message.(type) {
+		case *wire.ItemsQuery:
+			m.answer(l, x)
+		case *wire.Items:
+			if len(x.Peers) > 0 {
+				m.named(l, x.Peers)
+			}
+			if len(x.Items) > 0 || x.Upto > 0 {
+				m.Receive(x.Items, x.Upto)
+			}
+		default:
 			return
 		}
-		if len(items.Peers) > 0 {
-			m.named(l, items.Peers)
+	}
+}
+
+// answer sends the changes after a revision.
+func (m *Mesh) answer(l *link, q *wire.ItemsQuery) {
+	items, upto := m.Changes(q.After)
+	list := batches(items)
+	for i, batch := range list {
+		reply := &wire.Items{Items: batch}
+		if i == len(list)-1 {
+			reply.Upto = upto
 		}
-		if len(items.Items) > 0 {
-			m.Receive(items.Items)
+		m.queue(l, reply)
+	}
+	if len(list) == 0 {
+		m.queue(l, &wire.Items{Upto: upto})
+	}
+}
+
+// queue passes a message to the writer of a connection. A peer that does not
+// read loses the connection.
+func (m *Mesh) queue(l *link, message any) {
+	select {
+	case l.queue <- message:
+	default:
+		_ = l.conn.Close()
+	}
+}
+
+// Ask asks some peers for the changes after a revision.
+func (m *Mesh) Ask(count int, after uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for l := range m.links {
+		if l.address == "" {
+			continue
 		}
+		if count--; count < 0 {
+			return
+		}
+		m.queue(l, &wire.ItemsQuery{After: after})
 	}
 }
 
@@ -194,15 +241,9 @@
 	}
 	m.mu.Unlock()
 	l.queue <- &wire.Items{Peers: peers}
-	for _, batch := range batches(m.State()) {
-		select {
-		case l.queue <- &wire.Items{Items: batch}:
-		default:
-			_ = l.conn.Close()
-		}
-	}
 }
 
+// batches splits items into messages of at most maxBatch bytes each.
 func batches(items []wire.Item) [][]wire.Item {
 	var list [][]wire.Item
 	size := 0
@@ -218,8 +259,9 @@
 
 func (m *Mesh) drop(l *link) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	delete(m.links, l)
-	m.mu.Unlock()
+	// Ask sends under the lock, answer from the goroutine that calls drop.
 	close(l.queue)
 }
 
@@ -227,7 +269,7 @@
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
 	for {
-		message := &wire.Items{}
+		message := any(&wire.Items{})
 		select {
 		case queued, open := <-l.queue:
 			if !open {
@@ -243,26 +285,6 @@
 	}
 }
 
-// Broadcast passes changes to all peers, once to each.
-func (m *Mesh) Broadcast(items []wire.Item) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	told := make(map[string]bool)
-	for l := range m.links {
-		if l.address != "" && told[l.address] {
-			continue
-		}
-		told[l.address] = true
-		for _, batch := range batches(items) {
-			select {
-			case l.queue <- &wire.Items{Items: batch}:
-			default:
-				_ = l.conn.Close()
-			}
-		}
-	}
-}
-
 func (m *Mesh) closeAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/entry/peers/peers_suite_test.go
@@ -0,0 +1,122 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/entry/peers"
+	"agatelanding.example/agatelanding/internal/fixture"
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+func TestPeers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peers")
+}
+
+var _ = BeforeSuite(func() { Expect(telemetry.SetupLogs(GinkgoWriter, "info")).To(Succeed()) })
+
+// entry is one member of a mesh with a state of its own.
+type entry struct {
+	mesh    *peers.Mesh
+	queries atomic.Int64
+	mu      sync.Mutex
+	got     []wire.Item
+	upto    uint64
+}
+
+func (e *entry) received() ([]wire.Item, uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]wire.Item(nil), e.got...), e.upto
+}
+
+func start(items []wire.Item, seeds ...string) *entry {
+	e := &entry{}
+	address := fixture.FreeAddress()
+	listener, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	e.mesh = &peers.Mesh{
+		Address: address, Seeds: seeds, Log: telemetry.For("peers"),
+		Hello: func() wire.Hello { return wire.Hello{Process: address, Role: wire.RoleEntry} },
+		Changes: func(after uint64) ([]wire.Item, uint64) {
+			e.queries.Add(1)
+			var list []wire.Item
+			upto := uint64(0)
+			for _, i := range items {
+				upto = max(upto, i.Revision)
+				if i.Revision > after {
+					list = append(list, i)
+				}
+			}
+			return list, upto
+		},
+		Receive: func(list []wire.Item, upto uint64) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.got, e.upto = append(e.got, list...), max(e.upto, upto)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(func() {
+		cancel()
+		_ = listener.Close()
+	})
+	go e.mesh.Run(ctx, listener)
+	return e
+}
+
+func items(n, size int) []wire.Item {
+	var list []wire.Item
+	for i := range n {
+		list = append(list, wire.Item{Key: fmt.Sprintf("k%d", i), Revision: uint64(10 + i), Value: make([]byte, size)})
+	}
+	return list
+}
+
+var _ = Describe("Entries", func() {
+	It("find each other through one seed, also a stale one", func() {
+		a := start(nil, "127.0.0.1:1")
+		b := start(nil, a.mesh.Address)
+		c := start(nil, a.mesh.Address)
+		for _, e := range []*entry{a, b, c} {
+			Eventually(e.mesh.Entries).Within(4 * time.Second).Should(BeNumerically(">=", 3))
+		}
+	})
+
+	// 32 entries on links of 10 Mbit/s that pushed their state to each other
+	// at every start and change took seconds to recover.
+	It("send no state to one that does not ask", func() {
+		a := start(items(10, 100))
+		b := start(nil, a.mesh.Address)
+		Eventually(b.mesh.Entries).Within(3 * time.Second).Should(Equal(2))
+		time.Sleep(1200 * time.Millisecond)
+		got, _ := b.received()
+		Expect(got).To(BeEmpty())
+		Expect(a.queries.Load()).To(BeZero())
+	})
+
+	It("answer with the changes after a revision, whatever their size", func() {
+		a := start(items(8, 300<<10))
+		b := start(nil, a.mesh.Address)
+		Eventually(func() uint64 {
+			b.mesh.Ask(2, 12)
+			_, upto := b.received()
+			return upto
+		}).Within(4 * time.Second).WithPolling(300 * time.Millisecond).Should(Equal(uint64(17)))
+		got, _ := b.received()
+		Expect(len(got)).To(BeNumerically(">=", 5))
+		for _, i := range got {
+			Expect(i.Revision).To(BeNumerically(">", 12))
+		}
+	})
+})
--- a/internal/catalog/model.go
+++ b/internal/catalog/model.go
@@ -80,6 +80,9 @@
 	Slots int
 	// KVTokens is the KV cache of an engine in tokens.
 	KVTokens int
+	// EventTokens is the number of tokens, and so of steps, in an event of a
+	// stream.
+	EventTokens int
 	// MemoryMB is the memory for base models and adapters.
 	MemoryMB float64
 	// AdapterSlots is the number of adapters an engine holds.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -130,7 +130,7 @@
 		RunE:          func(*cobra.Command, []string) error { return usage("a command is missing") },
 	}
 	root.AddCommand(newCheck(kinds), newDefaults(kinds), newDiff(), newExplain(), newBuild(), newGenerate(),
-		newStatus(), newCodes(), newVersion())
+		newStatus(), newCodes(), newTrace(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/internal/ctl/trace_test.go
@@ -0,0 +1,60 @@
+package ctl_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/ctl"
+)
+
+// Lines of a day on the platform's bench: an entry's, with the machine before
+// them, and a target process's.
+const (
+	entryLog = `   5.2031 front-bolnisi-1 2026-08-19T21:16:17.203122001Z info  relay: no answer from the target entry="front-bolnisi-1" error="read: connection reset" id="a1" number="160" sent="true" target="i-1"
+   5.2264 front-bolnisi-1 2026-08-19T21:16:17.226422001Z info  relay: request ended code="2006" entry="front-bolnisi-1" id="a1" number="161" reason="deadline_passed" status="503"
+   5.2265 front-bolnisi-1 2026-08-19T21:16:17.226522001Z info  relay: request ended code="0" entry="front-bolnisi-1" id="b2" number="162" reason="ok" status="200"
+not a line of ours
+`
+	targetLog = `2026-08-19T21:16:17.226122001Z info  core: reservation refused code="2006" entry="front-bolnisi-1" number="161" reason="deadline_passed" running="19" waiting="16"
+2026-08-19T21:16:17.226222001Z info  core: reservation refused code="2006" entry="front-gardabani-1" number="161" reason="deadline_passed" running="19" waiting="16"
+`
+)
+
+var _ = Describe("agatectl trace", func() {
+	run := func(args ...string) (int, string, string) {
+		var out, errs bytes.Buffer
+		code := ctl.Run(nil, args, &out, &errs)
+		return code, out.String(), errs.String()
+	}
+	files := func() []string {
+		dir := GinkgoT().TempDir()
+		paths := []string{filepath.Join(dir, "entry.log"), filepath.Join(dir, "target.log")}
+		Expect(os.WriteFile(paths[0], []byte(entryLog), 0o600)).To(Succeed())
+		Expect(os.WriteFile(paths[1], []byte(targetLog), 0o600)).To(Succeed())
+		return paths
+	}
+
+	// An on-call engineer has a request's id and the logs of all processes.
+	It("gathers the lines of one request from the logs of several processes, in order", func() {
+		code, out, _ := run(append([]string{"trace", "a1"}, files()...)...)
+		Expect(code).To(Equal(ctl.ExitOK))
+		lines := bytes.Split(bytes.TrimSpace([]byte(out)), []byte("\n"))
+		Expect(lines).To(HaveLen(3))
+		Expect(string(lines[0])).To(ContainSubstring("no answer"))
+		Expect(string(lines[1])).To(ContainSubstring(`waiting="16"`))
+		Expect(string(lines[1])).To(ContainSubstring("front-bolnisi-1"))
+		Expect(string(lines[2])).To(ContainSubstring("request ended"))
+	})
+
+	It("says when no line names the request, or a file cannot be read", func() {
+		code, _, errs := run(append([]string{"trace", "zz"}, files()...)...)
+		Expect(code).To(Equal(ctl.ExitFaults))
+		Expect(errs).To(ContainSubstring("no line of request zz"))
+		code, _, _ = run("trace", "a1", "/nonexistent")
+		Expect(code).To(Equal(ctl.ExitUnreadable))
+	})
+})
--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -105,6 +105,7 @@
 	}
 	if a.row == nil || row.Revision >= a.row.Revision {
 		a.row = row
+		a.flow.steps = row.EventTokens
 		capacity := 0
 		for _, m := range row.Models {
 			capacity = max(capacity, m.Adapters)
--- a/internal/decide/engineagent/flow.go
+++ b/internal/decide/engineagent/flow.go
@@ -13,16 +13,22 @@
 	// read.
 	readRate = 20.0
 	// promptWindow is the number of prompt tokens that an engine may have
-	// unread at once. It reads up to some 2,000 in each step, so that more of
-	// them stretch the pauses of all its streams; slowWindow holds while the
-	// engine is slow.
-	promptWindow = 2000
-	slowWindow   = 500
-	// slowRate is the prompt tokens per millisecond that a slow engine gets: a
-	// part of what it reads, so that most of its steps are short.
-	slowRate = 2.5
+	// unread at once, times the steps between two events of a stream: it reads
+	// up to all of them in each step, so that they stretch the pauses of all
+	// its streams. slowWindow holds while the engine is slow.
+	promptWindow = 10_000
+	slowWindow   = 2_500
+	// slowRate is the prompt tokens per millisecond that a slow engine gets,
+	// times the steps between two events: a part of what it reads, so that
+	// most of its steps are short.
+	slowRate = 12.5
 	// mostCredit bounds the tokens that a slow engine may get at once.
 	mostCredit = 800.0
+	// mostDebt bounds for how long a long prompt keeps the next ones away.
+	mostDebt = 2000.0
+	// usualEventTokens is the number of steps between two events if the
+	// configuration does not say.
+	usualEventTokens = 5
 	// startMargin is the time from the admission to the first event that is
 	// counted on when a request is taken for late.
 	startMargin = 80 * time.Millisecond
@@ -46,6 +52,8 @@
 	// negative after a long prompt.
 	credit float64
 	filled time.Time
+	// steps is the number of engine steps between two events of a stream.
+	steps int
 }
 
 func (f *flow) granted(prompt int) {
@@ -58,16 +66,24 @@
 
 // fill adds the credit since the last call.
 func (f *flow) fill(now time.Time) {
-	f.credit = min(mostCredit, max(f.credit, -promptWindow)+slowRate*float64(now.Sub(f.filled))/float64(time.Millisecond))
+	rate := slowRate / float64(f.eventSteps())
+	f.credit = min(mostCredit, max(f.credit, -mostDebt)+rate*float64(now.Sub(f.filled))/float64(time.Millisecond))
 	f.filled = now
 }
 
+func (f *flow) eventSteps() int {
+	if f.steps > 0 {
+		return f.steps
+	}
+	return usualEventTokens
+}
+
 // admits tells whether the next prompt may go to the engine.
 func (f *flow) admits(prompt int, slow bool) bool {
 	if slow {
-		return f.credit > 0 && (f.unread == 0 || f.unread+prompt <= slowWindow)
+		return f.credit > 0 && (f.unread == 0 || f.unread+prompt <= slowWindow/f.eventSteps())
 	}
-	return f.unread == 0 || f.unread+prompt <= promptWindow
+	return f.unread == 0 || f.unread+prompt <= promptWindow/f.eventSteps()
 }
 
 func (f *flow) ended(took time.Duration, _ bool) {
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -163,7 +163,7 @@
 
 func (s *Steering) sendRow(t *target) {
 	row := &wire.EngineRow{
-		Revision: uint64(s.view.Config.Version), Slots: t.engine.Slots, MemoryMB: t.engine.MemoryMB,
+		Revision: uint64(s.view.Config.Version), Slots: t.engine.Slots, EventTokens: t.engine.EventTokens, MemoryMB: t.engine.MemoryMB,
 		Instance: t.ID, Born: t.Born, Fence: t.fence,
 	}
 	for _, m := range t.engine.Models {
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -45,8 +45,8 @@
 	failureHalfLife = 3 * time.Second
 	// firstShun and longestShun bound the time for which a target without
 	// connection gets no request.
-	firstShun   = 300 * time.Millisecond
-	longestShun = 3 * time.Second
+	firstShun   = time.Second
+	longestShun = 4 * time.Second
 	// leastServiceLimit is the least number of own requests at a plain
 	// service at one time.
 	leastServiceLimit = 4
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -88,7 +88,7 @@
 	default:
 		x.failedWith(number, steering.Broke, result.AnswerCut)
 	}
-	x.h.Log.With("id", x.meta.ID).With("target", x.target).With("sent", failure.Sent).With("error", failure.Cause).Info("no answer from the target")
+	x.h.Log.With("id", x.meta.ID).With("entry", x.h.Entry).With("number", x.number).With("target", x.target).With("sent", failure.Sent).With("error", failure.Cause).Info("no answer from the target")
 	return failure.Sent
 }
 
@@ -101,7 +101,7 @@
 		outcome = steering.Moved
 	}
 	x.failedWith(number, outcome, result.QueueFull)
-	x.h.Log.With("id", x.meta.ID).With("target", x.target).With("status", resp.StatusCode).With("version", x.version).Info("the target declined")
+	x.h.Log.With("id", x.meta.ID).With("entry", x.h.Entry).With("number", x.number).With("target", x.target).With("status", resp.StatusCode).With("version", x.version).Info("the target declined")
 }
 
 // failed takes a failure that the target answered. It is kept as the answer in
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,8 @@
 	Budget  *retry.Window
 	Metrics *telemetry.Metrics
 	Log     *telemetry.Logger
+	// Entry is the name of this entry in the lines of target processes.
+	Entry string
 	// Current tells whether the configuration is known to be the newest.
 	Current func() bool
 	// Leaving tells whether the entry takes no new requests.
@@ -244,12 +246,12 @@
 }
 
 func (x *exchange) log(text string) {
-	x.h.Log.With("id", x.meta.ID).With("number", x.number).With("route", x.route.Name).With("target", x.target).With("sends", x.history.sends).
+	x.h.Log.With("id", x.meta.ID).With("entry", x.h.Entry).With("number", x.number).With("route", x.route.Name).With("target", x.target).With("sends", x.history.sends).
 		With("ran", x.history.ran).With("cause", x.history.cause).With("ms", time.Since(x.arrived).Milliseconds()).Info(text)
 }
 
 func (x *exchange) logEnd(code result.Code, status int) {
-	line := x.h.Log.With("id", x.meta.ID).With("code", int(code)).With("reason", code).With("status", status).
+	line := x.h.Log.With("id", x.meta.ID).With("entry", x.h.Entry).With("code", int(code)).With("reason", code).With("status", status).
 		With("target", x.target).With("sends", x.history.sends).With("ran", x.history.ran).
 		With("waited_ms", x.waited.Milliseconds()).With("ms", time.Since(x.arrived).Milliseconds())
 	if x.route != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,8 +17,8 @@
 )
 
 // DialTimeout bounds a new connection. Within a region it takes a few
-// milliseconds.
-const DialTimeout = 400 * time.Millisecond
+// milliseconds; a target that is cut off must leave time for another one.
+const DialTimeout = 150 * time.Millisecond
 
 // Request is a request as it goes to a target.
 type Request struct {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -58,6 +58,8 @@
 		return KindEngineReport, nil
 	case *Items:
 		return KindItems, nil
+	case *ItemsQuery:
+		return KindItemsQuery, nil
 	}
 	return 0, result.New(result.MalformedMessage, fmt.Sprintf("no kind for %T", message))
 }
@@ -112,6 +114,8 @@
 		return new(EngineReport)
 	case KindItems:
 		return new(Items)
+	case KindItemsQuery:
+		return new(ItemsQuery)
 	}
 	return nil
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -63,6 +63,7 @@
 	KindEngineRow
 	KindEngineReport
 	KindItems
+	KindItemsQuery
 )
 
 // RequestID identifies one request of one entry incarnation.
@@ -312,10 +313,12 @@
 
 // EngineRow gives a target process what it needs to know of its pool.
 type EngineRow struct {
-	Revision uint64        `msgpack:"v"`
-	Slots    int           `msgpack:"s"`
-	MemoryMB float64       `msgpack:"m"`
-	Models   []EngineModel `msgpack:"mo"`
+	Revision uint64 `msgpack:"v"`
+	Slots    int    `msgpack:"s"`
+	// EventTokens is the number of steps between two events of a stream.
+	EventTokens int           `msgpack:"et,omitempty"`
+	MemoryMB    float64       `msgpack:"m"`
+	Models      []EngineModel `msgpack:"mo"`
 	// Instance is the ID of the engine that the entry knows, Born the start of
 	// that incarnation in Unix milliseconds.
 	Instance string `msgpack:"in"`
@@ -358,9 +361,18 @@
 	Value    []byte `msgpack:"v,omitempty"`
 }
 
-// Items passes changes of the published state to another entry, with the
-// addresses of the entries that the sender knows.
+// Items answers ItemsQuery. It also names the addresses of the entries that
+// the sender knows, its own first.
 type Items struct {
 	Items []Item   `msgpack:"i,omitempty"`
 	Peers []string `msgpack:"p,omitempty"`
+	// Upto is the revision up to which the sender knows all changes. It is 0
+	// if further messages with the rest follow.
+	Upto uint64 `msgpack:"u,omitempty"`
+}
+
+// ItemsQuery asks another entry for the changes after a revision. Entries ask
+// only while they do not hear the store.
+type ItemsQuery struct {
+	After uint64 `msgpack:"a"`
 }
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -16,9 +16,11 @@
 
 const (
 	// reportInterval is the least time between two reports to an entry while
-	// the load changes, quietInterval the time while it does not.
+	// the load changes, quietInterval the time while it does not. Reports go
+	// to every entry, so that the interval grows with their number.
 	reportInterval = 60 * time.Millisecond
-	quietInterval  = 250 * time.Millisecond
+	reportPerEntry = 8 * time.Millisecond
+	quietInterval  = 300 * time.Millisecond
 )
 
 // tick drives what depends on time.
@@ -194,7 +196,8 @@
 // from time to time, which shows that the process is alive.
 func (c *core) report(ctx actor.Context, now time.Time) {
 	since := now.Sub(c.reported)
-	if c.agent.Listed() && since < reportInterval {
+	interval := max(reportInterval, reportPerEntry*time.Duration(len(c.writers)))
+	if since < interval && (c.agent.Listed() || since < reportInterval) {
 		return
 	}
 	listed := c.agent.Listed()
