--- a/internal/decide/admission/offer.go
+++ b/internal/decide/admission/offer.go
@@ -111,9 +111,9 @@
 	if l.isUnderserved(e.item.Adapter) {
 		// The items of other adapters have their own reserve to give way.
 		e.urgent = e.latest.Add(-reserved)
-		// Caution is learned from what all adapters together missed; it must
-		// not take the reserve away again.
-		usable = max(cautious, budget-reserved)
+		// Caution is learned from the deadlines that all adapters together
+		// missed. A hot one would take the reserve of the others away by it.
+		usable = max(cautious, budget-reserved/2)
 	}
 	if wait = predict(l.order.rank(e)); wait == 0 {
 		usable = budget
