--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -110,6 +110,7 @@
 		t.held, t.recent = setOf(m.Held), setOf(m.Recent)
 	}
 	t.report, t.reported = *m, now
+	s.settle(now)
 }
 
 func setOf(names []string) map[string]bool {
@@ -146,6 +147,7 @@
 	switch r.state {
 	case queued:
 		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
+		s.unsettled = slices.DeleteFunc(s.unsettled, func(x *request) bool { return x == r })
 	case reserving:
 		s.tell(r, &wire.Release{ID: s.id(r)})
 	case granted:
@@ -194,6 +196,7 @@
 			s.again(now, r, result.SessionLost)
 		}
 	}
+	s.settle(now)
 	s.serveQueue(now)
 	return s.take()
 }
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -24,6 +24,10 @@
 	maxReservations = 4
 	// leastRetryAfter is the advice if no target gave a better one.
 	leastRetryAfter = 150 * time.Millisecond
+	// settleTime is how long after its session was asked for a target process
+	// may not have reported yet. An entry that has just started knows no
+	// engine until then.
+	settleTime = 600 * time.Millisecond
 )
 
 type state uint8
@@ -67,7 +71,10 @@
 	rates   rates
 	open    map[uint64]*request
 	queue   []*request
-	actions []Action
+	// unsettled holds the requests that wait for the first reports of target
+	// processes.
+	unsettled []*request
+	actions   []Action
 }
 
 // New returns a steering without targets.
@@ -120,7 +127,7 @@
 		return s.take()
 	}
 	s.setPools(v)
-	s.connectAll(v)
+	s.connectAll(now, v)
 	s.serveQueue(now)
 	return s.take()
 }
@@ -142,7 +149,7 @@
 
 // connectAll opens a session with the process beside each engine and gives it
 // its row.
-func (s *Steering) connectAll(v *catalog.View) {
+func (s *Steering) connectAll(now time.Time, v *catalog.View) {
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[id]
 		pool, ok := v.Config.Pools[t.Pool]
@@ -153,7 +160,7 @@
 		changed := t.engine != pool.Engine
 		t.engine = pool.Engine
 		if !t.wanted {
-			t.wanted = true
+			t.wanted, t.wantedAt = true, now
 			s.act(Connect{Target: t.Target})
 		} else if changed && t.up {
 			s.sendRow(t)
@@ -293,6 +300,11 @@
 		}
 		return t.engineCost(now, &r.Request, order[t.ID], rate, s.cfg.FailureDomain)
 	})
+	if t == nil && s.settling(now, r) {
+		r.state = queued
+		s.unsettled = append(s.unsettled, r)
+		return
+	}
 	if t == nil || r.asked >= maxReservations {
 		s.refuse(r, r.codeOr(result.NoTarget), r.retryAfter)
 		return
@@ -316,6 +328,30 @@
 	}})
 }
 
+// settling tells whether an engine may still turn up that can take the request.
+func (s *Steering) settling(now time.Time, r *request) bool {
+	for _, listed := range s.view.Pools[r.Pool] {
+		t, ok := s.targets[listed.ID]
+		if ok && s.usable(t, r) && t.wanted && t.reported.IsZero() && now.Sub(t.wantedAt) < settleTime {
+			return true
+		}
+	}
+	return false
+}
+
+// settle places the requests that waited for reports.
+func (s *Steering) settle(now time.Time) {
+	waiting := s.unsettled
+	s.unsettled = nil
+	for _, r := range waiting {
+		if !now.Before(r.Deadline) {
+			s.refuse(r, result.DeadlinePassed, leastRetryAfter)
+			continue
+		}
+		s.reserve(now, r)
+	}
+}
+
 func (r *request) codeOr(code result.Code) result.Code {
 	if r.code != result.OK {
 		return r.code
--- a/internal/decide/steering/steering_suite_test.go
+++ b/internal/decide/steering/steering_suite_test.go
@@ -233,6 +233,24 @@
 		Expect(e.refused[2].Code).To(Equal(result.NoTarget))
 	})
 
+	// After all processes were killed, entries knew the configuration 50 to
+	// 300 ms before the first reports and refused what came in between.
+	It("waits for the first reports of an entry that has just started", func() {
+		e := newEntry(engines(), targets(2)...)
+		e.want(1, "a1")
+		Expect(e.refused).To(BeEmpty())
+		e.now = e.now.Add(100 * time.Millisecond)
+		e.reach("t0")
+		Expect(e.reserves(1)).To(Equal([]string{"t0"}))
+
+		By("but not for ever")
+		late := newEntry(engines(), targets(2)...)
+		late.want(2, "a1")
+		late.now = late.now.Add(700 * time.Millisecond)
+		late.do(late.s.Tick(late.now))
+		Expect(late.refused[2].Code).To(Equal(result.NoTarget))
+	})
+
 	It("moves on when the session ends before the answer", func() {
 		e.want(1, "a1")
 		first := e.reserves(1)[0]
@@ -290,6 +308,10 @@
 			e.do(e.s.SessionDown(e.now, id))
 		}
 		e.want(1, "a1")
+		Expect(e.granted).NotTo(HaveKey(uint64(1)))
+		e.now = e.now.Add(700 * time.Millisecond)
+		e.do(e.s.Tick(e.now))
+		Expect(e.granted).NotTo(HaveKey(uint64(1)))
 		Expect(e.refused[1].Code).To(Equal(result.NoTarget))
 	})
 
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -61,7 +61,9 @@
 	// up is true while the session with the process beside it is open.
 	up     bool
 	wanted bool
-	report wire.EngineReport
+	// wantedAt is when the session was asked for.
+	wantedAt time.Time
+	report   wire.EngineReport
 	// reported is when the report came.
 	reported time.Time
 	held     map[string]bool
