--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -34,16 +34,12 @@
 }
 
 // firstEvent reports the first event of a stream.
-type firstEvent struct {
-	number uint64
-	took   time.Duration
-}
+type firstEvent struct{ number uint64 }
 
 // done ends a request at its target.
 type done struct {
-	number     uint64
-	outcome    steering.Outcome
-	latePauses bool
+	number  uint64
+	outcome steering.Outcome
 }
 
 // viewChanged puts a view in force.
@@ -87,18 +83,18 @@
 		}
 	case <-ctx.Done():
 	}
-	b.Done(r.Number, steering.Abandoned, false)
+	b.Done(r.Number, steering.Abandoned)
 	return steering.Grant{}, r.Number, &steering.Refused{Number: r.Number, Code: result.DeadlinePassed}
 }
 
 // FirstEvent implements relay.Broker.
-func (b *Broker) FirstEvent(number uint64, took time.Duration) {
-	b.root.Send(b.pid, &firstEvent{number: number, took: took})
+func (b *Broker) FirstEvent(number uint64) {
+	b.root.Send(b.pid, &firstEvent{number: number})
 }
 
 // Done implements relay.Broker.
-func (b *Broker) Done(number uint64, outcome steering.Outcome, latePauses bool) {
-	b.root.Send(b.pid, &done{number: number, outcome: outcome, latePauses: latePauses})
+func (b *Broker) Done(number uint64, outcome steering.Outcome) {
+	b.root.Send(b.pid, &done{number: number, outcome: outcome})
 }
 
 // Stop ends the actor and its sessions.
@@ -136,9 +132,9 @@
 		b.perform(ctx, now, b.steering.Want(now, m.request))
 	case *done:
 		delete(b.replies, m.number)
-		b.perform(ctx, now, b.steering.Done(now, m.number, m.outcome, m.latePauses))
+		b.perform(ctx, now, b.steering.Done(now, m.number, m.outcome))
 	case *firstEvent:
-		b.perform(ctx, now, b.steering.FirstEvent(now, m.number, m.took))
+		b.perform(ctx, now, b.steering.FirstEvent(m.number))
 	case *viewChanged:
 		b.perform(ctx, now, b.steering.SetView(now, m.view))
 	case *tick:
--- a/internal/catalog/model.go
+++ b/internal/catalog/model.go
@@ -78,8 +78,6 @@
 type Engine struct {
 	// Slots is the number of requests that an engine runs at once.
 	Slots int
-	// KVTokens is the KV cache of an engine in tokens.
-	KVTokens int
 	// EventTokens is the number of tokens, and so of steps, in an event of a
 	// stream.
 	EventTokens int
@@ -112,9 +110,6 @@
 // Pool is a group of targets that serve the same requests.
 type Pool struct {
 	Name string
-	// MaxConnections is the number of connections that a target accepts
-	// from all entries together.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -29,7 +29,7 @@
 	// maxRecent bounds the adapters that the engine is believed to load
 	// without the weight store.
 	maxRecent = 128
-	// firstFenceStep is how far the fencing number moves after the engine
+	// fenceStep is how far the fencing number moves after the engine
 	// has refused it, in milliseconds: more than a clock is set back by.
 	fenceStep = 10_000
 )
@@ -69,7 +69,6 @@
 	recent     []Adapter
 	listed     bool
 	leaving    bool
-	pausedFor  time.Time
 	actions    []Action
 }
 
@@ -152,7 +151,7 @@
 	case instance != "" && a.instance() != "" && instance != a.instance():
 		return result.EngineUnavailable, 0
 	}
-	if start := a.startDelay(now, j); now.Add(start).After(j.deadline) {
+	if start := a.startDelay(j); now.Add(start).After(j.deadline) {
 		return result.BudgetExceeded, start
 	}
 	return result.OK, 0
@@ -191,10 +190,10 @@
 }
 
 // Release ends a reservation, also one that waits.
-func (a *Agent) Release(now time.Time, id wire.AttemptID, latePauses bool) []Action {
+func (a *Agent) Release(now time.Time, id wire.AttemptID) []Action {
 	if j, ok := a.jobs[id]; ok {
 		if j.phase == answering {
-			a.flow.ended(now.Sub(j.granted), latePauses)
+			a.flow.ended(now.Sub(j.granted))
 		}
 		a.drop(now, j)
 	}
--- a/internal/decide/engineagent/engineagent_suite_test.go
+++ b/internal/decide/engineagent/engineagent_suite_test.go
@@ -182,7 +182,7 @@
 }
 
 func (b *bench) started(n uint64) { b.do(b.agent.Started(b.now, &wire.Started{ID: id(n)})) }
-func (b *bench) release(n uint64) { b.do(b.agent.Release(b.now, id(n), false)) }
+func (b *bench) release(n uint64) { b.do(b.agent.Release(b.now, id(n))) }
 
 var _ = Describe("Orders", func() {
 	// An engine that is ordered to hold more than its slots crashes.
--- a/internal/decide/engineagent/flow.go
+++ b/internal/decide/engineagent/flow.go
@@ -86,7 +86,7 @@
 	return f.unread == 0 || f.unread+prompt <= promptWindow/f.eventSteps()
 }
 
-func (f *flow) ended(took time.Duration, _ bool) {
+func (f *flow) ended(took time.Duration) {
 	if f.run == 0 {
 		f.run = initialRun
 	}
@@ -116,7 +116,7 @@
 
 // startDelay predicts the wait of a new request: for the prompts before it and
 // for a free slot.
-func (a *Agent) startDelay(_ time.Time, j *job) time.Duration {
+func (a *Agent) startDelay(j *job) time.Duration {
 	tokens, ahead := a.flow.unread, 0
 	for _, x := range a.queue {
 		if x.rank <= j.rank {
--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -15,7 +15,7 @@
 		s.act(Disconnect{Target: id})
 		return s.take()
 	}
-	t.up, t.silent = true, time.Time{}
+	t.up, t.heard = true, time.Time{}
 	if t.engine != nil && s.view != nil && s.view.Config != nil {
 		s.sendRow(t)
 	}
@@ -43,7 +43,7 @@
 	if !ok {
 		return s.take()
 	}
-	t.silent = now
+	t.heard = now
 	switch m := message.(type) {
 	case *wire.Reserved:
 		s.reserved(t, m)
@@ -122,10 +122,10 @@
 }
 
 // FirstEvent records that the target gave the first event of a stream.
-func (s *Steering) FirstEvent(_ time.Time, number uint64, took time.Duration) []Action {
+func (s *Steering) FirstEvent(number uint64) []Action {
 	if r, ok := s.open[number]; ok && r.state == granted && !r.started {
 		r.started = true
-		s.tell(r, &wire.Started{ID: s.id(r), TookMS: took.Milliseconds()})
+		s.tell(r, &wire.Started{ID: s.id(r)})
 	}
 	return s.take()
 }
@@ -138,7 +138,7 @@
 }
 
 // Done ends a request at its target.
-func (s *Steering) Done(now time.Time, number uint64, outcome Outcome, latePauses bool) []Action {
+func (s *Steering) Done(now time.Time, number uint64, outcome Outcome) []Action {
 	r, ok := s.open[number]
 	if !ok {
 		return s.take()
@@ -152,7 +152,7 @@
 		s.tell(r, &wire.Release{ID: s.id(r)})
 	case granted:
 		r.target.open--
-		s.tell(r, &wire.Release{ID: s.id(r), LatePauses: latePauses})
+		s.tell(r, &wire.Release{ID: s.id(r)})
 		s.learn(now, r, outcome)
 		s.serveQueue(now)
 	}
@@ -187,7 +187,7 @@
 		case !now.Before(r.Deadline):
 			s.tell(r, &wire.Release{ID: s.id(r)})
 			s.refuse(r, r.codeOr(result.DeadlinePassed), r.retryAfter)
-		case now.Sub(r.since) > replyTimeout && now.Sub(r.target.silent) > reportLife:
+		case now.Sub(r.since) > replyTimeout && now.Sub(r.target.heard) > reportLife:
 			// The process has stopped or is cut off; its engine may live.
 			s.rec.Count("silent_target_processes")
 			s.tell(r, &wire.Release{ID: s.id(r)})
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -323,7 +323,7 @@
 	t.pending += r.Prompt
 	s.act(Send{Target: t.ID, Message: &wire.Reserve{
 		ID: s.id(r), Pool: r.Pool, Model: r.Model, Adapter: r.Adapter, Version: s.wantVersion(r),
-		BudgetMS: max(0, r.Deadline.Sub(now).Milliseconds()), Tokens: r.Output, Prompt: r.Prompt, Rank: r.Rank,
+		BudgetMS: max(0, r.Deadline.Sub(now).Milliseconds()), Prompt: r.Prompt, Rank: r.Rank,
 		Repeatable: true, Instance: t.ID, AimMS: max(0, r.Aim.Sub(now).Milliseconds()),
 	}})
 }
--- a/internal/decide/steering/steering_suite_test.go
+++ b/internal/decide/steering/steering_suite_test.go
@@ -148,8 +148,8 @@
 			e.want(n, adapter)
 			other.want(n, adapter)
 			Expect(e.reserves(n)).To(Equal(other.reserves(n)))
-			e.do(e.s.Done(e.now, n, steering.Abandoned, false))
-			other.do(other.s.Done(other.now, n, steering.Abandoned, false))
+			e.do(e.s.Done(e.now, n, steering.Abandoned))
+			other.do(other.s.Done(other.now, n, steering.Abandoned))
 			for _, id := range []string{"t0", "t1", "t2", "t3"} {
 				e.report(id, &wire.EngineReport{})
 				other.report(id, &wire.EngineReport{})
@@ -329,7 +329,7 @@
 			e.want(n, "")
 		}
 		Expect(e.granted).To(HaveLen(12))
-		e.do(e.s.Done(e.now, 3, steering.Answered, false))
+		e.do(e.s.Done(e.now, 3, steering.Answered))
 		Expect(e.granted).To(HaveKey(uint64(12)))
 	})
 
@@ -352,10 +352,10 @@
 			return e.granted[n].Target.ID
 		}
 		bad := place()
-		e.do(e.s.Done(e.now, n, steering.Broke, false))
+		e.do(e.s.Done(e.now, n, steering.Broke))
 		for range 5 {
 			Expect(place()).NotTo(Equal(bad))
-			e.do(e.s.Done(e.now, n, steering.Answered, false))
+			e.do(e.s.Done(e.now, n, steering.Answered))
 		}
 		e.now = e.now.Add(30 * time.Second)
 		seen := map[string]bool{}
@@ -368,7 +368,7 @@
 	It("uses an unreachable target only when there is no other", func() {
 		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
 		e.want(1, "")
-		e.do(e.s.Done(e.now, 1, steering.Unreached, false))
+		e.do(e.s.Done(e.now, 1, steering.Unreached))
 		e.want(2, "")
 		Expect(e.granted).To(HaveKey(uint64(2)))
 		e.want(3, "", "t0")
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -77,8 +77,8 @@
 	failedAt time.Time
 	shunned  time.Time
 	shuns    int
-	// silent is when a reservation went without an answer.
-	silent time.Time
+	// heard is when the process beside the target sent something last.
+	heard time.Time
 }
 
 func newTarget(t *catalog.Target) *target {
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -23,10 +23,8 @@
 	Pool    string
 	Model   string
 	Adapter string
-	// Prompt is the number of prompt tokens, Output the most tokens of the
-	// answer.
+	// Prompt is the number of prompt tokens.
 	Prompt int
-	Output int
 	// Rank is the priority; 0 is the most urgent.
 	Rank int
 	// Aim is when a first event is no longer on time.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -39,7 +39,6 @@
 	defer cancel(nil)
 	guard := newStallGuard(attemptLimit(x.route, &x.history), func() { cancel(errStalled) })
 	defer guard.stop()
-	sent := time.Now()
 	resp, failure := x.h.Targets.Do(ctx, grant.Target.Address, x.request(grant))
 	if failure != nil {
 		return false, x.noAnswer(number, failure)
@@ -58,7 +57,7 @@
 	if x.route.Kind != catalog.Stream {
 		return x.whole(number, resp)
 	}
-	return x.streamed(number, resp, guard, sent)
+	return x.streamed(number, resp, guard)
 }
 
 func (x *exchange) request(grant steering.Grant) *upstream.Request {
@@ -75,7 +74,7 @@
 
 func (x *exchange) failedWith(number uint64, outcome steering.Outcome, code result.Code) {
 	x.history.cause = code
-	x.h.Broker.Done(number, outcome, false)
+	x.h.Broker.Done(number, outcome)
 }
 
 // noAnswer records an attempt without an answer.
@@ -135,14 +134,14 @@
 		x.failedWith(number, steering.Broke, result.AnswerCut)
 		return false, true
 	}
-	x.h.Broker.Done(number, steering.Answered, false)
+	x.h.Broker.Done(number, steering.Answered)
 	x.deliver(answer)
 	return true, true
 }
 
 // streamed passes the events of a stream on as they arrive. Only whole events
 // are passed, so that the stream can continue at another target.
-func (x *exchange) streamed(number uint64, resp *http.Response, guard *stallGuard, sent time.Time) (done, ran bool) {
+func (x *exchange) streamed(number uint64, resp *http.Response, guard *stallGuard) (done, ran bool) {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	first := true
 	for {
@@ -151,18 +150,17 @@
 			guard.touch()
 			if first {
 				first = false
-				x.h.Broker.FirstEvent(number, time.Since(sent))
+				x.h.Broker.FirstEvent(number)
 			}
 			if !x.pass(resp, event) {
-				x.h.Broker.Done(number, steering.Abandoned, false)
+				x.h.Broker.Done(number, steering.Abandoned)
 				x.log("the caller does not read")
 				panic(http.ErrAbortHandler)
 			}
 			continue
 		}
-		late := x.route.PauseTarget > 0 && x.stream.pause > x.route.PauseTarget
 		if err == io.EOF && len(event) == 0 {
-			x.h.Broker.Done(number, steering.Answered, late)
+			x.h.Broker.Done(number, steering.Answered)
 			x.endStream(resp)
 			return true, true
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,7 +141,7 @@
 		}
 		if x.history.sends > 0 && !x.h.Budget.Spend(time.Now(), x.pool) {
 			x.h.Metrics.NotRetried(retry.StopBudget)
-			x.h.Broker.Done(number, steering.Abandoned, false)
+			x.h.Broker.Done(number, steering.Abandoned)
 			x.giveUp()
 			return
 		}
@@ -171,7 +171,7 @@
 func (x *exchange) acquire(ctx context.Context) (steering.Grant, uint64, *steering.Refused) {
 	started := time.Now()
 	grant, number, refused := x.h.Broker.Acquire(ctx, steering.Request{
-		Pool: x.pool, Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.PromptTokens, Output: x.meta.OutputTokens,
+		Pool: x.pool, Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.PromptTokens,
 		Rank: x.route.Priority, Aim: x.arrived.Add(x.route.LatencyTarget), Deadline: started.Add(waitLimit(x.route, x.left())), Tried: x.tried,
 	})
 	x.waited += time.Since(started)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -11,12 +11,6 @@
 	"agatelanding.example/agatelanding/internal/decide/steering"
 )
 
-// PromptPart is a part of a prompt that requests may share.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
-
 // Metadata is what the headers of a request say.
 type Metadata struct {
 	// ID names this attempt of the caller.
@@ -26,8 +20,6 @@
 	Model        string
 	Adapter      string
 	PromptTokens int
-	OutputTokens int
-	Parts        []PromptPart
 	// LastEvent is the last event that the caller has of a stream.
 	LastEvent string
 }
@@ -81,9 +73,9 @@
 	// Acquire waits for a target. A refused request was not run.
 	Acquire(ctx context.Context, r steering.Request) (steering.Grant, uint64, *steering.Refused)
 	// FirstEvent records the first event of a stream.
-	FirstEvent(number uint64, took time.Duration)
+	FirstEvent(number uint64)
 	// Done ends a request that was granted a target.
-	Done(number uint64, outcome steering.Outcome, latePauses bool)
+	Done(number uint64, outcome steering.Outcome)
 }
 
 // View returns the published state in force.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,10 +25,7 @@
 	inlineBody = 32 << 10
 )
 
-var (
-	errStray  = errors.New("the target sent bytes that belong to no request")
-	errClosed = errors.New("the connection was closed")
-)
+var errStray = errors.New("the target sent bytes that belong to no request")
 
 // answer is what the reader hands to the waiting exchange.
 type answer struct {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -292,15 +292,11 @@
 // request and gave its first event.
 type Started struct {
 	ID AttemptID `msgpack:"id"`
-	// TookMS is the time from the send to the first event.
-	TookMS int64 `msgpack:"t"`
 }
 
 // Release ends a reservation: the request has ended at the engine.
 type Release struct {
 	ID AttemptID `msgpack:"id"`
-	// LatePauses is true if a pause of the stream was over its route's limit.
-	LatePauses bool `msgpack:"lp,omitempty"`
 }
 
 // EngineModel is a base model of an engine pool.
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -128,7 +128,7 @@
 	case *wire.Started:
 		return c.agent.Started(now, m)
 	case *wire.Release:
-		return c.agent.Release(now, m.ID, m.LatePauses)
+		return c.agent.Release(now, m.ID)
 	case *wire.EngineRow:
 		return c.agent.SetRow(now, m)
 	case *wire.Ping:
