--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,7 @@
 			if err := telemetry.SetupLogs(os.Stderr, logLevel(s)); err != nil {
 				return err
 			}
-			return serve(cmd.Context(), build(*s))
+			return serve(cmd.Context(), build(*s), func() {})
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
@@ -81,8 +81,8 @@
 			p := build(s)
 			ctx, cancel := context.WithCancel(cmd.Context())
 			defer cancel()
-			follow(ctx, s, load, p)
-			return serve(ctx, p)
+			signals := runtime.ReloadSignals()
+			return serve(ctx, p, func() { go reloads(ctx, s, load, p, signals, reloadInterval) })
 		},
 	}
 	cmd.Flags().StringVar(&logLevel, "log-level", "info", "least severe level that is logged: debug, info, warn or error")
@@ -101,13 +101,14 @@
 }
 
 // serve runs a process until a stop signal or a failure. A second signal ends
-// it at once.
-func serve(ctx context.Context, p Process) error {
+// it at once. started is called once the process serves.
+func serve(ctx context.Context, p Process, started func()) error {
 	signals := runtime.StopSignals()
 	if err := p.Provision(); err != nil {
 		return err
 	}
 	p.Start()
+	started()
 	select {
 	case err := <-p.Failed():
 		return err
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -6,7 +6,6 @@
 	"reflect"
 	"time"
 
-	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
 )
 
@@ -20,14 +19,9 @@
 	Reconfigure(T)
 }
 
-// follow passes changed settings to a process until ctx ends. Settings that
+// reloads passes changed settings to a process until ctx ends. Settings that
 // cannot be read or are invalid are refused, and the old ones stay in force.
 // Without a handler a reload signal would end the process.
-func follow[T any](ctx context.Context, current T, load func() (T, error), p Process) {
-	signals := runtime.ReloadSignals()
-	go reloads(ctx, current, load, p, signals, reloadInterval)
-}
-
 func reloads[T any](ctx context.Context, current T, load func() (T, error), p Process, signals <-chan os.Signal, interval time.Duration) {
 	log := telemetry.For("settings")
 	ticker := time.NewTicker(interval)
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -24,8 +24,9 @@
 	// overCost is the wait for a slot at an engine whose slots are all taken.
 	overCost = 100.0
 	// recentCost is a load from the engine's own memory; absentCost one from
-	// the weight store besides its time, because the store is shared. An adapter that is asked
-	// for often repays a load, so that its cost falls with the rate.
+	// the weight store besides its time, because the store is shared. An
+	// adapter that is asked for often repays a load, so that its cost falls
+	// with the rate.
 	recentCost     = 45.0
 	absentCost     = 300.0
 	absentPerRate  = 3.0
