Remove dead code of the platform path

upstream.Pool.Forget had no caller, a connection's count of served requests no reader, and no entry read the retry advice in the engine report (refusals carry their own). Behaviour is unchanged; vet, staticcheck and the tests of the touched packages pass.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -69,7 +69,6 @@
 	dead      bool
 	idleSince time.Time
 	idleLimit time.Duration
-	served    int
 }
 
 func newConn(nc net.Conn, owner *host) *conn {
@@ -104,7 +103,6 @@
 		return false
 	}
 	c.pending = p
-	c.served++
 	return true
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -84,24 +84,6 @@
 	return h
 }
 
-// Forget closes the idle connections to an address that is no longer used.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	h, ok := p.hosts[address]
-	delete(p.hosts, address)
-	p.mu.Unlock()
-	if !ok {
-		return
-	}
-	h.mu.Lock()
-	idle := h.idle
-	h.idle = nil
-	h.mu.Unlock()
-	for _, c := range idle {
-		c.close()
-	}
-}
-
 func (h *host) skipped() { h.pool.counter.Count("extra_answers_skipped") }
 
 // take returns the idle connection that was used last.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -332,8 +332,6 @@
 	// Backlog is the number of prompt tokens that are admitted or wait and
 	// are not read yet.
 	Backlog int `msgpack:"b"`
-	// RetryAfterMS is when a refused request would find room.
-	RetryAfterMS int64 `msgpack:"ra"`
 	// Held lists the adapters in the engine's slots, Recent those that it
 	// loads again without the weight store, as MODEL/ADAPTER.
 	Held    []string `msgpack:"h,omitempty"`
