relay: log whether the target, silence or the deadline ended an attempt

The lines of a broken stream did not tell a target that broke off from a silent one whose attempt this entry ended, nor from a passed deadline. "the stream broke" now has ended_by, the error and the number of events, and attempts_ended_by_silence counts the second kind. No decision changes. internal/relay and entry/edge pass.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -72,7 +72,7 @@
 	if x.route.Kind != catalog.Stream {
 		return x.relayWhole(requestNumber, resp)
 	}
-	return x.relayStream(requestNumber, resp, stall)
+	return x.relayStream(ctx, requestNumber, resp, stall)
 }
 
 // upstreamRequest builds the request to the granted target. A stream that has
@@ -161,6 +161,20 @@
 		With("number", x.requestNumber).With("target", x.targetID)
 }
 
+// logStreamBroke writes a line for a stream without an end. endedBy tells whether the
+// target or this entry ended it.
+func (x *callerRequest) logStreamBroke(ctx context.Context, err error) {
+	endedBy := "target"
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStalled):
+		endedBy = "silence"
+		x.h.Metrics.Count("attempts_ended_by_silence")
+	case cause != nil:
+		endedBy = "deadline"
+	}
+	x.stateLog().With("ended_by", endedBy).With("error", err).With("events", x.streamStats.events).Info("the stream broke")
+}
+
 // logBroken writes a line for a response that is no whole answer.
 func (x *callerRequest) logBroken(err error) {
 	if errors.Is(err, upstream.ErrOverBounds) {
@@ -183,7 +197,7 @@
 
 // relayStream sends the events of a stream to the caller as they arrive. It sends
 // whole events only, so that the stream can continue at another target.
-func (x *callerRequest) relayStream(requestNumber uint64, resp *http.Response, stall *stallTimer) (done, mayHaveRun bool) {
+func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, stall *stallTimer) (done, mayHaveRun bool) {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	first := true
 	// notEvents holds what the target sent since the last event with an ID, such as
@@ -224,7 +238,7 @@
 			if errors.Is(err, upstream.ErrOverBounds) {
 				x.logBroken(err)
 			}
-			x.log("the stream broke")
+			x.logStreamBroke(ctx, err)
 		}
 		return false, true
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -271,9 +271,12 @@
 }
 
 // log writes a line with the message and the present state of the request.
-func (x *callerRequest) log(message string) {
-	x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", x.requestNumber).With("route", x.route.Name).With("target", x.targetID).With("sends", x.history.sends).
-		With("ran", x.history.possibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds()).Info(message)
+func (x *callerRequest) log(message string) { x.stateLog().Info(message) }
+
+// stateLog returns a logger with the present state of the request.
+func (x *callerRequest) stateLog() *telemetry.Logger {
+	return x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", x.requestNumber).With("route", x.route.Name).With("target", x.targetID).With("sends", x.history.sends).
+		With("ran", x.history.possibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds())
 }
 
 // logEnd writes the line that summarizes a request after its response or refusal.
