relay: end a silent attempt only when another target takes the request

Callers saw a stream end without an answer ('unexpected EOF') after 1.3 s of silence of a sound engine, or 502 where no event had come.

Cause: the entry ended the attempt first and looked for another target afterwards. If the broker refused, or the retry budget was spent, the only answer there was had been ended.

An attempt now goes on while another target is searched for. An event ends the search, a refusal starts it anew after the same time, and only a granted target with a repeat in the budget ends the silent attempt.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -28,7 +28,8 @@
 	maxDeclineTime  = 100 * time.Millisecond
 )
 
-var errStalled = errors.New("no response or event within the attempt timeout")
+// errSilent ends an attempt whose target was silent when another one was granted.
+var errSilent = errors.New("no response or event in time; another target takes the request")
 
 // streamStats holds the figures of a stream for log lines and metrics.
 type streamStats struct {
@@ -45,12 +46,27 @@
 
 // attempt sends the request to one target and relays its response. done is true
 // if the response was sent to the caller; otherwise mayHaveRun is true if the
-// target may have run the request.
-func (x *callerRequest) attempt(ctx context.Context, grant steering.Grant, requestNumber uint64) (done, mayHaveRun bool) {
+// target may have run the request, and next is the target that was granted while this
+// one was silent, nil if there is none.
+func (x *callerRequest) attempt(ctx context.Context, target *grantedTarget) (done, mayHaveRun bool, next *grantedTarget) {
+	grant, requestNumber := target.grant, target.requestNumber
+	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
+	x.triedTargets = append(x.triedTargets, grant.Target.ID)
+	x.history.sends++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := newStallTimer(attemptTimeout(x.route, &x.history), func() { cancel(errStalled) })
-	defer stall.stop()
+	silence := x.newReplacement(func() { cancel(errSilent) })
+	silence.start()
+	// A panic ends the request, so that no other target is needed.
+	needed := false
+	defer func() { next = silence.end(needed) }()
+	done, mayHaveRun = x.send(ctx, grant, requestNumber, silence)
+	needed = !done
+	return done, mayHaveRun, nil
+}
+
+// send sends the request to the target of an attempt and relays its response.
+func (x *callerRequest) send(ctx context.Context, grant steering.Grant, requestNumber uint64, silence *replacement) (done, mayHaveRun bool) {
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant))
 	if failure != nil {
 		return false, x.handleNoResponse(requestNumber, failure)
@@ -72,7 +88,7 @@
 	if x.route.Kind != catalog.Stream {
 		return x.relayWhole(requestNumber, resp)
 	}
-	return x.relayStream(ctx, requestNumber, resp, stall)
+	return x.relayStream(ctx, requestNumber, resp, silence)
 }
 
 // upstreamRequest builds the request to the granted target. A stream that has
@@ -166,9 +182,8 @@
 func (x *callerRequest) logStreamBroke(ctx context.Context, err error) {
 	endedBy := "target"
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errStalled):
+	case errors.Is(cause, errSilent):
 		endedBy = "silence"
-		x.h.Metrics.Count("attempts_ended_by_silence")
 	case cause != nil:
 		endedBy = "deadline"
 	}
@@ -197,7 +212,7 @@
 
 // relayStream sends the events of a stream to the caller as they arrive. It sends
 // whole events only, so that the stream can continue at another target.
-func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, stall *stallTimer) (done, mayHaveRun bool) {
+func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	first := true
 	// notEvents holds what the target sent since the last event with an ID, such as
@@ -213,7 +228,7 @@
 			err = upstream.ErrOverBounds
 		}
 		if err == nil {
-			stall.reset()
+			silence.progressed()
 			if first {
 				first = false
 				x.h.Broker.FirstEvent(requestNumber)
@@ -326,30 +341,3 @@
 	}
 	return ""
 }
-
-// stallTimer ends an attempt if the timeout passes without a whole response or,
-// for a stream, without an event. A timeout of 0 disables it.
-type stallTimer struct {
-	timeout time.Duration
-	timer   *time.Timer
-}
-
-func newStallTimer(timeout time.Duration, onStall func()) *stallTimer {
-	s := &stallTimer{timeout: timeout}
-	if timeout > 0 {
-		s.timer = time.AfterFunc(timeout, onStall)
-	}
-	return s
-}
-
-func (s *stallTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.timeout)
-	}
-}
-
-func (s *stallTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,22 +151,14 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.h.RetryBudget.CountRequest(time.Now(), x.poolName)
+	var next *grantedTarget
 	for {
-		grant, requestNumber, refused := x.acquire(ctx)
-		if refused != nil {
-			x.handleRefusal(refused)
-			return
-		}
-		if x.history.sends > 0 && !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
-			x.h.Metrics.NotRetried(retry.StopBudget)
-			x.h.Broker.Done(requestNumber, steering.Abandoned)
-			x.giveUp()
-			return
+		if next == nil {
+			if next = x.acquire(ctx); next == nil {
+				return
+			}
 		}
-		x.targetID, x.adapterVersion, x.grant = grant.Target.ID, grant.Version, grant
-		x.triedTargets = append(x.triedTargets, grant.Target.ID)
-		x.history.sends++
-		done, mayHaveRun := x.attempt(ctx, grant, requestNumber)
+		done, mayHaveRun, replacement := x.attempt(ctx, next)
 		if done {
 			return
 		}
@@ -174,28 +166,49 @@
 			x.history.possibleRuns++
 		}
 		if x.r.Context().Err() != nil {
+			if replacement != nil {
+				x.h.Broker.Done(replacement.requestNumber, steering.Abandoned)
+			}
 			x.log("caller left")
 			x.h.Metrics.Refused(result.CallerGone)
 			return
 		}
-		if !x.history.canRetry(x.route, x.remaining(), mayHaveRun) {
+		if replacement == nil && !x.history.canRetry(x.route, x.remaining(), mayHaveRun) {
 			x.giveUp()
 			return
 		}
 		x.h.Metrics.Retried(x.history.lastCode)
+		next = replacement
 	}
 }
 
-// acquire waits until the broker grants a target that was not tried, or refuses.
-func (x *callerRequest) acquire(ctx context.Context) (steering.Grant, uint64, *steering.Refused) {
-	started := time.Now()
-	grant, requestNumber, refused := x.h.Broker.Acquire(ctx, steering.Request{
+// targetRequest returns the request to the broker for a target that is not among those
+// tried.
+func (x *callerRequest) targetRequest(now time.Time, tried []string) steering.Request {
+	return steering.Request{
 		Pool: x.poolName, Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens,
-		Priority: x.route.Priority, FirstEventDue: x.arrived.Add(x.route.LatencyTarget), Deadline: started.Add(maxTargetWait(x.route, x.remaining())), ExcludedTargets: x.triedTargets,
-	})
+		Priority: x.route.Priority, FirstEventDue: x.arrived.Add(x.route.LatencyTarget), Deadline: now.Add(maxTargetWait(x.route, x.remaining())), ExcludedTargets: tried,
+	}
+}
+
+// acquire waits until the broker grants a target that was not tried. It returns nil
+// after it has ended the request, if the broker refuses or the retry budget is spent.
+func (x *callerRequest) acquire(ctx context.Context) *grantedTarget {
+	started := time.Now()
+	grant, requestNumber, refused := x.h.Broker.Acquire(ctx, x.targetRequest(started, x.triedTargets))
 	x.waited += time.Since(started)
 	x.requestNumber = requestNumber
-	return grant, requestNumber, refused
+	if refused != nil {
+		x.handleRefusal(refused)
+		return nil
+	}
+	if x.history.sends > 0 && !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
+		x.h.Metrics.NotRetried(retry.StopBudget)
+		x.h.Broker.Done(requestNumber, steering.Abandoned)
+		x.giveUp()
+		return nil
+	}
+	return &grantedTarget{grant: grant, requestNumber: requestNumber}
 }
 
 // handleRefusal ends a request for which the broker grants no target.
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// An idempotent request without a response goes to another target after
-	// attemptTimeoutFactor times its latency target, but no earlier than
+	// For an idempotent request without a response another target is searched for
+	// after attemptTimeoutFactor times its latency target, but no earlier than
 	// minAttemptTimeout.
 	attemptTimeoutFactor = 2.5
 	minAttemptTimeout    = 250 * time.Millisecond
-	// streamStallTimeout is how long a resumable stream may send no event
-	// before it continues at another target. It is below minAbandonTimeout,
-	// the earliest time at which callers abandon a stream.
+	// streamStallTimeout is how long a resumable stream may send no event before
+	// another target is searched for. It is below minAbandonTimeout, the earliest
+	// time at which callers abandon a stream.
 	streamStallTimeout = 1300 * time.Millisecond
 	// maxExtraSends is how many more targets than the route's MaxAttempts get
 	// the request if targets decline without running it.
@@ -77,6 +77,14 @@
 	return true
 }
 
+// mayContinueAfterRun reports whether a request may go to another target if the present
+// attempt ends without an answer.
+func (h *history) mayContinueAfterRun(route *catalog.Route, remaining time.Duration) bool {
+	after := *h
+	after.possibleRuns++
+	return after.canRetry(route, remaining, true)
+}
+
 // refusalCode returns the code of a request that ends without a response from a
 // target. A request that may have run is never reported as not run.
 func (h *history) refusalCode(deadlineReached bool) result.Code {
@@ -92,8 +100,8 @@
 }
 
 // attemptTimeout returns how long one attempt may go without a whole response, or
-// a stream without an event, before the request goes to another target. It
-// returns 0 for no timeout if the request may not be sent again.
+// a stream without an event, before another target is searched for. It returns 0 for
+// no timeout if the request may not be sent again.
 func attemptTimeout(route *catalog.Route, h *history) time.Duration {
 	if !route.Repeatable() || h.possibleRuns+1 >= route.MaxAttempts {
 		return 0
