--- a/entry/edge/edge_suite_test.go
+++ b/entry/edge/edge_suite_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -538,4 +539,30 @@
 		Expect(a.body).To(Equal(standin.Stream(a.id, 5)))
 		Eventually(stopped).Within(2 * time.Second).Should(BeClosed())
 	})
+
+	// Guards against a kept connection that is closed while a request is read from it.
+	It("answers a request whose head has arrived in part when the stop begins", func() {
+		f := newFleet(1, 1)
+		e := f.start()
+		nc, err := net.Dial("tcp", f.settings[0].Listen)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(nc.Close)
+		reader := bufio.NewReader(nc)
+		for _, stop := range []bool{false, true} {
+			_, err = io.WriteString(nc, "GET /lookup/1 HTTP/1.1\r\nHost: h.example\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond)
+			if stop {
+				go e.Shutdown(context.Background())
+				time.Sleep(100 * time.Millisecond)
+			}
+			_, _ = io.WriteString(nc, "Attempt-Id: kept-1\r\nDeadline-Ms: 1000\r\n\r\n")
+			resp, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(200))
+			_, err = io.Copy(io.Discard, resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Close).To(Equal(stop))
+		}
+	})
 })
