edge: a planned stop closes only connections from which nothing was read

A caller whose request was being read from a kept connection when SIGTERM came saw the connection end without an answer.

Cause: Server.SetKeepAlivesEnabled(false) and Server.Close close every connection that counts as idle, and net/http counts it so until a whole head has been parsed.

During a stop each answer now carries Connection: close and idle connections stay open. At its end the listener is closed, and idle connections get an expired read deadline, which ends a read that has returned nothing and no other; requests that come meanwhile are answered.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -77,6 +77,7 @@
 	stateWatcher   *stateWatcher
 	retryBudget    *retry.SharedBudget
 	server         atomic.Pointer[http.Server]
+	callerConns    callerConns
 	// view is the published state in force: the configuration, the targets and
 	// the adapter versions.
 	view atomic.Pointer[catalog.View]
@@ -101,7 +102,7 @@
 func New(s platform.Settings) *Edge {
 	e := &Edge{
 		settings: s, metrics: telemetry.NewMetrics(), log: telemetry.For("entry"), started: time.Now(),
-		firstConfig: make(chan struct{}), failed: make(chan error, 1),
+		callerConns: callerConns{idle: make(map[net.Conn]bool)}, firstConfig: make(chan struct{}), failed: make(chan error, 1),
 	}
 	e.gracePeriod.Store(int64(s.Bounds.GracePeriod))
 	return e
@@ -280,6 +281,7 @@
 	}
 	server := &http.Server{
 		Handler: e.handler(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
+		ConnState: e.callerConns.stateChanged,
 	}
 	if v := e.view.Load(); v != nil && v.Config != nil {
 		limits := v.Config.Limits
@@ -307,26 +309,31 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.openRequests.Add(1)
 		defer e.openRequests.Add(-1)
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
 // Shutdown fails readiness, waits drainDelay for the load balancer to notice and
-// then refuses new requests. It closes the process when no request is open, or
-// killMargin before the end of the grace period.
+// then refuses new requests. Each answer closes its connection. When no request is
+// open, or killMargin before the end of the grace period, it closes the listener, the
+// idle connections and the process.
 func (e *Edge) Shutdown(ctx context.Context) {
 	began := time.Now()
 	e.log.With("open", e.openRequests.Load()).Info("planned stop begins")
 	e.stopping.Store(true)
-	if server := e.server.Load(); server != nil {
-		server.SetKeepAlivesEnabled(false)
-	}
 	sleep(ctx, drainDelay)
 	e.refusesRequests.Store(true)
 	end := began.Add(time.Duration(e.gracePeriod.Load()) - killMargin)
 	for e.openRequests.Load() > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(openRequestsPollInterval)
 	}
+	_ = e.callerListener.Close()
+	for e.callerConns.closeIdle() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(openRequestsPollInterval)
+	}
 	e.log.With("open", e.openRequests.Load()).Info("planned stop ends")
 	e.Close()
 }
