relay: renew the write deadline for the end of a stream

A caller of a stream whose target ends it more than 10 s after its last event would see a stream without its end: the deadline set for writing that event has passed, and the last chunk is not sent.

Found by reading each place where an entry ends a connection of its own accord; not seen in a record. The spec fails before this change ('to be >' with a deadline one second past) and passes with it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -265,6 +265,7 @@
 	if !x.history.streamStarted {
 		x.startStream(resp)
 	}
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, _ = x.w.Write(notEvents)
 	x.h.Metrics.Observe("answer_ms", time.Since(x.arrived).Milliseconds())
 	x.logEnd(result.OK, resp.StatusCode)
