relay: an unframed stream without events is broken off, not complete

A caller got 200 and an empty stream when an engine crashed after the head of an answer that has neither a length nor chunks.

Cause: the end of the connection ended such a stream, also before its first event, where nothing tells it from the end of the engine. It counts as broken now, so that the request goes on elsewhere or ends with 502.

The spec fails before this change (200 instead of 502) and passes with it; four more entries of the table guard whole and cut unframed answers and passed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -241,6 +241,9 @@
 			notEvents = nil
 			continue
 		}
+		if err == io.EOF && first && endsWithConnection(resp) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF && len(event) == 0 {
 			x.h.Broker.Done(requestNumber, steering.Answered)
 			x.endStream(resp, notEvents)
@@ -259,6 +262,12 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of its connection ends a response. Then
+// the end of the target cannot be told from that of a response without a body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // endStream completes a stream with what followed the last event. A stream without
 // events still sends its header.
 func (x *callerRequest) endStream(resp *http.Response, notEvents []byte) {
