--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -24,6 +24,9 @@
 	Model        string
 	Adapter      string
 	PromptTokens int // 0 if the request gives no count
+	// PromptParts holds the IDs of the parts of the prompt that other requests may
+	// share, bounded in number and length.
+	PromptParts []string
 	// LastEventID is the ID of the last event of a stream that the caller has.
 	LastEventID string
 }
