relay: logs of broken answers tell whether they had begun, and the prompt's parts

The lines of broken answers now have began, parts and error, an answer that cannot be trusted has a line, and answers_broken_before_first_event counts. go test ./internal/relay ./entry/edge passes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -51,6 +51,7 @@
 	defer cancel(nil)
 	stall := newStallTimer(attemptTimeout(x.route, &x.history), func() { cancel(errStalled) })
 	defer stall.stop()
+	x.began = false
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant))
 	if failure != nil {
 		return false, x.handleNoResponse(requestNumber, failure)
@@ -64,6 +65,7 @@
 		x.handleDeclined(requestNumber, resp)
 		return false, false
 	case Untrusted:
+		x.logBroken(errUntrusted)
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 		return false, true
 	case Failed:
@@ -93,6 +95,9 @@
 // broker.
 func (x *callerRequest) failAttempt(requestNumber uint64, outcome steering.Outcome, code result.Code) {
 	x.history.lastCode = code
+	if outcome == steering.ResponseBroken && !x.began {
+		x.h.Metrics.Count("answers_broken_before_first_event")
+	}
 	x.h.Broker.Done(requestNumber, outcome)
 }
 
@@ -110,7 +115,7 @@
 	if errors.Is(failure.Cause, upstream.ErrOverBounds) {
 		x.h.Metrics.Count("answers_over_bounds")
 	}
-	x.attemptLog().With("sent", failure.MaybeSent).With("error", failure.Cause).Info("no answer from the target")
+	x.withBreak(x.attemptLog().With("sent", failure.MaybeSent), failure.Cause).Info("no answer from the target")
 	return failure.MaybeSent
 }
 
@@ -146,6 +151,7 @@
 // readResponse reads a response to its end. It returns an error if the response
 // ends early or is too large.
 func (x *callerRequest) readResponse(resp *http.Response) (*wholeResponse, error) {
+	x.began = true
 	body, err := x.buffers.read(resp.Body, resp.ContentLength)
 	if err != nil {
 		x.logBroken(err)
@@ -166,7 +172,7 @@
 	if errors.Is(err, upstream.ErrOverBounds) {
 		x.h.Metrics.Count("answers_over_bounds")
 	}
-	x.attemptLog().With("error", err).Info("the answer of the target is not whole")
+	x.withBreak(x.attemptLog(), err).Info("the answer of the target is not whole")
 }
 
 // relayWhole reads a response that is not a stream and sends it to the caller.
@@ -201,7 +207,7 @@
 		if err == nil {
 			stall.reset()
 			if first {
-				first = false
+				first, x.began = false, true
 				x.h.Broker.FirstEvent(requestNumber)
 			}
 			if !x.writeEvent(resp, event, notEvents) {
@@ -224,7 +230,7 @@
 			if errors.Is(err, upstream.ErrOverBounds) {
 				x.logBroken(err)
 			}
-			x.log("the stream broke")
+			x.withBreak(x.requestLog(), err).Info("the stream broke")
 		}
 		return false, true
 	}
--- /dev/null
+++ b/internal/relay/broken.go
@@ -0,0 +1,19 @@
+package relay
+
+import (
+	"errors"
+	"strings"
+
+	"agatelanding.example/agatelanding/internal/telemetry"
+)
+
+var errUntrusted = errors.New("the response cannot be trusted")
+
+// withBreak adds the fields that relate a broken answer to the prompt: whether the
+// answer had begun, the shared parts of the prompt and the cause.
+func (x *callerRequest) withBreak(line *telemetry.Logger, err error) *telemetry.Logger {
+	if len(x.meta.PromptParts) > 0 {
+		line = line.With("parts", strings.Join(x.meta.PromptParts, ","))
+	}
+	return line.With("began", x.began).With("error", err)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,9 @@
 	// targetID and adapterVersion are those of the last grant.
 	targetID       string
 	adapterVersion int
+	// began is true once the first event of a stream, or the head of another answer,
+	// has arrived in the present attempt.
+	began bool
 	// waited is the total time spent waiting for targets.
 	waited time.Duration
 	// requestNumber is the number that the broker gave to the last Acquire. Each
@@ -271,9 +274,12 @@
 }
 
 // log writes a line with the message and the present state of the request.
-func (x *callerRequest) log(message string) {
-	x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", x.requestNumber).With("route", x.route.Name).With("target", x.targetID).With("sends", x.history.sends).
-		With("ran", x.history.possibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds()).Info(message)
+func (x *callerRequest) log(message string) { x.requestLog().Info(message) }
+
+// requestLog returns a logger with the present state of the request.
+func (x *callerRequest) requestLog() *telemetry.Logger {
+	return x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", x.requestNumber).With("route", x.route.Name).With("target", x.targetID).With("sends", x.history.sends).
+		With("ran", x.history.possibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds())
 }
 
 // logEnd writes the line that summarizes a request after its response or refusal.
