--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -53,6 +53,7 @@
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
 	x.triedTargets = append(x.triedTargets, grant.Target.ID)
 	x.history.sends++
+	x.began = false
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := x.newReplacement(func() { cancel(errSilent) })
@@ -80,6 +81,7 @@
 		x.handleDeclined(requestNumber, resp)
 		return false, false
 	case Untrusted:
+		x.logBroken(errUntrusted)
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 		return false, true
 	case Failed:
@@ -109,6 +111,9 @@
 // broker.
 func (x *callerRequest) failAttempt(requestNumber uint64, outcome steering.Outcome, code result.Code) {
 	x.history.lastCode = code
+	if outcome == steering.ResponseBroken && !x.began {
+		x.h.Metrics.Count("answers_broken_before_first_event")
+	}
 	x.h.Broker.Done(requestNumber, outcome)
 }
 
@@ -126,7 +131,7 @@
 	if errors.Is(failure.Cause, upstream.ErrOverBounds) {
 		x.h.Metrics.Count("answers_over_bounds")
 	}
-	x.attemptLog().With("sent", failure.MaybeSent).With("error", failure.Cause).Info("no answer from the target")
+	x.withBreak(x.attemptLog().With("sent", failure.MaybeSent), failure.Cause).Info("no answer from the target")
 	return failure.MaybeSent
 }
 
@@ -162,6 +167,7 @@
 // readResponse reads a response to its end. It returns an error if the response
 // ends early or is too large.
 func (x *callerRequest) readResponse(resp *http.Response) (*wholeResponse, error) {
+	x.began = true
 	body, err := x.buffers.read(resp.Body, resp.ContentLength)
 	if err != nil {
 		x.logBroken(err)
@@ -187,7 +193,7 @@
 	case cause != nil:
 		endedBy = "deadline"
 	}
-	x.stateLog().With("ended_by", endedBy).With("error", err).With("events", x.streamStats.events).Info("the stream broke")
+	x.withBreak(x.requestLog(), err).With("ended_by", endedBy).With("events", x.streamStats.events).Info("the stream broke")
 }
 
 // logBroken writes a line for a response that is no whole answer.
@@ -195,7 +201,7 @@
 	if errors.Is(err, upstream.ErrOverBounds) {
 		x.h.Metrics.Count("answers_over_bounds")
 	}
-	x.attemptLog().With("error", err).Info("the answer of the target is not whole")
+	x.withBreak(x.attemptLog(), err).Info("the answer of the target is not whole")
 }
 
 // relayWhole reads a response that is not a stream and sends it to the caller.
@@ -230,7 +236,7 @@
 		if err == nil {
 			silence.progressed()
 			if first {
-				first = false
+				first, x.began = false, true
 				x.h.Broker.FirstEvent(requestNumber)
 			}
 			if !x.writeEvent(resp, event, notEvents) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -24,6 +24,10 @@
 	Model        string
 	Adapter      string
 	PromptTokens int // 0 if the request gives no count
+	// PromptParts holds the IDs of the parts of the prompt in order, bounded in number
+	// and length. The last one belongs to the request itself, other requests may share
+	// the rest.
+	PromptParts []string
 	// LastEventID is the ID of the last event of a stream that the caller has.
 	LastEventID string
 }
