edge: failing specs of a silent attempt that ends before another one answers

A stream whose target is silent for 1.7 s ends with 'unexpected EOF' if the target that is granted meanwhile declines, fails, sends no valid answer or is silent too; and an answer that arrives for longer than the attempt timeout is sent for twice.

--- a/entry/edge/silence_suite_test.go
+++ b/entry/edge/silence_suite_test.go
@@ -1,6 +1,11 @@
 package edge_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,4 +62,44 @@
 		}
 		Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
 	})
+
+	// Guards against an answer that is given up for a target that then does not answer.
+	DescribeTable("delivers the whole answer if another target gets the request and", func(fault standin.Fault) {
+		f := newFleet(2, 1)
+		f.start()
+		first := f.query("a1")
+		Expect(first.status).To(Equal(200))
+		for i, r := range f.engines {
+			if len(runsOf(first.id, f.engines[i:i+1])) > 0 {
+				r.PauseTime = silence
+				r.InjectFaults(standin.Pause)
+			} else {
+				r.InjectFaults(fault)
+			}
+		}
+		a := f.query("a1")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(standin.Stream(a.id, 5)))
+	}, Entry("declines", standin.Decline), Entry("fails", standin.Fail), Entry("sends no valid answer", standin.Unsigned), Entry("is silent too", standin.Hang))
+
+	// Guards against an answer that counts as silent while it arrives.
+	It("does not send the request elsewhere while a long answer arrives", func() {
+		f := newFleet(0, 0)
+		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}}, route("slow", "/slow/", "idempotent", "raw", nil))
+		var all []*atomic.Int64
+		for i := range 2 {
+			address, _, requests := serveRaw(func(nc net.Conn, id string) {
+				_, _ = io.WriteString(nc, head(200, id, "Content-Length: 10\r\n\r\n"))
+				for range 10 {
+					_, _ = io.WriteString(nc, "x")
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+			all = append(all, requests)
+			f.store.Put(fmt.Sprintf("servers/raw-%d", i), map[string]any{"service": "raw", "address": address, "zone": "z1", "slots": 8, "state": "ready", "born": 5, "seq": 1})
+		}
+		f.start()
+		Expect(f.call(context.Background(), 0, "GET", "/slow/", nil, "").body).To(Equal("xxxxxxxxxx"))
+		Expect(all[0].Load() + all[1].Load()).To(BeEquivalentTo(1))
+	})
 })
