relay: a silent attempt ends when another target has begun to answer

Callers still lost the answer of a sound target that was silent for more than 1.3 s if the target that was granted meanwhile declined, failed, sent no valid answer or was silent as well ('unexpected EOF'), and an idempotent answer was sent for twice while it arrived.

Cause: a grant was taken for an answer, and only events counted as a sign of life.

The request now goes to the other target beside the silent attempt. The attempt ends when the other one has sent its first event, or its whole answer; whatever the silent target sends before cancels the other one, and a failure of the other one is counted and leaves the attempt alone. Bytes of an answer that is not a stream count, and time spent writing to the caller does not. The retry budget is asked before a target is reserved.

--- a/internal/decide/retry/shared_budget.go
+++ b/internal/decide/retry/shared_budget.go
@@ -95,20 +95,32 @@
 	c.requests[c.newest%windowParts]++
 }
 
+// CanSpend reports whether the budget of a pool has a repeat left.
+func (w *SharedBudget) CanSpend(now time.Time, pool string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hasRepeat(w.countsOf(now, pool))
+}
+
 // TrySpend takes one repeat from the budget of a pool. It reports false if the
 // budget of the current window is used up.
 func (w *SharedBudget) TrySpend(now time.Time, pool string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.countsOf(now, pool)
+	if !w.hasRepeat(c) {
+		return false
+	}
+	c.repeats[c.newest%windowParts]++
+	return true
+}
+
+// hasRepeat reports whether the counts of a pool allow another repeat.
+func (w *SharedBudget) hasRepeat(c *poolCounts) bool {
 	requests, repeats := 0, 0
 	for i := range windowParts {
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	if float64(repeats+1) > usableBudgetShare*(w.ratio*float64(requests)+w.slack/float64(w.entries)) {
-		return false
-	}
-	c.repeats[c.newest%windowParts]++
-	return true
+	return float64(repeats+1) <= usableBudgetShare*(w.ratio*float64(requests)+w.slack/float64(w.entries))
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -28,9 +26,6 @@
 	maxDeclineTime  = 100 * time.Millisecond
 )
 
-// errSilent ends an attempt whose target was silent when another one was granted.
-var errSilent = errors.New("no response or event in time; another target takes the request")
-
 // streamStats holds the figures of a stream for log lines and metrics.
 type streamStats struct {
 	// events counts the events sent to the caller.
@@ -44,31 +39,46 @@
 	lastEventAt time.Time
 }
 
-// attempt sends the request to one target and relays its response. done is true
-// if the response was sent to the caller; otherwise mayHaveRun is true if the
-// target may have run the request, and next is the target that was granted while this
-// one was silent, nil if there is none.
+// attempt sends the request to one target, or uses the answer that the target has begun
+// while another one was silent, and relays the response. done is true if the response
+// was sent to the caller; otherwise mayHaveRun is true if the target may have run the
+// request, and next is a target that has begun to answer meanwhile, nil if there is none.
 func (x *callerRequest) attempt(ctx context.Context, target *grantedTarget) (done, mayHaveRun bool, next *grantedTarget) {
 	grant, requestNumber := target.grant, target.requestNumber
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
 	x.triedTargets = append(x.triedTargets, grant.Target.ID)
 	x.history.sends++
 	x.began = false
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := x.newReplacement(func() { cancel(errSilent) })
-	silence.start()
+	requestCtx := ctx
+	ctx, end := context.WithCancelCause(ctx)
+	opened := target.opened
+	if opened != nil {
+		ctx, end = opened.ctx, opened.end
+		defer opened.close()
+	}
+	defer end(nil)
+	silence := x.newReplacement(requestCtx, func() { end(errSilent) })
 	// A panic ends the request, so that no other target is needed.
 	needed := false
-	defer func() { next = silence.end(needed) }()
-	done, mayHaveRun = x.send(ctx, grant, requestNumber, silence)
+	defer func() {
+		next = silence.finish(needed)
+		x.history.add(silence.failed)
+		x.triedTargets = append(x.triedTargets, silence.tried...)
+	}()
+	if opened != nil {
+		done, mayHaveRun = x.relayOpened(ctx, requestNumber, opened, silence)
+	} else {
+		done, mayHaveRun = x.send(ctx, grant, requestNumber, silence)
+	}
 	needed = !done
 	return done, mayHaveRun, nil
 }
 
 // send sends the request to the target of an attempt and relays its response.
 func (x *callerRequest) send(ctx context.Context, grant steering.Grant, requestNumber uint64, silence *replacement) (done, mayHaveRun bool) {
-	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant))
+	silence.await(x.resumeAfter())
+	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, x.resumeAfter()))
+	silence.arrived()
 	if failure != nil {
 		return false, x.handleNoResponse(requestNumber, failure)
 	}
@@ -85,21 +95,38 @@
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 		return false, true
 	case Failed:
-		return x.handleFailed(requestNumber, resp)
+		return x.handleFailed(requestNumber, resp, silence)
 	}
 	if x.route.Kind != catalog.Stream {
-		return x.relayWhole(requestNumber, resp)
+		return x.relayWhole(requestNumber, resp, silence)
 	}
-	return x.relayStream(ctx, requestNumber, resp, silence)
+	return x.relayStream(ctx, requestNumber, resp, newEventReader(resp), silence)
+}
+
+// relayOpened relays a response that has begun before its attempt.
+func (x *callerRequest) relayOpened(ctx context.Context, requestNumber uint64, opened *openedResponse, silence *replacement) (done, mayHaveRun bool) {
+	if opened.whole != nil {
+		x.began = true
+		x.h.Broker.Done(requestNumber, steering.Answered)
+		x.writeResponse(opened.whole)
+		return true, true
+	}
+	return x.relayStream(ctx, requestNumber, opened.resp, opened.events, silence)
+}
+
+// resumeAfter returns the ID of the event after which a stream continues at another
+// target, empty for a request from its start.
+func (x *callerRequest) resumeAfter() string {
+	if !x.history.streamStarted {
+		return ""
+	}
+	return x.lastEventID
 }
 
 // upstreamRequest builds the request to the granted target. A stream that has
 // started continues after the last event that the caller got.
-func (x *callerRequest) upstreamRequest(grant steering.Grant) *upstream.Request {
-	fields := UpstreamFields{Target: grant.Target.ID, Remaining: x.remaining(), Version: grant.Version, Priority: -1}
-	if x.history.streamStarted {
-		fields.LastEventID = x.lastEventID
-	}
+func (x *callerRequest) upstreamRequest(grant steering.Grant, lastEventID string) *upstream.Request {
+	fields := UpstreamFields{Target: grant.Target.ID, Remaining: x.remaining(), Version: grant.Version, Priority: -1, LastEventID: lastEventID}
 	id := x.meta.AttemptID
 	return &upstream.Request{
 		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body,
@@ -153,8 +180,8 @@
 
 // handleFailed records a failure response of the target. The response is kept
 // and goes to the caller if no other target succeeds.
-func (x *callerRequest) handleFailed(requestNumber uint64, resp *http.Response) (done, mayHaveRun bool) {
-	whole, err := x.readResponse(resp)
+func (x *callerRequest) handleFailed(requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
+	whole, err := x.readResponse(resp, silence)
 	if err != nil {
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 		return false, true
@@ -166,9 +193,9 @@
 
 // readResponse reads a response to its end. It returns an error if the response
 // ends early or is too large.
-func (x *callerRequest) readResponse(resp *http.Response) (*wholeResponse, error) {
+func (x *callerRequest) readResponse(resp *http.Response, silence *replacement) (*wholeResponse, error) {
 	x.began = true
-	body, err := x.buffers.read(resp.Body, resp.ContentLength)
+	body, err := x.buffers.read(&watchedBody{body: resp.Body, silence: silence}, resp.ContentLength)
 	if err != nil {
 		x.logBroken(err)
 		return nil, err
@@ -205,8 +232,8 @@
 }
 
 // relayWhole reads a response that is not a stream and sends it to the caller.
-func (x *callerRequest) relayWhole(requestNumber uint64, resp *http.Response) (done, mayHaveRun bool) {
-	whole, err := x.readResponse(resp)
+func (x *callerRequest) relayWhole(requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
+	whole, err := x.readResponse(resp, silence)
 	if err != nil {
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 		return false, true
@@ -218,41 +245,29 @@
 
 // relayStream sends the events of a stream to the caller as they arrive. It sends
 // whole events only, so that the stream can continue at another target.
-func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
-	reader := bufio.NewReaderSize(resp.Body, 4<<10)
-	first := true
-	// notEvents holds what the target sent since the last event with an ID, such as
-	// comments. It is passed on with the next event: alone it shows no progress, and a
-	// stream that continues at another target must not contain it.
-	var notEvents []byte
+func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, events *eventReader, silence *replacement) (done, mayHaveRun bool) {
 	for {
-		event, err := readEvent(reader)
-		if err == nil && eventID(event) == "" {
-			if notEvents = append(notEvents, event...); len(notEvents) <= maxEventBytes {
-				continue
-			}
-			err = upstream.ErrOverBounds
+		silence.await(x.resumeAfter())
+		event, err := events.next()
+		if !silence.arrived() {
+			// Another target continues after the events sent so far.
+			err = errSilent
 		}
 		if err == nil {
-			silence.progressed()
-			if first {
-				first, x.began = false, true
+			if !x.began {
+				x.began = true
 				x.h.Broker.FirstEvent(requestNumber)
 			}
-			if !x.writeEvent(resp, event, notEvents) {
+			if !x.writeEvent(resp, event, events.preceding) {
 				x.h.Broker.Done(requestNumber, steering.Abandoned)
 				x.log("writing to the caller failed")
 				panic(http.ErrAbortHandler)
 			}
-			notEvents = nil
 			continue
 		}
-		if err == io.EOF && first && endsWithConnection(resp) {
-			err = io.ErrUnexpectedEOF
-		}
-		if err == io.EOF && len(event) == 0 {
+		if err == io.EOF {
 			x.h.Broker.Done(requestNumber, steering.Answered)
-			x.endStream(resp, notEvents)
+			x.endStream(resp, events.preceding)
 			return true, true
 		}
 		if x.r.Context().Err() != nil {
@@ -268,12 +283,6 @@
 	}
 }
 
-// endsWithConnection reports whether only the end of its connection ends a response. Then
-// the end of the target cannot be told from that of a response without a body.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // endStream completes a stream with what followed the last event. A stream without
 // events still sends its header.
 func (x *callerRequest) endStream(resp *http.Response, notEvents []byte) {
@@ -327,33 +336,3 @@
 	}
 	return control.Flush() == nil
 }
-
-// readEvent returns the next event with the empty line that ends it. At the
-// end of the stream it returns the remaining bytes and io.EOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case len(event) > maxEventBytes:
-			return event, upstream.ErrOverBounds
-		case err == bufio.ErrBufferFull:
-			continue
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
-			return event, nil
-		}
-	}
-}
-
-// eventID returns the value of the id field of an event, or "" if it has none.
-func eventID(event []byte) string {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/internal/relay/open.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/retry"
+	"agatelanding.example/agatelanding/internal/decide/steering"
+	"agatelanding.example/agatelanding/internal/result"
+)
+
+// openedResponse is a response of a target that has begun: the first event of a stream
+// has arrived, or the whole of another response.
+type openedResponse struct {
+	// ctx bounds the response, and end ends it.
+	ctx     context.Context
+	end     context.CancelCauseFunc
+	resp    *http.Response
+	events  *eventReader
+	whole   *wholeResponse
+	buffers buffers
+}
+
+func (o *openedResponse) close() {
+	o.end(nil)
+	if o.resp != nil {
+		_ = o.resp.Body.Close()
+	}
+	o.buffers.release()
+}
+
+// newReplacement returns the search for a target that replaces a silent one of the
+// present attempt. ctx is that of the request.
+func (x *callerRequest) newReplacement(ctx context.Context, endAttempt func()) *replacement {
+	history, tried := x.history, x.triedTargets
+	return &replacement{
+		timeout: attemptTimeout(x.route, &x.history), endAttempt: endAttempt, release: x.releaseOpened,
+		mayReplace: func(failed sendCounts) bool { return history.mayReplace(x.route, x.remaining(), failed) },
+		open: func(searchCtx context.Context, resumeAfter string, failed []string) openOutcome {
+			excluded := append(append([]string(nil), tried...), failed...)
+			return x.openElsewhere(ctx, searchCtx, resumeAfter, excluded)
+		},
+	}
+}
+
+// releaseOpened gives up a response that is not needed.
+func (x *callerRequest) releaseOpened(target *grantedTarget) {
+	target.opened.close()
+	x.h.Broker.Done(target.requestNumber, steering.Abandoned)
+}
+
+// openElsewhere sends the request to a target that is not excluded and waits until it
+// begins to answer. ctx bounds the response, search only the wait. It runs beside the
+// attempt and uses no field that the attempt changes.
+func (x *callerRequest) openElsewhere(ctx, search context.Context, resumeAfter string, excluded []string) openOutcome {
+	if !x.h.RetryBudget.CanSpend(time.Now(), x.poolName) {
+		x.h.Metrics.NotRetried(retry.StopBudget)
+		return openOutcome{}
+	}
+	grant, requestNumber, refused := x.h.Broker.Acquire(search, x.targetRequest(time.Now(), excluded))
+	if refused != nil {
+		x.h.Metrics.Count("silent_attempts_kept")
+		return openOutcome{}
+	}
+	if !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
+		x.h.Metrics.NotRetried(retry.StopBudget)
+		x.h.Broker.Done(requestNumber, steering.Abandoned)
+		return openOutcome{}
+	}
+	x.h.Metrics.Retried(result.AnswerCut)
+	o := &openedResponse{buffers: buffers{pool: x.h.Buffers}}
+	o.ctx, o.end = context.WithCancelCause(ctx)
+	stop := context.AfterFunc(search, func() { o.end(context.Canceled) })
+	outcome, mayHaveRun := x.open(o, grant, resumeAfter)
+	if !stop() && outcome == 0 {
+		outcome, mayHaveRun = steering.Abandoned, true
+	}
+	x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", requestNumber).With("target", grant.Target.ID).
+		With("began", outcome == 0).Info("sent elsewhere, because the target is silent")
+	if outcome != 0 {
+		o.close()
+		x.h.Broker.Done(requestNumber, outcome)
+		return openOutcome{tried: grant.Target.ID, mayHaveRun: mayHaveRun}
+	}
+	x.h.Metrics.Count("attempts_ended_by_silence")
+	return openOutcome{target: &grantedTarget{grant: grant, requestNumber: requestNumber, opened: o}}
+}
+
+// open sends the request and waits for the begin of the response. It returns the outcome
+// of a send that failed, else 0, and whether the target may have run the request.
+func (x *callerRequest) open(o *openedResponse, grant steering.Grant, resumeAfter string) (outcome steering.Outcome, mayHaveRun bool) {
+	resp, failure := x.h.Upstream.Do(o.ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
+	switch {
+	case failure != nil && !failure.MaybeSent:
+		return steering.Unreachable, false
+	case failure != nil && o.ctx.Err() != nil:
+		return steering.Abandoned, true
+	case failure != nil:
+		return steering.ResponseBroken, true
+	}
+	o.resp = resp
+	if n := x.h.Dialect.ParseNotice(resp); n != (steering.Notice{}) {
+		x.h.Broker.Notified(grant.Target, n)
+	}
+	switch x.h.Dialect.Classify(resp, x.meta.AttemptID) {
+	case Declined:
+		if wrongTarget, _ := x.h.Dialect.ParseDecline(resp); wrongTarget {
+			return steering.WrongIncarnation, false
+		}
+		return steering.Declined, false
+	case Untrusted:
+		return steering.ResponseBroken, true
+	case Failed:
+		return steering.Answered, true
+	}
+	var err error
+	if x.route.Kind == catalog.Stream {
+		o.events = newEventReader(resp)
+		err = o.events.peek()
+	} else {
+		var body [][]byte
+		body, err = o.buffers.read(resp.Body, resp.ContentLength)
+		o.whole = &wholeResponse{status: resp.StatusCode, header: x.h.Dialect.CallerHeader(resp.Header), body: body}
+	}
+	switch {
+	case err == nil:
+		return 0, true
+	case o.ctx.Err() != nil:
+		return steering.Abandoned, true
+	}
+	return steering.ResponseBroken, true
+}
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -2,66 +2,98 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
-	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 )
 
+// errSilent ends an attempt whose target was silent while another one began to answer.
+var errSilent = errors.New("no response or event in time; another target answers")
+
 // grantedTarget is a target that the broker has granted to a request.
 type grantedTarget struct {
 	grant         steering.Grant
 	requestNumber uint64
+	// opened is the response that the target has begun, nil if the request was not sent
+	// yet.
+	opened *openedResponse
 }
 
-// replacement searches for another target while the target of an attempt is silent.
-// A silent target may go on, so the attempt ends only once another target has been
-// granted. The timer, the search and the attempt run in goroutines of their own; mu
-// guards the fields below it.
+// replacement sends a request to another target while the target of an attempt is
+// silent. A silent target may go on and another one may fail, so the attempt ends only
+// once the other target has begun to answer, and whatever the silent target sends before
+// ends the search. The timer, the search and the attempt run in goroutines of their own;
+// mu guards the fields below it.
 type replacement struct {
 	// timeout is the silence after which a search begins, 0 for no search.
 	timeout time.Duration
-	// acquire waits for a target, spend takes a repeat from the retry budget and
-	// reports whether there was one, release gives a granted target back, and
-	// endAttempt ends the attempt.
-	acquire    func(context.Context) (*grantedTarget, bool)
-	spend      func() bool
+	// mayReplace reports whether the request may go to another target, after failed
+	// ones.
+	mayReplace func(failed sendCounts) bool
+	// open sends the request to another target than those tried and waits until it
+	// begins to answer. It returns nil if there is none or it failed.
+	open func(ctx context.Context, resumeAfter string, tried []string) openOutcome
+	// release gives up a target that has begun to answer, and endAttempt ends the
+	// attempt.
 	release    func(*grantedTarget)
 	endAttempt func()
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// cancelSearch ends the search in progress, nil if there is none. searches
-	// numbers the searches.
+	// awaiting is true while the attempt waits for its target.
+	awaiting    bool
+	resumeAfter string
+	// cancelSearch ends the search in progress, nil if there is none.
 	cancelSearch context.CancelFunc
-	searches     int
 	// granted is the target that replaces the one of the attempt.
 	granted *grantedTarget
 	ended   bool
+	// failed and tried are the sends to other targets that failed.
+	failed sendCounts
+	tried  []string
+	// searching is held by the search in progress.
+	searching sync.WaitGroup
+}
+
+// openOutcome is the result of a search. target is nil if no other target answers.
+type openOutcome struct {
+	target     *grantedTarget
+	tried      string // the target that failed, empty if the request was not sent
+	mayHaveRun bool
 }
 
-// start begins to watch for silence.
-func (r *replacement) start() {
+// await begins to watch for silence. The stream continues at another target after the
+// event with the ID resumeAfter.
+func (r *replacement) await(resumeAfter string) {
 	if r.timeout <= 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.timer = time.AfterFunc(r.timeout, r.search)
+	r.awaiting, r.resumeAfter = true, resumeAfter
+	if r.timer == nil {
+		r.timer = time.AfterFunc(r.timeout, r.search)
+	} else {
+		r.timer.Reset(r.timeout)
+	}
 }
 
-// progressed records that the target sent an event. It ends a search in progress.
-func (r *replacement) progressed() {
+// arrived records that the target has sent something, and ends the watch and a search in
+// progress. It returns false if another target answers already: then what arrived must
+// not be used.
+func (r *replacement) arrived() bool {
 	if r.timeout <= 0 {
-		return
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.granted == nil && !r.ended {
-		r.stopSearch()
-		r.timer.Reset(r.timeout)
-	}
+	r.awaiting = false
+	r.timer.Stop()
+	r.stopSearch()
+	return r.granted == nil
 }
 
 // stopSearch ends the search in progress. r.mu must be held.
@@ -72,47 +104,58 @@
 	}
 }
 
-// search waits for another target and ends the attempt when there is one. Without
-// one, the next search begins after another timeout.
+// search sends the request to another target and ends the attempt if that one begins to
+// answer. Otherwise the next search begins after another timeout.
 func (r *replacement) search() {
 	r.mu.Lock()
-	if r.ended || r.cancelSearch != nil {
+	if !r.awaiting || r.ended || r.granted != nil || r.cancelSearch != nil || !r.mayReplace(r.failed) {
 		r.mu.Unlock()
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	r.searches++
-	number := r.searches
 	r.cancelSearch = cancel
+	resumeAfter, tried := r.resumeAfter, r.tried
+	r.searching.Add(1)
 	r.mu.Unlock()
+	defer r.searching.Done()
 
-	found, ok := r.acquire(ctx)
+	found := r.open(ctx, resumeAfter, tried)
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := r.cancelSearch != nil && r.searches == number
-	if current {
-		r.cancelSearch = nil
+	// A search that was ended has a cancelled context, also if another one has begun.
+	cancelled := ctx.Err() != nil
+	cancel()
+	if found.tried != "" {
+		r.tried = append(r.tried, found.tried)
+		r.failed.sends++
+		if found.mayHaveRun {
+			r.failed.possibleRuns++
+		}
 	}
 	switch {
-	case ok && current && r.spend():
-		r.granted = found
-		r.endAttempt()
+	case cancelled && found.target != nil:
+		r.tried = append(r.tried, found.target.grant.Target.ID)
+		r.failed.sends++
+		r.failed.possibleRuns++
+		r.release(found.target)
+		return
+	case cancelled:
 		return
-	case ok:
-		r.release(found)
 	}
-	if current {
-		r.timer.Reset(r.timeout)
+	r.cancelSearch = nil
+	if found.target != nil {
+		r.granted = found.target
+		r.endAttempt()
+		return
 	}
+	r.timer.Reset(r.timeout)
 }
 
-// end ends the watch with the attempt. It returns the target that replaces the one of
-// the attempt, nil if there is none. A target that is no longer needed is released.
-func (r *replacement) end(needed bool) *grantedTarget {
+// finish ends the watch with the attempt. It returns the target that replaces the one of
+// the attempt, nil if there is none. A target that is not needed is released.
+func (r *replacement) finish(needed bool) *grantedTarget {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.ended = true
 	r.stopSearch()
 	if r.timer != nil {
@@ -120,6 +163,9 @@
 	}
 	granted := r.granted
 	r.granted = nil
+	r.mu.Unlock()
+	// The failed sends are counted after this.
+	r.searching.Wait()
 	if granted != nil && !needed {
 		r.release(granted)
 		return nil
@@ -127,33 +173,18 @@
 	return granted
 }
 
-// newReplacement returns the search for a target that replaces the one of the present
-// attempt.
-func (x *callerRequest) newReplacement(endAttempt func()) *replacement {
-	timeout := attemptTimeout(x.route, &x.history)
-	if !x.history.mayContinueAfterRun(x.route, x.remaining()) {
-		timeout = 0
-	}
-	// The search may outlast the attempt, after which triedTargets changes.
-	tried := x.triedTargets
-	return &replacement{
-		timeout: timeout, endAttempt: endAttempt,
-		acquire: func(ctx context.Context) (*grantedTarget, bool) {
-			grant, requestNumber, refused := x.h.Broker.Acquire(ctx, x.targetRequest(time.Now(), tried))
-			if refused != nil {
-				x.h.Metrics.Count("silent_attempts_kept")
-				return nil, false
-			}
-			return &grantedTarget{grant: grant, requestNumber: requestNumber}, true
-		},
-		spend: func() bool {
-			if x.remaining() < minAttemptTime || !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
-				x.h.Metrics.NotRetried(retry.StopBudget)
-				return false
-			}
-			x.h.Metrics.Count("attempts_ended_by_silence")
-			return true
-		},
-		release: func(g *grantedTarget) { x.h.Broker.Done(g.requestNumber, steering.Abandoned) },
+// watchedBody is the body of a response whose bytes end a silence.
+type watchedBody struct {
+	body    io.Reader
+	silence *replacement
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	b.silence.await("")
+	n, err := b.body.Read(p)
+	if !b.silence.arrived() {
+		return 0, errSilent
 	}
+	return n, err
 }
--- a/internal/relay/replacement_suite_test.go
+++ b/internal/relay/replacement_suite_test.go
@@ -7,67 +7,88 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/steering"
 )
 
 var _ = Describe("The search for a target that replaces a silent one", func() {
 	var (
 		r                         *replacement
 		searches, released, ended atomic.Int32
-		answer                    chan *grantedTarget // nil refuses
-		hasBudget                 bool
+		outcome                   chan openOutcome
 	)
+	other := &grantedTarget{grant: steering.Grant{Target: &catalog.Target{ID: "other"}}}
 	BeforeEach(func() {
 		searches.Store(0)
 		released.Store(0)
 		ended.Store(0)
-		answer, hasBudget = make(chan *grantedTarget, 1), true
+		outcome = make(chan openOutcome, 1)
 		r = &replacement{
 			timeout: 20 * time.Millisecond,
-			acquire: func(ctx context.Context) (*grantedTarget, bool) {
+			mayReplace: func(failed sendCounts) bool {
+				return failed.possibleRuns == 0
+			},
+			open: func(ctx context.Context, _ string, _ []string) openOutcome {
 				searches.Add(1)
 				select {
-				case g := <-answer:
-					return g, g != nil
+				case o := <-outcome:
+					return o
 				case <-ctx.Done():
-					return nil, false
+					return openOutcome{tried: "other", mayHaveRun: true}
 				}
 			},
-			spend: func() bool { return hasBudget }, release: func(*grantedTarget) { released.Add(1) }, endAttempt: func() { ended.Add(1) },
+			release: func(*grantedTarget) { released.Add(1) }, endAttempt: func() { ended.Add(1) },
 		}
-		r.start()
+		r.await("")
 		Eventually(searches.Load).Should(BeNumerically("==", 1))
 	})
-	AfterEach(func() { r.end(false) })
+	AfterEach(func() { r.finish(false) })
 
-	It("ends the attempt once a target is granted", func() {
-		found := &grantedTarget{requestNumber: 7}
-		answer <- found
+	It("ends the attempt once the other target answers, and what arrives later is not used", func() {
+		outcome <- openOutcome{target: other}
 		Eventually(ended.Load).Should(BeNumerically("==", 1))
-		Expect(r.end(true)).To(BeIdenticalTo(found))
+		Expect(r.arrived()).To(BeFalse())
+		Expect(r.finish(true)).To(BeIdenticalTo(other))
 		Expect(released.Load()).To(BeZero())
 	})
 
 	// Each of these must leave the attempt alone.
-	It("goes on after a refusal and with a spent retry budget", func() {
-		answer <- nil
+	It("goes on if no other target is granted or one fails that did not run the request", func() {
+		outcome <- openOutcome{}
 		Eventually(searches.Load).Should(BeNumerically("==", 2))
-		hasBudget = false
-		answer <- &grantedTarget{}
+		outcome <- openOutcome{tried: "other"}
 		Eventually(searches.Load).Should(BeNumerically("==", 3))
-		Expect(released.Load()).To(BeNumerically("==", 1))
 		Expect(ended.Load()).To(BeZero())
+		Expect(r.arrived()).To(BeTrue())
 	})
 
-	It("ends with an event of the silent target", func() {
-		r.progressed()
-		Eventually(searches.Load).Should(BeNumerically("==", 2))
+	It("ends for good when another target may have run the request", func() {
+		outcome <- openOutcome{tried: "other", mayHaveRun: true}
+		Consistently(searches.Load).WithTimeout(100 * time.Millisecond).Should(BeNumerically("==", 1))
+		Expect(r.finish(true)).To(BeNil())
+		Expect(r.failed).To(Equal(sendCounts{sends: 1, possibleRuns: 1}))
+		Expect(r.tried).To(Equal([]string{"other"}))
+	})
+
+	It("ends when the silent target sends something, and counts the send", func() {
+		Expect(r.arrived()).To(BeTrue())
+		r.await("")
+		Expect(r.finish(true)).To(BeNil())
 		Expect(ended.Load()).To(BeZero())
+		Expect(r.failed).To(Equal(sendCounts{sends: 1, possibleRuns: 1}))
 	})
 
-	It("releases a target that is granted when the answer is complete", func() {
-		answer <- &grantedTarget{}
+	It("releases a target that answers when the answer is complete", func() {
+		outcome <- openOutcome{target: other}
 		Eventually(ended.Load).Should(BeNumerically("==", 1))
-		Expect(r.end(false)).To(BeNil())
+		Expect(r.finish(false)).To(BeNil())
 		Expect(released.Load()).To(BeNumerically("==", 1))
 	})
+
+	// Guards against a caller that reads slowly and counts as a silent target.
+	It("does not begin while nothing is awaited", func() {
+		Expect(r.arrived()).To(BeTrue())
+		Consistently(searches.Load).WithTimeout(100 * time.Millisecond).Should(BeNumerically("==", 1))
+	})
 })
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -77,10 +77,22 @@
 	return true
 }
 
-// mayContinueAfterRun reports whether a request may go to another target if the present
-// attempt ends without an answer.
-func (h *history) mayContinueAfterRun(route *catalog.Route, remaining time.Duration) bool {
+// sendCounts counts attempts that failed while another one went on.
+type sendCounts struct {
+	sends, possibleRuns int
+}
+
+// add counts failed attempts.
+func (h *history) add(failed sendCounts) {
+	h.sends += failed.sends
+	h.possibleRuns += failed.possibleRuns
+}
+
+// mayReplace reports whether a request may go to another target during the present
+// attempt, which may have run it.
+func (h *history) mayReplace(route *catalog.Route, remaining time.Duration, failed sendCounts) bool {
 	after := *h
+	after.add(failed)
 	after.possibleRuns++
 	return after.canRetry(route, remaining, true)
 }
