steering: release requests while their service is not configured

Cause: a version of the configuration without the service of an engine cleared target.engine, and from then on Started, Release and Attach were not sent, although the session stayed open as long as the target was listed. The target process counted the requests as running forever, so that its slots stayed taken after the service had come back.

The new spec failed before: no message was sent for two requests that ended while the service was not configured. Whether to send is now decided by the requested session, which exists from the first configuration of the service to the removal of the target, and so covers every reservation made there.

--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -20,7 +20,7 @@
 		s.sendEngineSettings(t)
 	}
 	for _, r := range s.openRequests() {
-		if r.target == t && r.state == granted && t.engine != nil {
+		if r.target == t && r.state == granted {
 			s.emit(Send{Target: id, Message: &wire.Attach{ID: s.attemptID(r), Model: r.Model, Adapter: r.Adapter}})
 		}
 	}
@@ -135,13 +135,14 @@
 	return s.takeActions()
 }
 
-// sendToTargetProcess sends a message to the target process of a request. It
+// sendToTargetProcess sends a message to the target process of a request while a
+// session is requested, which outlasts the service in the configuration. It
 // does not check for an open session: a new session may be open before SessionUp
 // is called, and a request that was attached on it must be released on it.
 // Without a session the message is dropped, and the target process detects the
 // loss of the session itself.
 func (s *Steering) sendToTargetProcess(r *request, message any) {
-	if t := r.target; t.engine != nil && s.targets[t.ID] == t {
+	if t := r.target; t.sessionRequested && s.targets[t.ID] == t {
 		s.emit(Send{Target: t.ID, Message: message})
 	}
 }
--- a/internal/decide/steering/steering_suite_test.go
+++ b/internal/decide/steering/steering_suite_test.go
@@ -347,6 +347,42 @@
 		Expect(e.sent).To(ContainElement(steering.Send{Target: id, Message: &wire.Release{ID: e.reservation(1)}}))
 	})
 
+	// Guards against requests that count as running at the target process forever: the
+	// session stays open while a version of the configuration lacks the service.
+	It("stays known to its target process while its service is not configured", func() {
+		number := uint64(0)
+		admit := func() string {
+			number++
+			e.want(number, "a1")
+			id := e.reserves(number)[0]
+			e.accept(number, id, 1)
+			return id
+		}
+		configure := func(pools map[string]*catalog.Pool) {
+			view := *e.view
+			view.Config = catalog.NewConfig(view.Config.Version+1, nil, pools, catalog.Limits{})
+			e.view = &view
+			e.do(e.s.SetView(e.now, e.view))
+		}
+		first, second := admit(), admit()
+		configure(nil)
+		e.sent = nil
+		e.do(e.s.FirstEvent(1))
+		e.do(e.s.Done(e.now, 1, steering.Answered))
+		e.do(e.s.SessionLost(e.now, second))
+		e.do(e.s.SessionUp(e.now, second))
+		e.do(e.s.Done(e.now, 2, steering.Answered))
+		Expect(e.sent).To(Equal([]steering.Send{
+			{Target: first, Message: &wire.Started{ID: e.reservation(1)}},
+			{Target: first, Message: &wire.Release{ID: e.reservation(1)}},
+			{Target: second, Message: &wire.Attach{ID: e.reservation(2), Model: "m", Adapter: "a1"}},
+			{Target: second, Message: &wire.Release{ID: e.reservation(2)}},
+		}))
+		configure(map[string]*catalog.Pool{"p": engines()})
+		e.connect(second)
+		admit()
+	})
+
 	// After a power loss the metadata store lists the old incarnations beside the
 	// new ones until they expire. In a recorded incident, target processes refused
 	// 1,552 reservations for old incarnations in two seconds.
