relay: abort the connection of a request whose caller has left

Cause: net/http cancels the context of a request when the caller closes its sending side. The handler then returned without a word, and the server completed an empty 200 without a signature, or the last chunk of a stream that had begun. A caller that still reads takes either for a whole answer.

The new specs with a half-closed raw connection failed before in all three cases: without an answer, in a stream and while the request waited for a target, the response was read to its end without an error. http.ErrAbortHandler closes the connection without completing the response: the specs passed in 10 of 10 runs with the race detector.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -172,9 +172,7 @@
 			if replacement != nil {
 				x.h.Broker.Done(replacement.requestNumber, steering.Abandoned)
 			}
-			x.log("caller left")
-			x.h.Metrics.Refused(result.CallerGone)
-			return
+			x.abandon("caller left")
 		}
 		if replacement == nil && !x.history.canRetry(x.route, x.remaining(), mayHaveRun) {
 			x.giveUp()
@@ -217,9 +215,7 @@
 // handleRefusal ends a request for which the broker grants no target.
 func (x *callerRequest) handleRefusal(refused *steering.Refused) {
 	if x.r.Context().Err() != nil {
-		x.h.Metrics.Refused(result.CallerGone)
-		x.log("caller left while waiting")
-		return
+		x.abandon("caller left while waiting")
 	}
 	if x.history.possibleRuns == 0 {
 		x.history.lastCode = refused.Code
@@ -228,6 +224,15 @@
 	x.giveUp()
 }
 
+// abandon ends a request whose caller has left. It aborts the connection, because a
+// caller that has closed only its sending side would take the response that net/http
+// completes for a whole one.
+func (x *callerRequest) abandon(message string) {
+	x.log(message)
+	x.h.Metrics.Refused(result.CallerGone)
+	panic(http.ErrAbortHandler)
+}
+
 // giveUp ends a request that gets no further attempt. It aborts the connection
 // of a stream that has started. Otherwise the caller gets the last failure
 // response of a target or, without one, a refusal.
