relay: give each part of a whole answer the time of one write

Cause: the write deadline of 10 s was set once before the header, although it bounds one write. A caller that read a large answer steadily, but in more than 10 s, was cut off.

The new spec failed before: only the first of three parts reached a caller whose deadline passes during each write.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,7 +26,8 @@
 	configRetryAfter = 250 * time.Millisecond
 	// defaultTimeout bounds a request whose route sets no timeout.
 	defaultTimeout = 30 * time.Second
-	// writeTimeout bounds one write to a caller that does not read.
+	// writeTimeout bounds one write to a caller that does not read: an event, or a part
+	// of at most partBytes of a whole response.
 	writeTimeout = 10 * time.Second
 )
 
@@ -272,9 +273,10 @@
 	for name, values := range whole.header {
 		header[name] = values
 	}
-	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	control := http.NewResponseController(x.w)
 	x.w.WriteHeader(whole.status)
 	for _, part := range whole.body {
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := x.w.Write(part); err != nil {
 			break
 		}
--- a/internal/relay/write_suite_test.go
+++ b/internal/relay/write_suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"time"
 
@@ -41,6 +42,30 @@
 	})
 })
 
+// slowCaller is a response writer whose deadline passes during each write.
+type slowCaller struct{ deadlineRecorder }
+
+func (s *slowCaller) Write(part []byte) (int, error) {
+	if s.deadline.Before(time.Now()) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	s.deadline = time.Time{}
+	return s.ResponseRecorder.Write(part)
+}
+
+var _ = Describe("A whole answer", func() {
+	// Guards against a write deadline for the whole body, which cuts off a caller that
+	// reads a large answer slowly.
+	It("has the time of one write for each part", func() {
+		w := &slowCaller{deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}}
+		x := &callerRequest{
+			h: &Handler{Dialect: headers{}, Metrics: telemetry.NewMetrics(), Log: telemetry.For("relay")}, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil),
+		}
+		x.writeResponse(&wholeResponse{status: 200, body: [][]byte{[]byte("one "), []byte("two "), []byte("three")}})
+		Expect(w.Body.String()).To(Equal("one two three"))
+	})
+})
+
 // headers passes headers on unchanged.
 type headers struct{ HeaderCodec }
 
