wire, result: crash evidence and verdicts in Items, code prompt_quarantined

Items carries crash records, begun suspected parts and verdicts as optional fields with ages instead of times.

Code 2019 prompt_quarantined refuses a request with such a part.

--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -38,6 +38,7 @@
 	UnknownReservation Code = 2016
 	CancelledNotRun    Code = 2017
 	TargetsPaused      Code = 2018
+	PromptQuarantined  Code = 2019
 
 	OutcomeUnknown Code = 3001
 	KeyUnknown     Code = 3002
@@ -158,6 +159,7 @@
 	{UnknownReservation, "unknown_reservation", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, true, "The target does not know the reservation."},
 	{CancelledNotRun, "cancelled_not_run", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, true, "The request was cancelled before it started."},
 	{TargetsPaused, "targets_paused", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "Every target of the pool that could take the request has asked to be left alone for a time."},
+	{PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The prompt has a part under which engines crash, so it is sent to none. With the status 502 a target may have run the request."},
 
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, CallerRetryChecked, false, "The request may have been executed. Check before sending it again under a new key."},
 	{KeyUnknown, "key_unknown", http.StatusConflict, Unknown, false, CallerRetryChecked, false, "The target that runs requests with this idempotency key cannot determine whether a request with this key was executed before. This request was not executed."},
--- /dev/null
+++ b/internal/wire/evidence.go
@@ -0,0 +1,97 @@
+package wire
+
+import "time"
+
+// Bounds of the fields of Items that entries use to quarantine parts of prompts. What
+// exceeds them is dropped on receipt.
+const (
+	MaxCrashRecords  = 64
+	MaxSuspects      = 32
+	MaxSuspectParts  = 8
+	MaxPartBytes     = 32
+	MaxBegunParts    = 256
+	MaxPartVerdicts  = 256
+	maxNameBytes     = 128
+	maxEvidenceAgeMS = int64(7 * 24 * time.Hour / time.Millisecond)
+)
+
+// CrashRecord is a crash of an engine, as one entry saw it. Times are ages in
+// milliseconds, because the clocks of entries differ.
+type CrashRecord struct {
+	Target string `msgpack:"t"`
+	// StartedAtMS is the start time of the incarnation that crashed, as the target
+	// registered it.
+	StartedAtMS int64     `msgpack:"b,omitempty"`
+	AgeMS       int64     `msgpack:"a"`
+	Suspects    []Suspect `msgpack:"s,omitempty"`
+}
+
+// Suspect is a request that was sent to an engine AgeMS milliseconds ago and of which
+// no event had arrived when the engine crashed.
+type Suspect struct {
+	Parts []string `msgpack:"p"`
+	AgeMS int64    `msgpack:"a"`
+}
+
+// BegunPart says that an engine began, AgeMS milliseconds ago, to answer a request with
+// a part that entries suspect.
+type BegunPart struct {
+	Part  string `msgpack:"p"`
+	AgeMS int64  `msgpack:"a"`
+}
+
+// PartVerdict is what an entry concluded of a part of prompts.
+type PartVerdict struct {
+	Part       string `msgpack:"p"`
+	Generation uint64 `msgpack:"g"`
+	// Quarantined is false if the part was released.
+	Quarantined bool `msgpack:"q,omitempty"`
+	// AgeMS is the age of this generation.
+	AgeMS   int64  `msgpack:"a"`
+	Crashes int    `msgpack:"c,omitempty"`
+	Entry   string `msgpack:"e,omitempty"`
+	Trials  int    `msgpack:"n,omitempty"`
+}
+
+// AgeMS returns the age of an event in milliseconds, within the range that is accepted
+// on receipt.
+func AgeMS(age time.Duration) int64 { return max(0, min(age.Milliseconds(), maxEvidenceAgeMS)) }
+
+// Age returns the duration of an age in milliseconds.
+func Age(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// HasEvidence reports whether the message has crash records, begun parts or verdicts.
+func (x *Items) HasEvidence() bool {
+	return len(x.Crashes) > 0 || len(x.Begun) > 0 || len(x.Verdicts) > 0
+}
+
+// BoundEvidence drops crash records, begun parts and verdicts that exceed the bounds or
+// are malformed.
+func (x *Items) BoundEvidence() {
+	x.Crashes = keep(x.Crashes, MaxCrashRecords, func(c *CrashRecord) bool {
+		c.Suspects = keep(c.Suspects, MaxSuspects, func(s *Suspect) bool {
+			s.Parts = keep(s.Parts, MaxSuspectParts, func(p *string) bool { return validPart(*p) })
+			return len(s.Parts) > 0 && validAge(s.AgeMS)
+		})
+		return validName(c.Target) && validAge(c.AgeMS) && len(c.Suspects) > 0
+	})
+	x.Begun = keep(x.Begun, MaxBegunParts, func(b *BegunPart) bool { return validPart(b.Part) && validAge(b.AgeMS) })
+	x.Verdicts = keep(x.Verdicts, MaxPartVerdicts, func(v *PartVerdict) bool {
+		return validPart(v.Part) && validAge(v.AgeMS) && len(v.Entry) <= maxNameBytes && v.Crashes >= 0 && v.Trials >= 0
+	})
+}
+
+// keep returns the first n elements that are valid.
+func keep[T any](list []T, n int, valid func(*T) bool) []T {
+	kept := list[:0]
+	for i := range list {
+		if len(kept) < n && valid(&list[i]) {
+			kept = append(kept, list[i])
+		}
+	}
+	return kept
+}
+
+func validPart(p string) bool   { return p != "" && len(p) <= MaxPartBytes }
+func validName(n string) bool   { return n != "" && len(n) <= maxNameBytes }
+func validAge(ageMS int64) bool { return ageMS >= 0 && ageMS <= maxEvidenceAgeMS }
--- /dev/null
+++ b/internal/wire/evidence_test.go
@@ -0,0 +1,129 @@
+package wire_test
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+// formerItems is wire.Items as builds without the quarantine have it.
+type formerItems struct {
+	Items            []wire.Item `msgpack:"i,omitempty"`
+	Peers            []string    `msgpack:"p,omitempty"`
+	CompleteRevision uint64      `msgpack:"u,omitempty"`
+	Era              uint64      `msgpack:"e,omitempty"`
+	SinceRevision    uint64      `msgpack:"s,omitempty"`
+	UpToRevision     uint64      `msgpack:"t,omitempty"`
+	AgeMS            int64       `msgpack:"a,omitempty"`
+}
+
+func part(i int) string { return fmt.Sprintf("%08x", i*0x9e3779b1&0xffffffff) }
+
+// crash returns a record with suspects that have parts parts each.
+func crash(i, suspects, parts int) wire.CrashRecord {
+	c := wire.CrashRecord{Target: fmt.Sprintf("i-%010x", i), StartedAtMS: 1796391000000, AgeMS: 1200}
+	for s := range suspects {
+		list := []string{}
+		for p := range parts {
+			list = append(list, part(s*parts+p))
+		}
+		c.Suspects = append(c.Suspects, wire.Suspect{Parts: list, AgeMS: 1900})
+	}
+	return c
+}
+
+func verdict(i int) wire.PartVerdict {
+	return wire.PartVerdict{Part: part(i), Generation: 1, Quarantined: true, AgeMS: 120000, Crashes: 3, Entry: "front-gardabani-1"}
+}
+
+// fullEvidence returns a message with n elements in each list.
+func fullEvidence(n int) *wire.Items {
+	x := &wire.Items{}
+	for i := range n {
+		x.Crashes = append(x.Crashes, crash(i, min(n, 40), min(n, 10)))
+		x.Begun = append(x.Begun, wire.BegunPart{Part: part(i), AgeMS: 3})
+		x.Verdicts = append(x.Verdicts, verdict(i))
+	}
+	return x
+}
+
+func checkEvidenceBounds(t testing.TB, x *wire.Items) {
+	if len(x.Crashes) > wire.MaxCrashRecords || len(x.Begun) > wire.MaxBegunParts || len(x.Verdicts) > wire.MaxPartVerdicts {
+		t.Fatalf("%d crash records, %d begun parts, %d verdicts", len(x.Crashes), len(x.Begun), len(x.Verdicts))
+	}
+	for _, c := range x.Crashes {
+		if len(c.Suspects) > wire.MaxSuspects || len(c.Suspects) == 0 || c.AgeMS < 0 {
+			t.Fatalf("a record of %d suspects and age %d", len(c.Suspects), c.AgeMS)
+		}
+		for _, s := range c.Suspects {
+			if len(s.Parts) > wire.MaxSuspectParts || len(s.Parts) == 0 || len(s.Parts[0]) > wire.MaxPartBytes || s.AgeMS < 0 {
+				t.Fatalf("suspect %v", s)
+			}
+		}
+	}
+}
+
+var _ = Describe("Items with evidence of crashes", func() {
+	DescribeTable("have the former bytes without evidence", func(x *wire.Items, former formerItems) {
+		got, err := msgpack.Marshal(x)
+		Expect(err).NotTo(HaveOccurred())
+		want, err := msgpack.Marshal(&former)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(hex.EncodeToString(got)).To(Equal(hex.EncodeToString(want)))
+	},
+		Entry("keep-alive message", &wire.Items{}, formerItems{}),
+		Entry("addresses", &wire.Items{Peers: []string{"10.0.0.1:1"}}, formerItems{Peers: []string{"10.0.0.1:1"}}),
+		Entry("broadcast", &wire.Items{Items: []wire.Item{{Key: "k", Revision: 3}}, Era: 2, SinceRevision: 2, UpToRevision: 3, AgeMS: 7},
+			formerItems{Items: []wire.Item{{Key: "k", Revision: 3}}, Era: 2, SinceRevision: 2, UpToRevision: 3, AgeMS: 7}),
+	)
+
+	It("are a keep-alive message to a build that does not know the fields", func() {
+		x := fullEvidence(3)
+		x.Peers = []string{"10.0.0.1:1"}
+		body, err := msgpack.Marshal(x)
+		Expect(err).NotTo(HaveOccurred())
+		var former formerItems
+		Expect(msgpack.Unmarshal(body, &former)).To(Succeed())
+		Expect(former).To(Equal(formerItems{Peers: x.Peers}))
+	})
+
+	DescribeTable("are bounded on receipt", func(x *wire.Items, crashes, begun, verdicts int) {
+		x.BoundEvidence()
+		checkEvidenceBounds(GinkgoTB(), x)
+		Expect([]int{len(x.Crashes), len(x.Begun), len(x.Verdicts)}).To(Equal([]int{crashes, begun, verdicts}))
+	},
+		Entry("within the bounds", fullEvidence(8), 8, 8, 8),
+		Entry("more than the bounds", fullEvidence(300), wire.MaxCrashRecords, wire.MaxBegunParts, wire.MaxPartVerdicts),
+		Entry("parts that are empty or too long", &wire.Items{
+			Crashes:  []wire.CrashRecord{{Target: "t", Suspects: []wire.Suspect{{Parts: []string{"", strings.Repeat("a", 33)}}}}},
+			Begun:    []wire.BegunPart{{}},
+			Verdicts: []wire.PartVerdict{{Part: strings.Repeat("a", 33)}},
+		}, 0, 0, 0),
+		Entry("ages outside the range", &wire.Items{
+			Crashes:  []wire.CrashRecord{{Target: "t", AgeMS: -1, Suspects: crash(1, 1, 1).Suspects}},
+			Begun:    []wire.BegunPart{{Part: "a", AgeMS: 1 << 62}},
+			Verdicts: []wire.PartVerdict{{Part: "a", AgeMS: -5}},
+		}, 0, 0, 0),
+		Entry("records without target or suspects", &wire.Items{Crashes: []wire.CrashRecord{{Target: "t"}, {Suspects: crash(1, 1, 1).Suspects}}}, 0, 0, 0),
+	)
+
+	// The sizes in docs/CAPACITY.md.
+	DescribeTable("have the size that is planned for", func(x *wire.Items, bytes int) {
+		body, err := msgpack.Marshal(x)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(body)).To(BeNumerically("<=", bytes))
+		GinkgoWriter.Println(len(body), "bytes")
+	},
+		Entry("crash record of one suspect", &wire.Items{Crashes: []wire.CrashRecord{crash(1, 1, 3)}}, 100),
+		Entry("crash record of 32 suspects of 8 parts", &wire.Items{Crashes: []wire.CrashRecord{crash(1, 32, 8)}}, 4096),
+		Entry("begun part", &wire.Items{Begun: []wire.BegunPart{{Part: part(1), AgeMS: 20}}}, 32),
+		Entry("verdict", &wire.Items{Verdicts: []wire.PartVerdict{verdict(1)}}, 96),
+	)
+})
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -39,6 +39,7 @@
 	f.Add(frame(f, &wire.Reserve{ID: id, Model: "m", Adapter: "a", PromptTokens: 5}))
 	f.Add(frame(f, &wire.EngineReport{Held: []string{"m/a"}, HasAdapterLists: true}))
 	f.Add(frame(f, &wire.EngineSettings{Models: []wire.EngineModel{{Name: "m"}}}))
+	f.Add(frame(f, fullEvidence(2)))
 	f.Add([]byte{0, 0, 0, 0})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
 	f.Add([]byte{0, 0, 0, 6, 1, 0xdd, 0xff, 0xff, 0xff, 0xff})
@@ -49,6 +50,10 @@
 			if err != nil {
 				return
 			}
+			if items, ok := message.(*wire.Items); ok {
+				items.BoundEvidence()
+				checkEvidenceBounds(t, items)
+			}
 			if err := wire.NewConn(&memoryConn{in: bytes.NewReader(nil)}).Write(message); err != nil {
 				t.Fatalf("%#v cannot be written again: %v", message, err)
 			}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -412,6 +412,12 @@
 	SinceRevision uint64 `msgpack:"s,omitempty"`
 	UpToRevision  uint64 `msgpack:"t,omitempty"`
 	AgeMS         int64  `msgpack:"a,omitempty"`
+	// Crashes, Begun and Verdicts are what entries tell each other of parts of
+	// prompts under which engines crash. A message with one of them has no other
+	// fields: to earlier builds, which ignore these, it is a keep-alive message.
+	Crashes  []CrashRecord `msgpack:"c,omitempty"`
+	Begun    []BegunPart   `msgpack:"b,omitempty"`
+	Verdicts []PartVerdict `msgpack:"q,omitempty"`
 }
 
 // ItemsQuery asks another entry for the changes after a revision of an era.
