peers: evidence of crashes and verdicts to all connected entries

A mesh passes crash records, begun suspected parts and verdicts to all peers at once and sends its verdicts and crash records on each new connection, so that an entry that starts with nothing or was cut off gets them. 16 KB a message, 32 KB a second to each peer, 128 KB on a new connection; what exceeds a second's bytes waits for the next. A peer of an earlier build stays connected and gets no state (spec).

Two entries that reached the same seed at the same moment did not hear of each other: the seed sends its addresses once, when the connection opens. An entry now sends the others an address that was unknown to it.

--- /dev/null
+++ b/entry/peers/evidence.go
@@ -0,0 +1,208 @@
+package peers
+
+import (
+	"slices"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/quarantine"
+	"agatelanding.example/agatelanding/internal/wire"
+)
+
+const (
+	// maxEvidenceMessageBytes bounds the evidence in one message, and
+	// evidenceBytesPerSecond that which an entry sends each peer in a second. Evidence
+	// beyond that waits for the next second.
+	maxEvidenceMessageBytes = 16 << 10
+	evidenceBytesPerSecond  = 32 << 10
+	// maxInitialEvidenceBytes bounds the evidence sent on a new connection.
+	maxInitialEvidenceBytes = 128 << 10
+	// Encoded sizes without the strings. Each string has its length in one more byte.
+	crashBytes   = 24
+	suspectBytes = 12
+	begunBytes   = 16
+	verdictBytes = 40
+)
+
+// Begun is the time at which an engine began to answer a request with a suspected part.
+type Begun struct {
+	Part quarantine.Part
+	At   time.Time
+}
+
+// Evidence is what entries tell each other of parts of prompts under which engines
+// crash.
+type Evidence struct {
+	Crashes  []quarantine.Crash
+	Begun    []Begun
+	Verdicts []quarantine.Verdict
+}
+
+func (e *Evidence) empty() bool {
+	return len(e.Crashes) == 0 && len(e.Begun) == 0 && len(e.Verdicts) == 0
+}
+
+// add appends evidence, up to what the receiver of one message keeps, and reports
+// whether that is all of it.
+func (e *Evidence) add(x Evidence) bool {
+	count := func(e *Evidence) int { return len(e.Crashes) + len(e.Begun) + len(e.Verdicts) }
+	want := count(e) + count(&x)
+	e.Crashes = append(e.Crashes, x.Crashes[:min(len(x.Crashes), wire.MaxCrashRecords-len(e.Crashes))]...)
+	e.Begun = append(e.Begun, x.Begun[:min(len(x.Begun), wire.MaxBegunParts-len(e.Begun))]...)
+	e.Verdicts = append(e.Verdicts, x.Verdicts[:min(len(x.Verdicts), wire.MaxPartVerdicts-len(e.Verdicts))]...)
+	return count(e) == want
+}
+
+// take removes evidence of up to maxBytes and returns it with its size. Verdicts come
+// first, because they stop requests.
+func (e *Evidence) take(maxBytes int) (Evidence, int) {
+	var t Evidence
+	size := 0
+	t.Verdicts, e.Verdicts = takeList(e.Verdicts, maxBytes, &size, func(v quarantine.Verdict) int {
+		return verdictBytes + len(v.Part) + len(v.Entry)
+	})
+	t.Crashes, e.Crashes = takeList(e.Crashes, maxBytes, &size, crashSize)
+	t.Begun, e.Begun = takeList(e.Begun, maxBytes, &size, func(b Begun) int { return begunBytes + len(b.Part) })
+	return t, size
+}
+
+// takeList splits a list after the elements that fit into maxBytes, and adds their size
+// to *size.
+func takeList[T any](list []T, maxBytes int, size *int, sizeOf func(T) int) (taken, rest []T) {
+	for i, x := range list {
+		if n := sizeOf(x); *size+n <= maxBytes {
+			*size += n
+		} else {
+			return slices.Clip(list[:i]), list[i:]
+		}
+	}
+	return list, nil
+}
+
+func crashSize(c quarantine.Crash) int {
+	size := crashBytes + len(c.Target)
+	for _, s := range c.Suspects {
+		size += suspectBytes
+		for _, p := range s.Parts {
+			size += 1 + len(p)
+		}
+	}
+	return size
+}
+
+// items returns the message that carries the evidence at a time.
+func (e *Evidence) items(now time.Time) *wire.Items {
+	ageMS := func(at time.Time) int64 { return wire.AgeMS(now.Sub(at)) }
+	x := &wire.Items{}
+	for _, c := range e.Crashes {
+		record := wire.CrashRecord{Target: c.Target, StartedAtMS: c.StartedAtMS, AgeMS: ageMS(c.At)}
+		for _, s := range c.Suspects {
+			suspect := wire.Suspect{AgeMS: ageMS(s.SentAt)}
+			for _, p := range s.Parts {
+				suspect.Parts = append(suspect.Parts, string(p))
+			}
+			record.Suspects = append(record.Suspects, suspect)
+		}
+		x.Crashes = append(x.Crashes, record)
+	}
+	for _, b := range e.Begun {
+		x.Begun = append(x.Begun, wire.BegunPart{Part: string(b.Part), AgeMS: ageMS(b.At)})
+	}
+	for _, v := range e.Verdicts {
+		x.Verdicts = append(x.Verdicts, wire.PartVerdict{
+			Part: string(v.Part), Generation: v.Generation, Quarantined: v.Quarantined, AgeMS: ageMS(v.Since), Crashes: v.Crashes, Entry: v.Entry, Trials: v.Trials,
+		})
+	}
+	return x
+}
+
+// evidenceOf returns the evidence in a message that was received at a time.
+func evidenceOf(x *wire.Items, now time.Time) Evidence {
+	x.BoundEvidence()
+	var e Evidence
+	for _, c := range x.Crashes {
+		crash := quarantine.Crash{Incarnation: quarantine.Incarnation{Target: c.Target, StartedAtMS: c.StartedAtMS}, At: now.Add(-wire.Age(c.AgeMS))}
+		for _, s := range c.Suspects {
+			suspect := quarantine.Suspect{SentAt: now.Add(-wire.Age(s.AgeMS))}
+			for _, p := range s.Parts {
+				suspect.Parts = append(suspect.Parts, quarantine.Part(p))
+			}
+			crash.Suspects = append(crash.Suspects, suspect)
+		}
+		e.Crashes = append(e.Crashes, crash)
+	}
+	for _, b := range x.Begun {
+		e.Begun = append(e.Begun, Begun{Part: quarantine.Part(b.Part), At: now.Add(-wire.Age(b.AgeMS))})
+	}
+	for _, v := range x.Verdicts {
+		e.Verdicts = append(e.Verdicts, quarantine.Verdict{
+			Part: quarantine.Part(v.Part), Generation: v.Generation, Quarantined: v.Quarantined, Since: now.Add(-wire.Age(v.AgeMS)), Crashes: v.Crashes, Entry: v.Entry, Trials: v.Trials,
+		})
+	}
+	return e
+}
+
+// BroadcastEvidence sends evidence to all connected peers.
+func (m *Mesh) BroadcastEvidence(e Evidence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.unsent.add(e) {
+		m.Log.Warn("evidence for other entries was left out")
+	}
+	m.sendEvidence(time.Now())
+}
+
+// sendEvidence sends the evidence that waits, within evidenceBytesPerSecond. The
+// caller holds mu.
+func (m *Mesh) sendEvidence(now time.Time) {
+	if now.Sub(m.evidenceSecond) >= time.Second {
+		m.evidenceSecond, m.evidenceBytes = now, 0
+	}
+	for !m.unsent.empty() {
+		message, size := m.unsent.take(min(maxEvidenceMessageBytes, evidenceBytesPerSecond-m.evidenceBytes))
+		if message.empty() {
+			return
+		}
+		m.evidenceBytes += size
+		sent := make(map[string]bool)
+		for c := range m.conns {
+			// A connection whose peer has not sent its address gets the evidence too:
+			// register has sent it only what was known before.
+			if c.address == "" || !sent[c.address] {
+				sent[c.address] = true
+				m.enqueue(c, message)
+			}
+		}
+	}
+}
+
+// sendInitialEvidence sends the verdicts and crash records of this entry on a new
+// connection. Its queue is empty but for one message.
+func (m *Mesh) sendInitialEvidence(c *peerConn) {
+	if m.CurrentEvidence == nil {
+		return
+	}
+	e := m.CurrentEvidence()
+	for budget := maxInitialEvidenceBytes; ; {
+		message, size := e.take(min(maxEvidenceMessageBytes, budget))
+		if message.empty() {
+			return
+		}
+		budget -= size
+		m.enqueue(c, message)
+	}
+}
+
+// ConnectedAddresses returns the addresses of this entry and of the entries that it is
+// connected with.
+func (m *Mesh) ConnectedAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := []string{m.Address}
+	for c := range m.conns {
+		if c.address != "" {
+			list = append(list, c.address)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
--- /dev/null
+++ b/entry/peers/evidence_suite_test.go
@@ -0,0 +1,119 @@
+package peers_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/entry/peers"
+	"agatelanding.example/agatelanding/internal/decide/quarantine"
+)
+
+// startWithEvidence starts an entry that has evidence from the beginning and keeps what
+// it receives.
+func startWithEvidence(current peers.Evidence, seeds ...string) *entry {
+	e := newEntry(nil, seeds...)
+	e.mesh.CurrentEvidence = func() peers.Evidence { return current }
+	e.mesh.ReceiveEvidence = func(x peers.Evidence) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.evidenceMessages++
+		e.evidence.Crashes = append(e.evidence.Crashes, x.Crashes...)
+		e.evidence.Begun = append(e.evidence.Begun, x.Begun...)
+		e.evidence.Verdicts = append(e.evidence.Verdicts, x.Verdicts...)
+	}
+	e.start()
+	return e
+}
+
+func (e *entry) receivedEvidence() peers.Evidence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.evidence
+}
+
+func (e *entry) connected() int { return len(e.mesh.ConnectedAddresses()) }
+
+func crash(i, suspects int) quarantine.Crash {
+	c := quarantine.Crash{Incarnation: quarantine.Incarnation{Target: fmt.Sprint("t", i), StartedAtMS: 5}, At: time.Now().Add(-time.Second)}
+	for range suspects {
+		list := make([]quarantine.Part, 8)
+		for p := range list {
+			list[p] = quarantine.Part(strings.Repeat("f", 32))
+		}
+		c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: list, SentAt: c.At.Add(-300 * time.Millisecond)})
+	}
+	return c
+}
+
+var _ = Describe("Evidence of crashes", func() {
+	It("reaches all connected entries with its ages, and no state with it", func() {
+		a := startWithEvidence(peers.Evidence{})
+		b, c := startWithEvidence(peers.Evidence{}, a.mesh.Address), startWithEvidence(peers.Evidence{}, a.mesh.Address)
+		for _, e := range []*entry{a, b, c} {
+			Eventually(e.connected).Within(4 * time.Second).Should(Equal(3))
+		}
+		sent := peers.Evidence{
+			Crashes:  []quarantine.Crash{crash(1, 2)},
+			Begun:    []peers.Begun{{Part: "p", At: time.Now().Add(-40 * time.Millisecond)}},
+			Verdicts: []quarantine.Verdict{{Part: "p", Generation: 3, Quarantined: true, Since: time.Now().Add(-time.Minute), Crashes: 4, Entry: "a", Trials: 1}},
+		}
+		b.mesh.BroadcastEvidence(sent)
+		for _, e := range []*entry{a, c} {
+			Eventually(e.receivedEvidence).Within(time.Second).Should(HaveField("Verdicts", HaveLen(1)))
+			got := e.receivedEvidence()
+			about := func(at time.Time) OmegaMatcher { return BeTemporally("~", at, 300*time.Millisecond) }
+			Expect(got.Crashes[0].Incarnation).To(Equal(sent.Crashes[0].Incarnation))
+			Expect(got.Crashes[0].At).To(about(sent.Crashes[0].At))
+			Expect(got.Crashes[0].Suspects).To(HaveLen(2))
+			Expect(got.Crashes[0].Suspects[0].Parts).To(Equal(sent.Crashes[0].Suspects[0].Parts))
+			Expect(got.Crashes[0].Suspects[0].SentAt).To(about(sent.Crashes[0].Suspects[0].SentAt))
+			Expect(got.Begun[0].At).To(about(sent.Begun[0].At))
+			v := got.Verdicts[0]
+			Expect(v.Since).To(about(sent.Verdicts[0].Since))
+			v.Since = sent.Verdicts[0].Since
+			Expect(v).To(Equal(sent.Verdicts[0]))
+			_, revision := e.received()
+			Expect(revision).To(BeZero())
+		}
+	})
+
+	It("reaches an entry that starts with nothing, in both directions of the connection", func() {
+		known := peers.Evidence{Verdicts: []quarantine.Verdict{{Part: "p", Generation: 1, Quarantined: true, Since: time.Now()}}, Crashes: []quarantine.Crash{crash(1, 1)}}
+		a := startWithEvidence(known)
+		late := startWithEvidence(peers.Evidence{Verdicts: []quarantine.Verdict{{Part: "q", Generation: 1, Since: time.Now()}}}, a.mesh.Address)
+		Eventually(late.receivedEvidence).Within(3 * time.Second).Should(And(HaveField("Verdicts", Not(BeEmpty())), HaveField("Crashes", Not(BeEmpty()))))
+		Eventually(a.receivedEvidence).Within(3 * time.Second).Should(HaveField("Verdicts", Not(BeEmpty())))
+	})
+
+	It("leaves an entry of an earlier build connected, and it gets no state", func() {
+		a := startWithEvidence(peers.Evidence{Crashes: []quarantine.Crash{crash(1, 1)}})
+		former := startEntry(nil, a.mesh.Address)
+		Eventually(former.connected).Within(3 * time.Second).Should(Equal(2))
+		for range 20 {
+			a.mesh.BroadcastEvidence(peers.Evidence{Crashes: []quarantine.Crash{crash(2, 3)}})
+		}
+		Consistently(former.connected).WithTimeout(1500 * time.Millisecond).WithPolling(50 * time.Millisecond).Should(Equal(2))
+		got, revision := former.received()
+		Expect(got).To(BeEmpty())
+		Expect(revision).To(BeZero())
+	})
+
+	It("keeps to its bytes a second, and verdicts overtake crash records that wait", func() {
+		a := startWithEvidence(peers.Evidence{})
+		b := startWithEvidence(peers.Evidence{}, a.mesh.Address)
+		Eventually(b.connected).Within(3 * time.Second).Should(Equal(2))
+		Eventually(a.connected).Within(3 * time.Second).Should(Equal(2))
+		for i := range 20 {
+			a.mesh.BroadcastEvidence(peers.Evidence{Crashes: []quarantine.Crash{crash(i, 32)}})
+		}
+		a.mesh.BroadcastEvidence(peers.Evidence{Verdicts: []quarantine.Verdict{{Part: "p", Generation: 1, Since: time.Now()}}})
+		// A record of 32 suspects with 8 parts of 32 bytes each has 9 KB.
+		Consistently(b.receivedEvidence).WithTimeout(500 * time.Millisecond).Should(HaveField("Crashes", Not(HaveLen(20))))
+		Eventually(b.receivedEvidence).Within(10 * time.Second).Should(And(HaveField("Crashes", HaveLen(20)), HaveField("Verdicts", HaveLen(1))))
+		Expect(b.connected()).To(Equal(2))
+	})
+})
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -68,18 +68,29 @@
 	StateAfter func(after catalog.Position) State
 	// ReceiveState takes a part of the state of a peer.
 	ReceiveState func(s State)
-	Log          *telemetry.Logger
+	// CurrentEvidence returns the verdicts and crash records of this entry for a peer
+	// that has just connected, the newest first, and ReceiveEvidence takes those of a
+	// peer. Both may be nil.
+	CurrentEvidence func() Evidence
+	ReceiveEvidence func(e Evidence)
+	Log             *telemetry.Logger
 
 	mu sync.Mutex
 	// lastSeen holds the known addresses of peers and when each was last
 	// connected or, before the first connection, when it became known.
 	lastSeen map[string]time.Time
 	conns    map[*peerConn]bool
+	// unsent is the evidence that waits to be sent. evidenceBytes of it were sent in
+	// the second that began at evidenceSecond.
+	unsent         Evidence
+	evidenceSecond time.Time
+	evidenceBytes  int
 }
 
 // peerConn is the connection with one peer.
 type peerConn struct {
-	conn  *wire.Conn
+	conn *wire.Conn
+	// queue holds messages, and Evidence, whose ages are those at the time of writing.
 	queue chan any
 	// address is the address at which the peer accepts connections. It is
 	// empty until the peer has sent it on a connection that the peer opened.
@@ -104,6 +115,7 @@
 		}
 		select {
 		case <-ticker.C:
+			m.BroadcastEvidence(Evidence{})
 		case <-ctx.Done():
 			m.closeAll()
 			return
@@ -194,8 +206,8 @@
 		switch x := message.(type) {
 		case *wire.ItemsQuery:
 			m.answer(c, x)
-		// wire.Items carries items, the addresses of entries, or neither as a
-		// keep-alive message.
+		// wire.Items carries items, the addresses of entries, evidence, or nothing as
+		// a keep-alive message.
 		case *wire.Items:
 			if len(x.Peers) > 0 {
 				m.receiveAddresses(c, x.Peers)
@@ -203,6 +215,9 @@
 			if len(x.Items) > 0 || x.CompleteRevision > 0 || x.UpToRevision > 0 {
 				m.ReceiveState(stateOf(x))
 			}
+			if x.HasEvidence() && m.ReceiveEvidence != nil {
+				m.ReceiveEvidence(evidenceOf(x, time.Now()))
+			}
 		default:
 			return
 		}
@@ -285,11 +300,19 @@
 }
 
 // receiveAddresses adds the addresses that a peer sent in wire.Items. The first is
-// the peer's own.
+// the peer's own. If it was unknown, the other connected entries get it: those that
+// connected to this entry before do not have it.
 func (m *Mesh) receiveAddresses(c *peerConn, addresses []string) {
 	m.mu.Lock()
 	first := c.address == ""
 	c.address = addresses[0]
+	if _, known := m.lastSeen[c.address]; !known && c.address != m.Address {
+		for other := range m.conns {
+			if other != c {
+				m.enqueue(other, &wire.Items{Peers: []string{m.Address, c.address}})
+			}
+		}
+	}
 	m.mu.Unlock()
 	m.AddAddresses(addresses)
 	if first {
@@ -297,7 +320,7 @@
 	}
 }
 
-// register adds a connection and sends the known addresses on it.
+// register adds a connection and sends the known addresses and the evidence on it.
 func (m *Mesh) register(c *peerConn) {
 	m.mu.Lock()
 	m.conns[c] = true
@@ -307,6 +330,7 @@
 	}
 	m.mu.Unlock()
 	c.queue <- &wire.Items{Peers: peers}
+	m.sendInitialEvidence(c)
 }
 
 // batches splits items into lists of about maxBatchBytes at most. A larger item is
@@ -348,6 +372,9 @@
 				return
 			}
 			message = queued
+			if e, ok := queued.(Evidence); ok {
+				message = e.items(time.Now())
+			}
 		case <-ticker.C:
 		}
 		if err := c.conn.Write(message); err != nil {
--- a/entry/peers/peers_suite_test.go
+++ b/entry/peers/peers_suite_test.go
@@ -34,6 +34,8 @@
 	mu               sync.Mutex
 	items            []wire.Item
 	completeRevision uint64
+	evidence         peers.Evidence
+	evidenceMessages int
 }
 
 func (e *entry) received() ([]wire.Item, uint64) {
@@ -43,10 +45,14 @@
 }
 
 func startEntry(items []wire.Item, seeds ...string) *entry {
+	e := newEntry(items, seeds...)
+	e.start()
+	return e
+}
+
+func newEntry(items []wire.Item, seeds ...string) *entry {
 	e := &entry{}
 	address := fixture.FreeAddress()
-	listener, err := net.Listen("tcp", address)
-	Expect(err).NotTo(HaveOccurred())
 	e.mesh = &peers.Mesh{
 		Address: address, Seeds: seeds, Log: telemetry.For("peers"),
 		Hello: func() wire.Hello { return wire.Hello{Process: address, Role: wire.RoleEntry} },
@@ -68,13 +74,18 @@
 			e.items, e.completeRevision = append(e.items, s.Items...), max(e.completeRevision, s.Complete.Revision)
 		},
 	}
+	return e
+}
+
+func (e *entry) start() {
+	listener, err := net.Listen("tcp", e.mesh.Address)
+	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(func() {
 		cancel()
 		_ = listener.Close()
 	})
 	go e.mesh.Run(ctx, listener)
-	return e
 }
 
 func items(n, size int) []wire.Item {
@@ -95,6 +106,14 @@
 		}
 	})
 
+	It("connect with each other if they reach the same seed at the same moment", func() {
+		a := startEntry(nil)
+		list := []*entry{a, startEntry(nil, a.mesh.Address), startEntry(nil, a.mesh.Address), startEntry(nil, a.mesh.Address)}
+		for _, e := range list {
+			Eventually(e.connected).Within(4 * time.Second).Should(Equal(4))
+		}
+	})
+
 	// Guards against entries that send their state unasked at every start and
 	// change: 32 such entries on links of 10 Mbit/s took seconds to recover.
 	It("send no state to an entry that does not ask for it", func() {
