edge, ctl: the quarantine between entries, on status pages and in traces

An entry creates the guard, joins it with its mesh and remembers draining targets and those that say that they leave, so that their ends are no evidence.

--- a/entry/containment/containment_suite_test.go
+++ b/entry/containment/containment_suite_test.go
@@ -42,7 +42,7 @@
 	dialed  []string
 	dialErr error
 	metrics []*telemetry.Metrics
-	leaving atomic.Bool
+	leaving containment.LeavingTargets
 }
 
 func clone(e peers.Evidence) peers.Evidence {
@@ -58,7 +58,7 @@
 	g := containment.New(containment.Config{
 		Entry: fmt.Sprint("entry-", i), Metrics: metrics, Log: telemetry.For("quarantine"),
 		Broadcast: func(e peers.Evidence) { m.broadcast(i, e) },
-		Leaving:   func(*catalog.Target) bool { return m.leaving.Load() },
+		Leaving:   m.leaving.Has,
 		Dial: func(address string, _ time.Duration) error {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -193,6 +193,12 @@
 		}),
 	)
 
+	It("is suspected if the target that leaves is an earlier incarnation", func() {
+		m := newMesh(1)
+		m.leaving.Add(&catalog.Target{ID: target(1).ID, StartedAtMS: 99})
+		m.crash(0, 1, "a")
+	})
+
 	DescribeTable("is not suspected if a connection breaks", func(prepare func(m *mesh, t *catalog.Target)) {
 		m, t := newMesh(2), target(1)
 		prepare(m, t)
@@ -206,7 +212,7 @@
 		Entry("and the target does not answer", func(m *mesh, _ *catalog.Target) { m.dialErr = os.ErrDeadlineExceeded }),
 		Entry("and the network is unreachable", func(m *mesh, _ *catalog.Target) { m.dialErr = errors.New("no route to host") }),
 		Entry("at a draining target", func(_ *mesh, t *catalog.Target) { t.Draining = true }),
-		Entry("at a target that leaves", func(m *mesh, _ *catalog.Target) { m.leaving.Store(true) }),
+		Entry("at a target that leaves", func(m *mesh, t *catalog.Target) { m.leaving.Add(t) }),
 	)
 
 	// Engines restart, and targets that crash at once have many requests each.
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -41,7 +41,7 @@
 	if len(list) == 0 || g.leaving(target) {
 		return
 	}
-	incarnation := quarantine.Incarnation{Target: target.ID, StartedAtMS: target.StartedAtMS}
+	incarnation := incarnationOf(target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.broken[incarnation]
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"agatelanding.example/agatelanding/entry/broker"
+	"agatelanding.example/agatelanding/entry/containment"
 	"agatelanding.example/agatelanding/entry/peers"
 	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/internal/catalog"
@@ -75,6 +76,8 @@
 	broker         *broker.Broker
 	mesh           *peers.Mesh
 	stateWatcher   *stateWatcher
+	guard          *containment.Guard
+	leaving        containment.LeavingTargets
 	retryBudget    *retry.SharedBudget
 	server         atomic.Pointer[http.Server]
 	// view is the published state in force: the configuration, the targets and
@@ -142,6 +145,11 @@
 		Address: e.settings.PeerListen, Seeds: e.settings.Seeds, Hello: e.hello, StateAfter: e.stateWatcher.stateAfter, ReceiveState: e.stateWatcher.receiveFromPeer,
 		Log: telemetry.For("peers"),
 	}
+	e.guard = containment.New(containment.Config{
+		Entry: e.settings.Name, OwnsTrial: containment.TrialOwner(e.settings.PeerListen, e.mesh.ConnectedAddresses, e.mesh.EntryCount),
+		Leaving: e.leaving.Has, Broadcast: e.mesh.BroadcastEvidence, Metrics: e.metrics, Log: telemetry.For("quarantine"),
+	})
+	e.mesh.CurrentEvidence, e.mesh.ReceiveEvidence = e.guard.Evidence, e.guard.Receive
 	e.stateWatcher.publish, e.stateWatcher.queryPeers = e.publish, e.mesh.QueryPeers
 	e.stateWatcher.broadcast, e.stateWatcher.entries = e.mesh.Broadcast, e.mesh.EntryCount
 	go e.stateWatcher.run(ctx)
@@ -205,10 +213,29 @@
 	if v.Config != nil && (previous == nil || previous.Config == nil) {
 		close(e.firstConfig)
 	}
+	for _, t := range v.Targets {
+		if t.Draining {
+			e.leaving.Add(t)
+		}
+	}
 	e.retryBudget.SetEntries(e.mesh.EntryCount())
 	e.broker.SetView(v)
 }
 
+// noticeRecorder is a Broker that also records the targets that say that they leave.
+type noticeRecorder struct {
+	*broker.Broker
+	leaving *containment.LeavingTargets
+}
+
+// Notified implements relay.Broker.
+func (r noticeRecorder) Notified(target *catalog.Target, n steering.Notice) {
+	if n.Leaving {
+		r.leaving.Add(target)
+	}
+	r.Broker.Notified(target, n)
+}
+
 // configured reports whether a configuration is in force.
 func (e *Edge) configured() bool {
 	v := e.view.Load()
@@ -235,11 +262,16 @@
 		StoreCurrent  bool             `json:"store_current"`
 		Refused       map[string]int64 `json:"refused"`
 		Retried       map[string]int64 `json:"retried"`
+		// Quarantined are the parts of prompts that are kept from engines, and
+		// CrashRecords the crashes behind present suspicions.
+		Quarantined  []containment.PartStatus `json:"quarantined_parts"`
+		CrashRecords int                      `json:"crash_records"`
 	}{
 		Name: e.settings.Name, FailureDomain: e.settings.FailureDomain, Entries: e.mesh.EntryCount(), Open: e.openRequests.Load(),
 		StoreCurrent: e.stateWatcher.storeCurrent(), Refused: e.metrics.Refusals(), Retried: e.metrics.Retries(),
 		StateAgeMS: e.stateWatcher.age().Milliseconds(),
 	}
+	s.Quarantined, s.CrashRecords = e.guard.Status()
 	if v := e.view.Load(); v != nil && v.Config != nil {
 		s.Version, s.Targets = v.Config.Version, len(v.Targets)
 		for _, t := range v.Targets {
@@ -301,7 +333,7 @@
 // open.
 func (e *Edge) handler() http.Handler {
 	h := &relay.Handler{
-		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: e.broker, Upstream: upstream.NewPool(e.metrics),
+		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: noticeRecorder{e.broker, &e.leaving}, Upstream: upstream.NewPool(e.metrics),
 		RetryBudget: e.retryBudget, Buffers: relay.NewBufferPool(maxBufferedBytes), Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, Stopping: e.refusesRequests.Load,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -100,13 +100,15 @@
 	return &cobra.Command{
 		Use:   "trace ID FILE...",
 		Short: "Print the log lines of one request from all processes, in order",
-		Args:  cobra.MinimumNArgs(2),
+		Long: "trace prints the lines of one request and those of the quarantine that belong to it: crashes of\n" +
+			"its targets, and verdicts on its parts. ID may also be a part of prompts.\n\n" + exitText,
+		Args: cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			lines, err := readLogs(args[1:])
 			if err != nil {
 				return unreadableError(err)
 			}
-			matched := requestLines(lines, args[0])
+			matched := withQuarantine(lines, requestLines(lines, args[0]), args[0])
 			if len(matched) == 0 {
 				return &failure{ExitFaults, []error{fmt.Errorf("no line of request %s in %d lines", args[0], len(lines))}}
 			}
--- a/internal/ctl/trace_test.go
+++ b/internal/ctl/trace_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -21,6 +22,12 @@
 `
 	targetLog = `2026-08-19T21:16:17.226122001Z info  core: reservation refused code="2006" entry="front-bolnisi-1" number="161" reason="deadline_passed" running="19" waiting="16"
 2026-08-19T21:16:17.226222001Z info  core: reservation refused code="2006" entry="front-gardabani-1" number="161" reason="deadline_passed" running="19" waiting="16"
+`
+	quarantineLog = `2026-08-19T21:16:17.1Z info  quarantine: engine crashed from_peer="false" parts="5c1e,91bd" suspects="1" target="i-1"
+2026-08-19T21:16:17.2Z info  relay: no answer from the target entry="front-bolnisi-1" id="a1" number="160" sent="true" target="i-1"
+2026-08-19T21:16:17.3Z info  quarantine: engine crashed from_peer="true" parts="e440" suspects="1" target="i-2"
+2026-08-19T21:16:17.4Z warn  quarantine: part quarantined by="front-marneuli-1" crashes="3" generation="1" part="91bd"
+2026-08-19T21:16:17.5Z info  relay: request ended code="2019" entry="front-bolnisi-1" id="b2" part="91bd" reason="prompt_quarantined" status="503"
 `
 )
 
@@ -51,6 +58,22 @@
 		Expect(string(lines[2])).To(ContainSubstring("request ended"))
 	})
 
+	DescribeTable("prints the lines of the quarantine", func(id string, want ...string) {
+		path := filepath.Join(GinkgoT().TempDir(), "quarantine.log")
+		Expect(os.WriteFile(path, []byte(quarantineLog), 0o600)).To(Succeed())
+		code, out, _ := run("trace", id, path)
+		Expect(code).To(Equal(ctl.ExitOK))
+		lines := strings.Split(strings.TrimSpace(out), "\n")
+		Expect(lines).To(HaveLen(len(want)))
+		for i, text := range want {
+			Expect(lines[i]).To(ContainSubstring(text))
+		}
+	},
+		Entry("that belong to a request that broke", "a1", `crashed from_peer="false" parts="5c1e,91bd" suspects="1" target="i-1"`, `relay: no answer`),
+		Entry("that belong to a request that was refused", "b2", `parts="5c1e,91bd"`, `part quarantined`, `id="b2"`),
+		Entry("that belong to a part", "e440", `parts="e440"`),
+	)
+
 	It("fails if no line has the id of the request, or if a file cannot be read", func() {
 		code, _, errs := run(append([]string{"trace", "zz"}, files()...)...)
 		Expect(code).To(Equal(ctl.ExitFaults))
