--- /dev/null
+++ b/internal/decide/quarantine/quarantine.go
@@ -0,0 +1,226 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Quarantine holds the evidence and the verdicts of one entry.
+type Quarantine struct {
+	cfg      Config
+	evidence evidence
+	verdicts map[Part]*verdict
+	// suspected holds the time of the last unexplained crash under each part that
+	// is not quarantined.
+	suspected map[Part]time.Time
+	// evaluateAt is when evidence that is not evaluated yet has settled; zero if
+	// there is none.
+	evaluateAt time.Time
+	// forgottenAt is when forget last ran.
+	forgottenAt time.Time
+}
+
+// New returns a Quarantine without evidence and verdicts.
+func New(cfg Config) *Quarantine {
+	if cfg.OwnsTrial == nil {
+		cfg.OwnsTrial = func(Part) bool { return true }
+	}
+	return &Quarantine{
+		cfg: cfg, verdicts: make(map[Part]*verdict), suspected: make(map[Part]time.Time),
+		evidence: evidence{begins: begins{newer: make(map[Part]begin)}},
+	}
+}
+
+// RecordCrash merges a crash record of this or another entry and returns new
+// verdicts. A verdict on the record itself follows from Tick, after settleTime.
+func (q *Quarantine) RecordCrash(now time.Time, c Crash) []Verdict {
+	changed := q.endTrials(now, c)
+	if q.evidence.addCrash(now, c) {
+		q.refresh()
+	}
+	return append(changed, q.Tick(now)...)
+}
+
+// RecordBegan records that an engine began to answer a request of this entry with
+// these parts at a time. It returns those parts that are suspected at present, which
+// other entries should hear of, and new verdicts (a release after a trial).
+func (q *Quarantine) RecordBegan(now, at time.Time, parts []Part) (suspected []Part, changed []Verdict) {
+	for _, p := range sharedParts(parts) {
+		if !validPart(p) {
+			continue
+		}
+		changed = append(changed, q.release(now, at, p)...)
+		if x := q.begun(now, at, p); q.untold(p, x) {
+			suspected = append(suspected, p)
+			q.setBegin(now, p, begin{at: x.at, toldAt: x.at})
+		}
+	}
+	return suspected, append(changed, q.Tick(now)...)
+}
+
+// Begins returns the last begins of suspected parts, for an entry that has connected.
+// It should merge them before the crash records.
+func (q *Quarantine) Begins() []Begin {
+	var list []Begin
+	for p := range q.suspected {
+		if x := q.evidence.begins.get(p); !x.at.IsZero() {
+			list = append(list, Begin{Part: p, At: x.at})
+		}
+	}
+	return list
+}
+
+// TakeBegins returns the begins at this entry that preceded the arrival of a crash
+// record and acquit a part that it holds. Other entries should hear of each once.
+func (q *Quarantine) TakeBegins(now time.Time) []Begin {
+	var list []Begin
+	for p := range q.suspected {
+		if x := q.evidence.begins.get(p); q.untold(p, x) {
+			list = append(list, Begin{Part: p, At: x.at})
+			q.setBegin(now, p, begin{at: x.at, toldAt: x.at})
+		}
+	}
+	return list
+}
+
+// MergeBegins records begins that another entry has told to all entries, and
+// returns new verdicts.
+func (q *Quarantine) MergeBegins(now time.Time, list []Begin) []Verdict {
+	var changed []Verdict
+	for _, b := range list {
+		if !validPart(b.Part) {
+			continue
+		}
+		changed = append(changed, q.release(now, b.At, b.Part)...)
+		if x := q.begun(now, b.At, b.Part); b.At.After(x.toldAt) {
+			q.setBegin(now, b.Part, begin{at: x.at, toldAt: b.At})
+		}
+	}
+	return append(changed, q.Tick(now)...)
+}
+
+// begun records a begin of a part and returns the last one.
+func (q *Quarantine) begun(now, at time.Time, p Part) begin {
+	x := q.evidence.begins.get(p)
+	if at.After(now) {
+		at = now
+	}
+	if at.After(x.at) && now.Sub(at) < evidenceTTL {
+		x.at = at
+		q.setBegin(now, p, x)
+	}
+	return x
+}
+
+func (q *Quarantine) setBegin(now time.Time, p Part, x begin) {
+	q.evidence.begins.put(now, p, x, func(p Part) bool { _, ok := q.suspected[p]; return ok })
+}
+
+// untold reports whether other entries may suspect a part because they have not
+// heard of its last begin.
+func (q *Quarantine) untold(p Part, x begin) bool {
+	crashedAt, ok := q.suspected[p]
+	return ok && x.at.After(x.toldAt) && crashedAt.After(x.toldAt.Add(acquitInterval))
+}
+
+// Check returns the quarantined part of a request, if it has one, and whether the
+// request is to be refused because of it. A part with blocked = false means that
+// this request is the trial of the part: it has to be sent, once, and its outcome
+// recorded.
+func (q *Quarantine) Check(now time.Time, parts []Part) (part Part, blocked bool) {
+	var trial *verdict
+	for _, p := range sharedParts(parts) {
+		v := q.verdicts[p]
+		if v == nil || !v.Quarantined {
+			continue
+		}
+		v.LastAskedAt = now
+		// A request with two quarantined parts would not show which one crashes.
+		if trial != nil && trial != v || !v.trialDue(now) || !q.cfg.OwnsTrial(p) {
+			return p, true
+		}
+		trial = v
+	}
+	if trial == nil {
+		return "", false
+	}
+	trial.trialAt = now
+	trial.trialSends++
+	return trial.Part, false
+}
+
+// Tick evaluates evidence that has settled, deletes what is out of date and returns
+// new verdicts. Calls every 100 ms keep a verdict from waiting for the next event.
+func (q *Quarantine) Tick(now time.Time) []Verdict {
+	if q.evidence.expire(now) {
+		q.refresh()
+	}
+	q.forget(now)
+	if q.evaluateAt.IsZero() || now.Before(q.evaluateAt) {
+		return nil
+	}
+	return q.evaluate(now)
+}
+
+// refresh brings what is derived from the records up to date.
+func (q *Quarantine) refresh() {
+	clear(q.suspected)
+	for _, r := range q.unexplained() {
+		for _, s := range r.Suspects {
+			for _, p := range sharedParts(s.Parts) {
+				q.suspected[p] = r.At
+			}
+		}
+	}
+	if q.evaluateAt.IsZero() && len(q.evidence.records) > 0 {
+		q.evaluateAt = q.evidence.records[0].At.Add(settleTime)
+	}
+}
+
+// unexplained returns the records in which no suspect holds a quarantined part.
+func (q *Quarantine) unexplained() []*Crash {
+	return slices.DeleteFunc(slices.Clone(q.evidence.records), func(r *Crash) bool {
+		return slices.ContainsFunc(r.Suspects, func(s Suspect) bool {
+			return slices.ContainsFunc(sharedParts(s.Parts), q.quarantined)
+		})
+	})
+}
+
+// evaluate quarantines one part after the other until the remaining crashes
+// convict none.
+func (q *Quarantine) evaluate(now time.Time) []Verdict {
+	var changed []Verdict
+	for {
+		records := q.unexplained()
+		settled := slices.IndexFunc(records, func(r *Crash) bool { return now.Sub(r.At) < settleTime })
+		q.evaluateAt = time.Time{}
+		if settled >= 0 {
+			q.evaluateAt = records[settled].At.Add(settleTime)
+			records = records[:settled]
+		}
+		if len(records) < minHits || q.countVerdicts(true) >= maxQuarantined {
+			return changed
+		}
+		c, ok := worstPart(records, func(p Part) time.Time { return q.evidence.begins.get(p).at })
+		if !ok {
+			return changed
+		}
+		changed = append(changed, q.conclude(now, c))
+		q.refresh()
+	}
+}
+
+// Crashes returns the crash records in order of time, for other entries and for
+// status pages.
+func (q *Quarantine) Crashes(now time.Time) []Crash {
+	if q.evidence.expire(now) {
+		q.refresh()
+	}
+	list := make([]Crash, 0, len(q.evidence.records))
+	for _, r := range q.evidence.records {
+		c := *r
+		c.Suspects = slices.Clone(r.Suspects)
+		list = append(list, c)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/decide/quarantine/types.go
@@ -0,0 +1,134 @@
+// Package quarantine finds the parts of prompts under which engines crash, and
+// decides which requests are refused because of them.
+//
+// An engine may crash as soon as it begins to answer a request that holds a certain
+// part. The evidence is the crash records of all entries: which requests an engine
+// had got and not begun to answer when it crashed (suspects), and which parts an
+// engine has begun to answer since. Each entry holds the same evidence after the
+// time in which messages between entries arrive, and decides alone.
+//
+// Everywhere in this package the parts of a request are those of its prompt in
+// order, including the last one. The last part belongs to the request itself. It
+// identifies the request and is never suspected.
+//
+// A Quarantine is a state machine without I/O or a clock of its own. It is not safe
+// for concurrent use.
+package quarantine
+
+import "time"
+
+// Part is the ID of a part of a prompt.
+type Part string
+
+// Suspect is a request that an engine had got and not begun to answer when it
+// crashed.
+type Suspect struct {
+	Parts  []Part
+	SentAt time.Time
+}
+
+// Incarnation identifies one run of a target.
+type Incarnation struct {
+	Target      string
+	StartedAtMS int64
+}
+
+// Crash is the record of the end of an engine. Entries that sent requests to it
+// contribute their suspects; a record without suspects counts as a crash, too.
+type Crash struct {
+	Incarnation
+	At       time.Time
+	Suspects []Suspect
+}
+
+// Begin says that an engine began to answer a request with a part.
+type Begin struct {
+	Part Part
+	At   time.Time
+}
+
+// Verdict is what an entry has concluded of a part. A higher Generation replaces a
+// lower one.
+type Verdict struct {
+	Part       Part
+	Generation uint64
+	// Quarantined is false after a trial that the engine began to answer.
+	Quarantined bool
+	// Since is the time of this generation.
+	Since time.Time
+	// Crashes is the number of crash records behind the verdict.
+	Crashes int
+	// Entry is the entry that concluded it.
+	Entry string
+	// Trials is the number of trials so far.
+	Trials int
+	// LastAskedAt is when a request last asked for the part, as far as known. If
+	// it is zero in a received verdict, the time of arrival counts.
+	LastAskedAt time.Time
+}
+
+// Config configures a Quarantine.
+type Config struct {
+	// Entry is the name of this entry.
+	Entry string
+	// OwnsTrial reports whether this entry makes the trials of a part. If it is
+	// nil, this entry makes all.
+	OwnsTrial func(Part) bool
+}
+
+const (
+	// evidenceTTL is how long crash records and begins count.
+	evidenceTTL = time.Minute
+	// settleTime is the time after a crash in which the evidence of all entries
+	// arrives. A younger record counts for no verdict, because the suspect that
+	// explains it, or a begin that acquits another, may still be on its way.
+	settleTime = 400 * time.Millisecond
+	// groupInterval is the time within which crashes count once: engines that lose
+	// power together crash within it, as seen by different entries.
+	groupInterval = 250 * time.Millisecond
+	// acquitInterval is the time after a begin in which a crash still was not due to
+	// the part. The times of crashes and begins are late by different delays of
+	// messages.
+	acquitInterval = 100 * time.Millisecond
+	// minHits is the number of hits for a verdict while nothing else crashes.
+	minHits = 3
+	// othersPerHit is the number of groups of other crashes for which one more hit
+	// is needed. Where engines crash whatever they serve, sound requests are
+	// suspects by chance.
+	othersPerHit = 4
+	maxRivals = 1
+	// maxHitsPerRequest is the number of hits for which one request counts,
+	// because a sound request may be repeated on engines that crash anyway.
+	maxHitsPerRequest = 2
+
+	// quarantineTime is the time from a verdict to the first trial. It doubles
+	// with each trial that fails.
+	quarantineTime = 10 * time.Minute
+	// trialTimeout is the time after which a trial without an outcome is repeated.
+	trialTimeout = 30 * time.Second
+	// maxTrials is the number of failed trials after which there are no more, and
+	// maxTrialSends the number of requests that this entry sends for them. Sends
+	// without an outcome may have crashed an engine.
+	maxTrials     = 2
+	maxTrialSends = 3
+	// forgetTime is the time without a request after which a verdict is deleted.
+	forgetTime = time.Hour
+
+	maxRecords     = 64
+	maxSuspects    = 32
+	maxParts       = 8
+	maxPartBytes   = 32
+	maxNameBytes   = 64
+	maxQuarantined = 256
+	maxReleased    = 256
+	// maxBegins is the number of begins in each of the two maps of begins.
+	maxBegins = 4096
+)
+
+// sharedParts returns the parts of a request that other requests may share.
+func sharedParts(parts []Part) []Part {
+	if len(parts) == 0 {
+		return nil
+	}
+	return parts[:min(len(parts)-1, maxParts-1)]
+}
