containment, peers, wire: use package quarantine

The package keeps begins of all parts, tells those that preceded a crash record when it arrives, and gives verdicts on a tick once the evidence has settled. The last part of a list is the request's own: the wire drops a suspect whose list is out of bounds as a whole, since its last remaining part would be taken for the own one. Crash records without suspects count as crashes for another reason. Begins come before crash records on a new connection.

--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/hex"
 	"hash/fnv"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,9 +21,9 @@
 const (
 	// evidenceTTL is how long a crash can still condemn a part.
 	evidenceTTL = 60 * time.Second
-	// maxTimedParts bounds the parts with times of a crash, and maxSeenIncarnations the
-	// incarnations that were counted as crashed.
-	maxTimedParts       = 16384
+	// tickInterval is the time between two evaluations while there is evidence.
+	tickInterval = 100 * time.Millisecond
+	// maxSeenIncarnations bounds the incarnations that were counted as crashed.
 	maxSeenIncarnations = 1024
 )
 
@@ -40,7 +41,9 @@
 	Broadcast func(peers.Evidence)
 	// Dial connects to an address and closes the connection, within a timeout. The
 	// default uses TCP.
-	Dial    func(address string, timeout time.Duration) error
+	Dial func(address string, timeout time.Duration) error
+	// Now returns the time, by default that of the clock.
+	Now     func() time.Time
 	Metrics *telemetry.Metrics
 	Log     *telemetry.Logger
 }
@@ -48,12 +51,8 @@
 // Guard decides which requests this entry keeps from the engines. It is safe for
 // concurrent use.
 type Guard struct {
-	cfg     Config
-	started time.Time
-	// suspectUntil is the time since started until which parts may be suspected, and
-	// quarantinedCount the number of quarantined parts. While nothing is suspected or
-	// quarantined, requests do not take the mutex.
-	suspectUntil     atomic.Int64
+	cfg Config
+	// quarantinedCount is the number of quarantined parts.
 	quarantinedCount atomic.Int64
 
 	mu         sync.Mutex
@@ -62,20 +61,16 @@
 	// known to have crashed or not.
 	broken   map[quarantine.Incarnation]*breakage
 	watchers map[quarantine.Part]map[*watcher]bool
-	// times holds the last crash and the last begin of parts that were suspects.
-	times map[quarantine.Part]partTimes
+	// evidenceUntil is when the newest crash no longer counts. Until then a goroutine
+	// evaluates the evidence; ticking is true while it runs.
+	evidenceUntil time.Time
+	ticking       bool
 	// seen holds the incarnations that were counted as crashed, and when.
 	seen map[quarantine.Incarnation]time.Time
 	// refusals counts the requests refused here by their quarantined part.
 	refusals map[quarantine.Part]int64
 }
 
-// partTimes are the last crash in which a part was a suspect, and the last time at which
-// an entry announced that an engine began to answer a request with it.
-type partTimes struct {
-	crash, begun time.Time
-}
-
 // watcher calls onBlocked at most once. The mutex of the Guard protects its fields.
 type watcher struct {
 	parts     []quarantine.Part
@@ -87,12 +82,15 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	if cfg.Broadcast == nil {
 		cfg.Broadcast = func(peers.Evidence) {}
 	}
 	g := &Guard{
-		cfg: cfg, started: time.Now(), broken: make(map[quarantine.Incarnation]*breakage), watchers: make(map[quarantine.Part]map[*watcher]bool),
-		times: make(map[quarantine.Part]partTimes), seen: make(map[quarantine.Incarnation]time.Time), refusals: make(map[quarantine.Part]int64),
+		cfg: cfg, broken: make(map[quarantine.Incarnation]*breakage), watchers: make(map[quarantine.Part]map[*watcher]bool),
+		seen: make(map[quarantine.Incarnation]time.Time), refusals: make(map[quarantine.Part]int64),
 	}
 	config := quarantine.Config{Entry: cfg.Entry}
 	if cfg.OwnsTrial != nil {
@@ -112,7 +110,7 @@
 	list := bounded(parts)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p, blocked := g.quarantine.Check(time.Now(), list)
+	p, blocked := g.quarantine.Check(g.cfg.Now(), list)
 	g.refresh()
 	if !blocked {
 		return "", false
@@ -130,10 +128,12 @@
 // quarantined, until stop is called. The request counts as refused then. A part that is
 // quarantined already does not count: the request may be a trial.
 func (g *Guard) Watch(parts []string, onBlocked func(part string)) (stop func()) {
-	w := &watcher{parts: bounded(parts), onBlocked: onBlocked}
-	if len(w.parts) == 0 {
+	list := bounded(parts)
+	if len(list) < 2 {
 		return func() {}
 	}
+	// The last part is the request's own.
+	w := &watcher{parts: list[:len(list)-1], onBlocked: onBlocked}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range w.parts {
@@ -161,29 +161,25 @@
 // Began records that a target began to answer a request with these parts. Other entries
 // hear of it if a part is suspected: a part that is served is sound.
 func (g *Guard) Began(parts []string) {
-	now := time.Now()
-	if now.Sub(g.started) >= time.Duration(g.suspectUntil.Load()) && g.quarantinedCount.Load() == 0 {
+	list := bounded(parts)
+	if len(list) < 2 {
 		return
 	}
-	var news peers.Evidence
+	now := g.cfg.Now()
 	g.mu.Lock()
-	suspected, changed := g.quarantine.RecordBegan(now, now, bounded(parts))
-	for _, p := range suspected {
-		// One begin after each crash is enough, whichever entry saw it.
-		if t := g.times[p]; t.begun.IsZero() || t.begun.Before(t.crash) {
-			g.setTimes(p, partTimes{crash: t.crash, begun: now})
-			news.Begun = append(news.Begun, peers.Begun{Part: p, At: now})
-		}
-	}
+	suspected, changed := g.quarantine.RecordBegan(now, now, list)
 	g.adopt(changed)
-	news.Verdicts = changed
 	g.mu.Unlock()
+	news := peers.Evidence{Verdicts: changed}
+	for _, p := range suspected {
+		news.Begins = append(news.Begins, quarantine.Begin{Part: p, At: now})
+	}
 	g.broadcast(news)
 }
 
 // broadcast sends evidence, if there is any. The caller does not hold mu.
 func (g *Guard) broadcast(e peers.Evidence) {
-	if len(e.Crashes)+len(e.Begun)+len(e.Verdicts) > 0 {
+	if len(e.Crashes)+len(e.Begins)+len(e.Verdicts) > 0 {
 		g.cfg.Broadcast(e)
 	}
 }
@@ -191,6 +187,9 @@
 // adopt logs and counts verdicts that are new here, and ends the requests that they
 // concern.
 func (g *Guard) adopt(verdicts []quarantine.Verdict) {
+	if len(verdicts) == 0 {
+		return
+	}
 	for _, v := range verdicts {
 		line := g.cfg.Log.With("part", v.Part).With("crashes", v.Crashes).With("by", v.Entry).With("generation", v.Generation).With("trials", v.Trials)
 		if !v.Quarantined {
@@ -212,39 +211,33 @@
 // refresh updates the number of quarantined parts, and forgets the refusals of parts
 // that are no longer known.
 func (g *Guard) refresh() {
-	verdicts := g.quarantine.Verdicts()
-	count := 0
-	for _, v := range verdicts {
+	count := int64(0)
+	known := make(map[quarantine.Part]bool)
+	for _, v := range g.quarantine.Verdicts() {
+		known[v.Part] = true
 		if v.Quarantined {
 			count++
 		}
 	}
-	g.quarantinedCount.Store(int64(count))
-	if len(g.refusals) > count+wire.MaxPartVerdicts {
-		clear(g.refusals)
-	}
-}
-
-// setTimes sets the times of a part, while there is room for it.
-func (g *Guard) setTimes(p quarantine.Part, t partTimes) {
-	if _, known := g.times[p]; known || len(g.times) < maxTimedParts {
-		g.times[p] = t
-	}
+	g.quarantinedCount.Store(count)
+	maps.DeleteFunc(g.refusals, func(p quarantine.Part, _ int64) bool { return !known[p] })
 }
 
 // bounded returns the parts that are considered, in the form in which entries exchange
-// them. A long ID is replaced by its hash.
+// them: the first shared ones and the last one, which is the request's own. A long ID is
+// replaced by its hash.
 func bounded(parts []string) []quarantine.Part {
-	list := make([]quarantine.Part, 0, wire.MaxSuspectParts)
-	for _, p := range parts[:min(len(parts), wire.MaxSuspectParts)] {
+	var list []quarantine.Part
+	for i, p := range parts {
+		if p == "" || len(list) == wire.MaxSuspectParts-1 && i < len(parts)-1 {
+			continue
+		}
 		if len(p) > wire.MaxPartBytes {
 			h := fnv.New128a()
 			h.Write([]byte(p))
 			p = hex.EncodeToString(h.Sum(nil))
 		}
-		if p != "" {
-			list = append(list, quarantine.Part(p))
-		}
+		list = append(list, quarantine.Part(p))
 	}
 	return list
 }
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -35,10 +35,9 @@
 // Broken records that the connection to a target ended before the first event of an
 // answer; it returns at once and dials the target in the background. Only a target that
 // refuses the connection counts as crashed. A timeout must not be reported: silence is
-// no evidence.
+// no evidence. Without shared parts the crash counts, but the request is no suspect.
 func (g *Guard) Broken(target *catalog.Target, parts []string, sentAt time.Time) {
-	list := bounded(parts)
-	if len(list) == 0 || g.leaving(target) {
+	if g.leaving(target) {
 		return
 	}
 	incarnation := incarnationOf(target)
@@ -49,11 +48,11 @@
 		if len(g.broken) >= maxBroken {
 			return
 		}
-		b = &breakage{at: time.Now()}
+		b = &breakage{at: g.cfg.Now()}
 		g.broken[incarnation] = b
 		go g.examine(target, incarnation, b)
 	}
-	if len(b.suspects) < wire.MaxSuspects {
+	if list := bounded(parts); len(list) > 1 && len(b.suspects) < wire.MaxSuspects {
 		b.suspects = append(b.suspects, quarantine.Suspect{Parts: list, SentAt: sentAt})
 	}
 }
@@ -67,7 +66,7 @@
 	time.Sleep(gatherTime)
 	err := g.cfg.Dial(target.Address, dialTimeout)
 	crashed := errors.Is(err, syscall.ECONNREFUSED) && !g.leaving(target)
-	now := time.Now()
+	now := g.cfg.Now()
 	g.mu.Lock()
 	delete(g.broken, incarnation)
 	if !crashed {
@@ -80,11 +79,14 @@
 		return
 	}
 	crash := quarantine.Crash{Incarnation: incarnation, At: b.at, Suspects: b.suspects}
-	changed := g.recordCrash(now, crash, false)
-	g.adopt(changed)
+	news := peers.Evidence{}
+	if _, known := g.seen[incarnation]; !known || len(b.suspects) > 0 {
+		news.Crashes = []quarantine.Crash{crash}
+	}
+	news.Verdicts = g.recordCrash(now, crash, false)
+	news.Begins = g.quarantine.TakeBegins(now)
 	g.mu.Unlock()
-	crash.Suspects = slices.Clone(crash.Suspects)
-	g.broadcast(peers.Evidence{Crashes: []quarantine.Crash{crash}, Verdicts: changed})
+	g.broadcast(news)
 }
 
 // dialTCP connects to an address and closes the connection.
@@ -102,7 +104,11 @@
 	if now.Sub(c.At) >= evidenceTTL {
 		return nil
 	}
-	g.forgetOld(now)
+	for incarnation, at := range g.seen {
+		if now.Sub(at) > evidenceTTL {
+			delete(g.seen, incarnation)
+		}
+	}
 	if _, counted := g.seen[c.Incarnation]; !counted && len(g.seen) < maxSeenIncarnations {
 		g.seen[c.Incarnation] = now
 		g.cfg.Metrics.Count("engine_crashes_seen")
@@ -110,9 +116,6 @@
 	var parts []string
 	for _, s := range c.Suspects {
 		for _, p := range s.Parts {
-			if t := g.times[p]; c.At.After(t.crash) {
-				g.setTimes(p, partTimes{crash: c.At, begun: t.begun})
-			}
 			if len(parts) < maxLoggedParts && !slices.Contains(parts, string(p)) {
 				parts = append(parts, string(p))
 			}
@@ -120,21 +123,31 @@
 	}
 	g.cfg.Log.With("target", c.Target).With("suspects", len(c.Suspects)).With("parts", strings.Join(parts, ",")).
 		With("ago_ms", now.Sub(c.At).Milliseconds()).With("from_peer", fromPeer).Info("engine crashed")
-	until := int64(c.At.Add(evidenceTTL).Sub(g.started))
-	g.suspectUntil.Store(max(until, g.suspectUntil.Load()))
-	return g.quarantine.RecordCrash(now, c)
+	changed := g.quarantine.RecordCrash(now, c)
+	g.adopt(changed)
+	if until := c.At.Add(evidenceTTL); until.After(g.evidenceUntil) {
+		g.evidenceUntil = until
+	}
+	if !g.ticking {
+		g.ticking = true
+		go g.evaluate()
+	}
+	return changed
 }
 
-// forgetOld forgets parts and incarnations whose crashes are too old to count.
-func (g *Guard) forgetOld(now time.Time) {
-	for p, t := range g.times {
-		if now.Sub(t.crash) > evidenceTTL {
-			delete(g.times, p)
-		}
-	}
-	for incarnation, at := range g.seen {
-		if now.Sub(at) > evidenceTTL {
-			delete(g.seen, incarnation)
+// evaluate evaluates the evidence at an interval until none is left.
+func (g *Guard) evaluate() {
+	for range time.Tick(tickInterval) {
+		g.mu.Lock()
+		now := g.cfg.Now()
+		changed := g.quarantine.Tick(now)
+		g.adopt(changed)
+		g.ticking = now.Before(g.evidenceUntil)
+		ends := !g.ticking
+		g.mu.Unlock()
+		g.broadcast(peers.Evidence{Verdicts: changed})
+		if ends {
+			return
 		}
 	}
 }
@@ -142,38 +155,37 @@
 // Receive takes evidence of another entry. Verdicts that follow from it here go to all
 // entries, because another entry may lack a part of the evidence.
 func (g *Guard) Receive(e peers.Evidence) {
-	now := time.Now()
+	now := g.cfg.Now()
 	g.mu.Lock()
-	g.adopt(g.quarantine.Merge(now, e.Verdicts))
-	// A begin frees a part from the crashes before it only, so the order matters.
-	slices.SortFunc(e.Crashes, func(a, b quarantine.Crash) int { return a.At.Compare(b.At) })
-	slices.SortFunc(e.Begun, func(a, b peers.Begun) int { return a.At.Compare(b.At) })
-	var changed []quarantine.Verdict
-	for len(e.Crashes)+len(e.Begun) > 0 {
-		if len(e.Begun) == 0 || len(e.Crashes) > 0 && !e.Crashes[0].At.After(e.Begun[0].At) {
-			changed = append(changed, g.recordCrash(now, e.Crashes[0], true)...)
-			e.Crashes = e.Crashes[1:]
-			continue
-		}
-		b := e.Begun[0]
-		e.Begun = e.Begun[1:]
-		if t, known := g.times[b.Part]; known && b.At.After(t.begun) {
-			g.times[b.Part] = partTimes{crash: t.crash, begun: b.At}
+	merged := g.quarantine.Merge(now, e.Verdicts)
+	g.adopt(merged)
+	// A begin acquits its part of the crashes before it, so it comes first.
+	changed := g.quarantine.MergeBegins(now, e.Begins)
+	g.adopt(changed)
+	for _, v := range merged {
+		if v.Entry == g.cfg.Entry {
+			changed = append(changed, v)
 		}
-		_, released := g.quarantine.RecordBegan(now, b.At, []quarantine.Part{b.Part})
-		changed = append(changed, released...)
 	}
-	g.adopt(changed)
+	for _, c := range e.Crashes {
+		changed = append(changed, g.recordCrash(now, c, true)...)
+	}
+	news := peers.Evidence{Verdicts: changed}
+	if len(e.Crashes) > 0 {
+		news.Begins = g.quarantine.TakeBegins(now)
+	}
 	g.mu.Unlock()
-	g.broadcast(peers.Evidence{Verdicts: changed})
+	g.broadcast(news)
 }
 
-// Evidence returns all verdicts and crash records, the newest first.
+// Evidence returns all verdicts, begins of suspected parts and crash records, the newest
+// first.
 func (g *Guard) Evidence() peers.Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := peers.Evidence{Crashes: g.quarantine.Crashes(time.Now()), Verdicts: g.quarantine.Verdicts()}
+	e := peers.Evidence{Crashes: g.quarantine.Crashes(g.cfg.Now()), Begins: g.quarantine.Begins(), Verdicts: g.quarantine.Verdicts()}
 	slices.SortFunc(e.Crashes, func(a, b quarantine.Crash) int { return b.At.Compare(a.At) })
+	slices.SortFunc(e.Begins, func(a, b quarantine.Begin) int { return b.At.Compare(a.At) })
 	slices.SortFunc(e.Verdicts, func(a, b quarantine.Verdict) int { return b.Since.Compare(a.Since) })
 	return e
 }
--- a/entry/containment/status.go
+++ b/entry/containment/status.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/placement"
 )
@@ -23,7 +22,7 @@
 
 // Status returns the quarantined parts, sorted, and the number of crash records.
 func (g *Guard) Status() (parts []PartStatus, crashRecords int) {
-	now := time.Now()
+	now := g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, v := range g.quarantine.Verdicts() {
--- a/entry/peers/evidence.go
+++ b/entry/peers/evidence.go
@@ -16,6 +16,8 @@
 	evidenceBytesPerSecond  = 32 << 10
 	// maxInitialEvidenceBytes bounds the evidence sent on a new connection.
 	maxInitialEvidenceBytes = 128 << 10
+	// maxInitialBegins bounds the begins among it, to leave room for crash records.
+	maxInitialBegins = 1024
 	// Encoded sizes without the strings. Each string has its length in one more byte.
 	crashBytes   = 24
 	suspectBytes = 12
@@ -23,53 +25,48 @@
 	verdictBytes = 40
 )
 
-// Begun is the time at which an engine began to answer a request with a suspected part.
-type Begun struct {
-	Part quarantine.Part
-	At   time.Time
-}
-
 // Evidence is what entries tell each other of parts of prompts under which engines
 // crash.
 type Evidence struct {
 	Crashes  []quarantine.Crash
-	Begun    []Begun
+	Begins   []quarantine.Begin
 	Verdicts []quarantine.Verdict
 }
 
 func (e *Evidence) empty() bool {
-	return len(e.Crashes) == 0 && len(e.Begun) == 0 && len(e.Verdicts) == 0
+	return len(e.Crashes) == 0 && len(e.Begins) == 0 && len(e.Verdicts) == 0
 }
 
 // add appends evidence, up to what the receiver of one message keeps, and reports
 // whether that is all of it.
 func (e *Evidence) add(x Evidence) bool {
-	count := func(e *Evidence) int { return len(e.Crashes) + len(e.Begun) + len(e.Verdicts) }
+	count := func(e *Evidence) int { return len(e.Crashes) + len(e.Begins) + len(e.Verdicts) }
 	want := count(e) + count(&x)
 	e.Crashes = append(e.Crashes, x.Crashes[:min(len(x.Crashes), wire.MaxCrashRecords-len(e.Crashes))]...)
-	e.Begun = append(e.Begun, x.Begun[:min(len(x.Begun), wire.MaxBegunParts-len(e.Begun))]...)
+	e.Begins = append(e.Begins, x.Begins[:min(len(x.Begins), wire.MaxBegunParts-len(e.Begins))]...)
 	e.Verdicts = append(e.Verdicts, x.Verdicts[:min(len(x.Verdicts), wire.MaxPartVerdicts-len(e.Verdicts))]...)
 	return count(e) == want
 }
 
 // take removes evidence of up to maxBytes and returns it with its size. Verdicts come
-// first, because they stop requests.
+// first, because they stop requests, and begins before the crashes after which they
+// acquit a part.
 func (e *Evidence) take(maxBytes int) (Evidence, int) {
 	var t Evidence
 	size := 0
-	t.Verdicts, e.Verdicts = takeList(e.Verdicts, maxBytes, &size, func(v quarantine.Verdict) int {
+	t.Verdicts, e.Verdicts = takeList(e.Verdicts, wire.MaxPartVerdicts, maxBytes, &size, func(v quarantine.Verdict) int {
 		return verdictBytes + len(v.Part) + len(v.Entry)
 	})
-	t.Crashes, e.Crashes = takeList(e.Crashes, maxBytes, &size, crashSize)
-	t.Begun, e.Begun = takeList(e.Begun, maxBytes, &size, func(b Begun) int { return begunBytes + len(b.Part) })
+	t.Begins, e.Begins = takeList(e.Begins, wire.MaxBegunParts, maxBytes, &size, func(b quarantine.Begin) int { return begunBytes + len(b.Part) })
+	t.Crashes, e.Crashes = takeList(e.Crashes, wire.MaxCrashRecords, maxBytes, &size, crashSize)
 	return t, size
 }
 
-// takeList splits a list after the elements that fit into maxBytes, and adds their size
-// to *size.
-func takeList[T any](list []T, maxBytes int, size *int, sizeOf func(T) int) (taken, rest []T) {
+// takeList splits a list after the first elements, at most maxCount of them, that fit
+// into maxBytes, and adds their size to *size.
+func takeList[T any](list []T, maxCount, maxBytes int, size *int, sizeOf func(T) int) (taken, rest []T) {
 	for i, x := range list {
-		if n := sizeOf(x); *size+n <= maxBytes {
+		if n := sizeOf(x); i < maxCount && *size+n <= maxBytes {
 			*size += n
 		} else {
 			return slices.Clip(list[:i]), list[i:]
@@ -104,12 +101,13 @@
 		}
 		x.Crashes = append(x.Crashes, record)
 	}
-	for _, b := range e.Begun {
+	for _, b := range e.Begins {
 		x.Begun = append(x.Begun, wire.BegunPart{Part: string(b.Part), AgeMS: ageMS(b.At)})
 	}
 	for _, v := range e.Verdicts {
 		x.Verdicts = append(x.Verdicts, wire.PartVerdict{
 			Part: string(v.Part), Generation: v.Generation, Quarantined: v.Quarantined, AgeMS: ageMS(v.Since), Crashes: v.Crashes, Entry: v.Entry, Trials: v.Trials,
+			AskedAgeMS: ageMS(v.LastAskedAt),
 		})
 	}
 	return x
@@ -131,11 +129,12 @@
 		e.Crashes = append(e.Crashes, crash)
 	}
 	for _, b := range x.Begun {
-		e.Begun = append(e.Begun, Begun{Part: quarantine.Part(b.Part), At: now.Add(-wire.Age(b.AgeMS))})
+		e.Begins = append(e.Begins, quarantine.Begin{Part: quarantine.Part(b.Part), At: now.Add(-wire.Age(b.AgeMS))})
 	}
 	for _, v := range x.Verdicts {
 		e.Verdicts = append(e.Verdicts, quarantine.Verdict{
 			Part: quarantine.Part(v.Part), Generation: v.Generation, Quarantined: v.Quarantined, Since: now.Add(-wire.Age(v.AgeMS)), Crashes: v.Crashes, Entry: v.Entry, Trials: v.Trials,
+			LastAskedAt: now.Add(-wire.Age(v.AskedAgeMS)),
 		})
 	}
 	return e
@@ -182,6 +181,7 @@
 		return
 	}
 	e := m.CurrentEvidence()
+	e.Begins = e.Begins[:min(len(e.Begins), maxInitialBegins)]
 	for budget := maxInitialEvidenceBytes; ; {
 		message, size := e.take(min(maxEvidenceMessageBytes, budget))
 		if message.empty() {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -68,9 +68,9 @@
 	StateAfter func(after catalog.Position) State
 	// ReceiveState takes a part of the state of a peer.
 	ReceiveState func(s State)
-	// CurrentEvidence returns the verdicts and crash records of this entry for a peer
-	// that has just connected, the newest first, and ReceiveEvidence takes those of a
-	// peer. Both may be nil.
+	// CurrentEvidence returns the evidence of this entry for a peer that has just
+	// connected, the newest first, and ReceiveEvidence takes that of a peer. Both may
+	// be nil.
 	CurrentEvidence func() Evidence
 	ReceiveEvidence func(e Evidence)
 	Log             *telemetry.Logger
--- a/internal/wire/evidence.go
+++ b/internal/wire/evidence.go
@@ -1,6 +1,9 @@
 package wire
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Bounds of the fields of Items that entries use to quarantine parts of prompts. What
 // exceeds them is dropped on receipt.
@@ -11,7 +14,7 @@
 	MaxPartBytes     = 32
 	MaxBegunParts    = 256
 	MaxPartVerdicts  = 256
-	maxNameBytes     = 128
+	maxNameBytes     = 64
 	maxEvidenceAgeMS = int64(7 * 24 * time.Hour / time.Millisecond)
 )
 
@@ -27,7 +30,7 @@
 }
 
 // Suspect is a request that was sent to an engine AgeMS milliseconds ago and of which
-// no event had arrived when the engine crashed.
+// no event had arrived when the engine crashed. The last of its parts is its own.
 type Suspect struct {
 	Parts []string `msgpack:"p"`
 	AgeMS int64    `msgpack:"a"`
@@ -51,6 +54,8 @@
 	Crashes int    `msgpack:"c,omitempty"`
 	Entry   string `msgpack:"e,omitempty"`
 	Trials  int    `msgpack:"n,omitempty"`
+	// AskedAgeMS is the time since a request last asked for the part.
+	AskedAgeMS int64 `msgpack:"l,omitempty"`
 }
 
 // AgeMS returns the age of an event in milliseconds, within the range that is accepted
@@ -70,14 +75,14 @@
 func (x *Items) BoundEvidence() {
 	x.Crashes = keep(x.Crashes, MaxCrashRecords, func(c *CrashRecord) bool {
 		c.Suspects = keep(c.Suspects, MaxSuspects, func(s *Suspect) bool {
-			s.Parts = keep(s.Parts, MaxSuspectParts, func(p *string) bool { return validPart(*p) })
-			return len(s.Parts) > 0 && validAge(s.AgeMS)
+			// A list without some parts could end with a part that is not the last.
+			return len(s.Parts) > 0 && len(s.Parts) <= MaxSuspectParts && !slices.ContainsFunc(s.Parts, invalidPart) && validAge(s.AgeMS)
 		})
-		return validName(c.Target) && validAge(c.AgeMS) && len(c.Suspects) > 0
+		return c.Target != "" && len(c.Target) <= maxNameBytes && validAge(c.AgeMS)
 	})
-	x.Begun = keep(x.Begun, MaxBegunParts, func(b *BegunPart) bool { return validPart(b.Part) && validAge(b.AgeMS) })
+	x.Begun = keep(x.Begun, MaxBegunParts, func(b *BegunPart) bool { return !invalidPart(b.Part) && validAge(b.AgeMS) })
 	x.Verdicts = keep(x.Verdicts, MaxPartVerdicts, func(v *PartVerdict) bool {
-		return validPart(v.Part) && validAge(v.AgeMS) && len(v.Entry) <= maxNameBytes && v.Crashes >= 0 && v.Trials >= 0
+		return !invalidPart(v.Part) && validAge(v.AgeMS) && validAge(v.AskedAgeMS) && len(v.Entry) <= maxNameBytes && v.Crashes >= 0 && v.Trials >= 0
 	})
 }
 
@@ -92,6 +97,5 @@
 	return kept
 }
 
-func validPart(p string) bool   { return p != "" && len(p) <= MaxPartBytes }
-func validName(n string) bool   { return n != "" && len(n) <= maxNameBytes }
+func invalidPart(p string) bool { return p == "" || len(p) > MaxPartBytes }
 func validAge(ageMS int64) bool { return ageMS >= 0 && ageMS <= maxEvidenceAgeMS }
