--- a/entry/peers/evidence.go
+++ b/entry/peers/evidence.go
@@ -13,7 +13,7 @@
 	// evidenceBytesPerSecond that which an entry sends each peer in a second. Evidence
 	// beyond that waits for the next second.
 	maxEvidenceMessageBytes = 16 << 10
-	evidenceBytesPerSecond  = 32 << 10
+	evidenceBytesPerSecond  = 16 << 10
 	// maxInitialEvidenceBytes bounds the evidence sent on a new connection.
 	maxInitialEvidenceBytes = 128 << 10
 	// maxInitialBegins bounds the begins among it, to leave room for crash records.
