--- a/entry/containment/bench_test.go
+++ b/entry/containment/bench_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
@@ -48,25 +47,21 @@
 
 func fullGuard(idBytes int) *containment.Guard {
 	g := containment.New(containment.Config{Entry: "e", Metrics: telemetry.NewMetrics(), Log: telemetry.For("quarantine")})
-	number := 0
-	id := func() string {
+	number, now := 0, time.Now()
+	id := func() quarantine.Part {
 		number++
-		return strings.Repeat("0", idBytes-8) + fmt.Sprintf("%08x", number)
+		return quarantine.Part(fmt.Sprintf("%0*x", idBytes, number))
 	}
-	now := time.Now()
-	for range 20000 {
-		g.Began([]string{id(), id(), "own"})
-	}
-	for range 300 {
-		g.Receive(peers.Evidence{Verdicts: []quarantine.Verdict{{Part: quarantine.Part(id()), Generation: 1, Quarantined: true, Since: now, Entry: "front-gardabani-1"}}})
+	for i := range 20000 {
+		g.Began([]string{string(id()), string(id()), "own"})
+		if i < 300 {
+			g.Receive(peers.Evidence{Verdicts: []quarantine.Verdict{{Part: id(), Generation: 1, Quarantined: true, Since: now, Entry: "front-gardabani-1"}}})
+		}
 	}
 	for i := range 100 {
 		c := quarantine.Crash{Incarnation: quarantine.Incarnation{Target: fmt.Sprint("i-", i)}, At: now}
 		for range 32 {
-			var parts []quarantine.Part
-			for range 8 {
-				parts = append(parts, quarantine.Part(id()))
-			}
+			parts := []quarantine.Part{id(), id(), id(), id(), id(), id(), id(), id()}
 			c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: parts, SentAt: now})
 		}
 		g.Receive(peers.Evidence{Crashes: []quarantine.Crash{c}})
