relay: release the buffers of a second answer when the caller leaves

The second answer's parts of the buffer pool were not returned if the caller left at the moment at which another target had begun to answer.

--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -36,7 +36,7 @@
 func (x *callerRequest) newReplacement(ctx context.Context, endAttempt func()) *replacement {
 	history, tried := x.history, x.triedTargets
 	return &replacement{
-		timeout: attemptTimeout(x.route, &x.history), endAttempt: endAttempt, release: x.releaseOpened,
+		timeout: attemptTimeout(x.route, &x.history), endAttempt: endAttempt, release: x.release,
 		mayReplace: func(failed sendCounts) bool { return history.mayReplace(x.route, x.remaining(), failed) },
 		open: func(searchCtx context.Context, resumeAfter string, failed []string) openOutcome {
 			excluded := append(append([]string(nil), tried...), failed...)
@@ -45,9 +45,11 @@
 	}
 }
 
-// releaseOpened gives up a response that is not needed.
-func (x *callerRequest) releaseOpened(target *grantedTarget) {
-	target.opened.close()
+// release gives up a target that is not needed, with the response that it has begun.
+func (x *callerRequest) release(target *grantedTarget) {
+	if target.opened != nil {
+		target.opened.close()
+	}
 	x.h.Broker.Done(target.requestNumber, steering.Abandoned)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -171,7 +171,7 @@
 		}
 		if x.r.Context().Err() != nil {
 			if replacement != nil {
-				x.h.Broker.Done(replacement.requestNumber, steering.Abandoned)
+				x.release(replacement)
 			}
 			x.abandon("caller left")
 		}
