Contain requests with a prompt part under which engines crash

Cause: nothing related the crashes to what their requests had in common, and no entry knew what the others saw. Each new request with the part was placed like any other.

A request with a quarantined part is refused at once (2019, 503, or 502 if a target may have run it), also while it waits for a target or for its first event; two targets that end the connection of one request before its first event are the last it is sent to.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -336,7 +336,7 @@
 func (e *Edge) handler() http.Handler {
 	h := &relay.Handler{
 		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: noticeRecorder{e.broker, &e.leaving}, Upstream: upstream.NewPool(e.metrics),
-		RetryBudget: e.retryBudget, Buffers: relay.NewBufferPool(maxBufferedBytes), Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, Stopping: e.refusesRequests.Load,
+		RetryBudget: e.retryBudget, Containment: e.guard, Buffers: relay.NewBufferPool(maxBufferedBytes), Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, Stopping: e.refusesRequests.Load,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.openRequests.Add(1)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,7 +48,8 @@
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
 	x.triedTargets = append(x.triedTargets, grant.Target.ID)
 	x.history.sends++
-	x.began = false
+	x.began.Store(false)
+	x.sentAt = time.Now()
 	requestCtx := ctx
 	ctx, end := context.WithCancelCause(ctx)
 	opened := target.opened
@@ -80,7 +81,7 @@
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, x.resumeAfter()))
 	silence.arrived()
 	if failure != nil {
-		return false, x.handleNoResponse(requestNumber, failure)
+		return false, x.handleNoResponse(ctx, requestNumber, failure)
 	}
 	defer resp.Body.Close()
 	if n := x.h.Dialect.ParseNotice(resp); n != (steering.Notice{}) {
@@ -95,10 +96,10 @@
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 		return false, true
 	case Failed:
-		return x.handleFailed(requestNumber, resp, silence)
+		return x.handleFailed(ctx, requestNumber, resp, silence)
 	}
 	if x.route.Kind != catalog.Stream {
-		return x.relayWhole(requestNumber, resp, silence)
+		return x.relayWhole(ctx, requestNumber, resp, silence)
 	}
 	return x.relayStream(ctx, requestNumber, resp, newEventReader(resp), silence)
 }
@@ -106,7 +107,7 @@
 // relayOpened relays a response that has begun before its attempt.
 func (x *callerRequest) relayOpened(ctx context.Context, requestNumber uint64, opened *openedResponse, silence *replacement) (done, mayHaveRun bool) {
 	if opened.whole != nil {
-		x.began = true
+		x.beganAnswer()
 		x.h.Broker.Done(requestNumber, steering.Answered)
 		x.writeResponse(opened.whole)
 		return true, true
@@ -138,22 +139,34 @@
 // broker.
 func (x *callerRequest) failAttempt(requestNumber uint64, outcome steering.Outcome, code result.Code) {
 	x.history.lastCode = code
-	if outcome == steering.ResponseBroken && !x.began {
+	if outcome == steering.ResponseBroken && !x.began.Load() {
 		x.h.Metrics.Count("answers_broken_before_first_event")
 	}
 	x.h.Broker.Done(requestNumber, outcome)
 }
 
+// failBroken records an attempt that ended without a whole answer, and returns its
+// outcome.
+func (x *callerRequest) failBroken(ctx context.Context, requestNumber uint64) steering.Outcome {
+	if x.r.Context().Err() != nil || errors.Is(context.Cause(ctx), errQuarantined) {
+		x.failAttempt(requestNumber, steering.Abandoned, result.CallerGone)
+		return steering.Abandoned
+	}
+	if x.targetBroke(ctx, x.grant.Target, x.began.Load(), x.sentAt) {
+		x.history.brokenBegins++
+	}
+	x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
+	return steering.ResponseBroken
+}
+
 // handleNoResponse records an attempt without a response. It reports whether the
 // target may have run the request.
-func (x *callerRequest) handleNoResponse(requestNumber uint64, failure *upstream.Error) (mayHaveRun bool) {
+func (x *callerRequest) handleNoResponse(ctx context.Context, requestNumber uint64, failure *upstream.Error) (mayHaveRun bool) {
 	switch {
 	case !failure.MaybeSent:
 		x.failAttempt(requestNumber, steering.Unreachable, result.EngineUnavailable)
-	case x.r.Context().Err() != nil:
-		x.failAttempt(requestNumber, steering.Abandoned, result.CallerGone)
 	default:
-		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
+		x.failBroken(ctx, requestNumber)
 	}
 	if errors.Is(failure.Cause, upstream.ErrOverBounds) {
 		x.h.Metrics.Count("answers_over_bounds")
@@ -180,10 +193,10 @@
 
 // handleFailed records a failure response of the target. The response is kept
 // and goes to the caller if no other target succeeds.
-func (x *callerRequest) handleFailed(requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) handleFailed(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
 	whole, err := x.readResponse(resp, silence)
 	if err != nil {
-		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
+		x.failBroken(ctx, requestNumber)
 		return false, true
 	}
 	x.failAttempt(requestNumber, steering.Answered, result.EngineFailed)
@@ -194,12 +207,12 @@
 // readResponse reads a response to its end. It returns an error if the response
 // ends early or is too large.
 func (x *callerRequest) readResponse(resp *http.Response, silence *replacement) (*wholeResponse, error) {
-	x.began = true
 	body, err := x.buffers.read(&watchedBody{body: resp.Body, silence: silence}, resp.ContentLength)
 	if err != nil {
 		x.logBroken(err)
 		return nil, err
 	}
+	x.beganAnswer()
 	return &wholeResponse{status: resp.StatusCode, header: x.h.Dialect.CallerHeader(resp.Header), body: body}, nil
 }
 
@@ -232,10 +245,10 @@
 }
 
 // relayWhole reads a response that is not a stream and sends it to the caller.
-func (x *callerRequest) relayWhole(requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) relayWhole(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
 	whole, err := x.readResponse(resp, silence)
 	if err != nil {
-		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
+		x.failBroken(ctx, requestNumber)
 		return false, true
 	}
 	x.h.Broker.Done(requestNumber, steering.Answered)
@@ -254,8 +267,8 @@
 			err = errSilent
 		}
 		if err == nil {
-			if !x.began {
-				x.began = true
+			if !x.began.Load() {
+				x.beganAnswer()
 				x.h.Broker.FirstEvent(requestNumber)
 			}
 			if !x.writeEvent(resp, event, events.preceding) {
@@ -270,10 +283,7 @@
 			x.endStream(resp, events.preceding)
 			return true, true
 		}
-		if x.r.Context().Err() != nil {
-			x.failAttempt(requestNumber, steering.Abandoned, result.CallerGone)
-		} else {
-			x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
+		if x.failBroken(ctx, requestNumber) == steering.ResponseBroken {
 			if errors.Is(err, upstream.ErrOverBounds) {
 				x.logBroken(err)
 			}
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -10,10 +10,10 @@
 var errUntrusted = errors.New("the response cannot be trusted")
 
 // withBreak adds the fields that relate a broken answer to the prompt: whether the
-// answer had begun, the shared parts of the prompt and the cause.
+// answer had begun, the parts of the prompt and the cause.
 func (x *callerRequest) withBreak(line *telemetry.Logger, err error) *telemetry.Logger {
 	if len(x.meta.PromptParts) > 0 {
 		line = line.With("parts", strings.Join(x.meta.PromptParts, ","))
 	}
-	return line.With("began", x.began).With("error", err)
+	return line.With("began", x.began.Load()).With("error", err)
 }
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -75,6 +75,7 @@
 	o := &openedResponse{buffers: buffers{pool: x.h.Buffers}}
 	o.ctx, o.end = context.WithCancelCause(ctx)
 	stop := context.AfterFunc(search, func() { o.end(context.Canceled) })
+	sentAt := time.Now()
 	outcome, mayHaveRun := x.open(o, grant, resumeAfter)
 	if !stop() && outcome == 0 {
 		outcome, mayHaveRun = steering.Abandoned, true
@@ -82,9 +83,10 @@
 	x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", requestNumber).With("target", grant.Target.ID).
 		With("began", outcome == 0).Info("sent elsewhere, because the target is silent")
 	if outcome != 0 {
+		broken := outcome == steering.ResponseBroken && x.targetBroke(o.ctx, grant.Target, false, sentAt)
 		o.close()
 		x.h.Broker.Done(requestNumber, outcome)
-		return openOutcome{tried: grant.Target.ID, mayHaveRun: mayHaveRun}
+		return openOutcome{tried: grant.Target.ID, mayHaveRun: mayHaveRun, brokeBeforeBegin: broken}
 	}
 	x.h.Metrics.Count("attempts_ended_by_silence")
 	return openOutcome{target: &grantedTarget{grant: grant, requestNumber: requestNumber, opened: o}}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
@@ -24,6 +25,9 @@
 	// configRetryAfter is the Retry-After while the entry has no configuration
 	// or possibly an old one.
 	configRetryAfter = 250 * time.Millisecond
+	// quarantineRetryAfter is the Retry-After of a request with a quarantined part,
+	// before it is bounded by the deadline.
+	quarantineRetryAfter = 30 * time.Second
 	// defaultTimeout bounds a request whose route sets no timeout.
 	defaultTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a caller that does not read: an event, or a part
@@ -40,6 +44,7 @@
 	// Upstream is the pool of HTTP connections to the targets.
 	Upstream    *upstream.Pool
 	RetryBudget *retry.SharedBudget
+	Containment Containment
 	// Buffers bounds the memory of the responses that are read whole.
 	Buffers *BufferPool
 	Metrics *telemetry.Metrics
@@ -75,9 +80,13 @@
 	// targetID and adapterVersion are those of the last grant.
 	targetID       string
 	adapterVersion int
-	// began is true once the first event of a stream, or the head of another answer,
+	// began is true once the first event of a stream, or the whole of another answer,
 	// has arrived in the present attempt.
-	began bool
+	began atomic.Bool
+	// sentAt is when the present attempt began.
+	sentAt time.Time
+	// quarantinedPart is a part of the prompt that was quarantined, nil if there is none.
+	quarantinedPart atomic.Pointer[string]
 	// waited is the total time spent waiting for targets.
 	waited time.Duration
 	// requestNumber is the number that the broker gave to the last Acquire. Each
@@ -154,6 +163,14 @@
 func (x *callerRequest) run() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	stopWatch, blocked := x.watchQuarantine(end)
+	defer stopWatch()
+	if blocked {
+		x.giveUp()
+		return
+	}
 	x.h.RetryBudget.CountRequest(time.Now(), x.poolName)
 	var next *grantedTarget
 	for {
@@ -162,6 +179,11 @@
 				return
 			}
 		}
+		if x.quarantinedPart.Load() != nil {
+			x.release(next)
+			x.giveUp()
+			return
+		}
 		done, mayHaveRun, replacement := x.attempt(ctx, next)
 		if done {
 			return
@@ -175,7 +197,7 @@
 			}
 			x.abandon("caller left")
 		}
-		if replacement == nil && !x.history.canRetry(x.route, x.remaining(), mayHaveRun) {
+		if replacement == nil && (x.quarantinedPart.Load() != nil || !x.history.canRetry(x.route, x.remaining(), mayHaveRun)) {
 			x.giveUp()
 			return
 		}
@@ -247,6 +269,10 @@
 		x.writeResponse(whole)
 		return
 	}
+	if part := x.quarantinedPart.Load(); part != nil {
+		x.refuseQuarantined(*part)
+		return
+	}
 	code := x.history.refusalCode(x.remaining() < minAttemptTime)
 	retryAfter := time.Duration(0)
 	if x.history.possibleRuns == 0 {
@@ -262,9 +288,10 @@
 	header := x.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.h.Dialect.SetRefusalHeaders(header, x.meta.AttemptID, refusal.RetryAfter)
-	x.w.WriteHeader(httpStatus(refusal.Code))
+	status := httpStatus(refusal.Code, x.history.possibleRuns > 0)
+	x.w.WriteHeader(status)
 	_, _ = io.WriteString(x.w, refusal.Error()+"\n")
-	x.logEnd(refusal.Code, httpStatus(refusal.Code))
+	x.logEnd(refusal.Code, status)
 }
 
 // writeResponse sends a whole response of a target to the caller.
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -40,6 +40,16 @@
 		Entry("for a resumable stream", resumableRoute, history{sends: 1, possibleRuns: 1}, true, true),
 	)
 
+	// Guards against a request that ends engine after engine because its route allows
+	// many attempts.
+	It("is not allowed after two targets ended the connection before the first event", func() {
+		route := &catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 5}
+		for n, want := range map[int]bool{1: true, 2: false} {
+			h := history{sends: n, possibleRuns: n, brokenBegins: n}
+			Expect(h.canRetry(route, time.Second, true)).To(Equal(want))
+		}
+	})
+
 	It("is not allowed with too little time left", func() {
 		h := history{}
 		Expect(h.canRetry(idempotentRoute, 10*time.Millisecond, false)).To(BeFalse())
@@ -60,11 +70,12 @@
 	DescribeTable("ends with", func(h history, deadlineReached bool, code result.Code, httpCode int) {
 		got := h.refusalCode(deadlineReached)
 		Expect(got).To(Equal(code))
-		Expect(httpStatus(got)).To(Equal(httpCode))
+		Expect(httpStatus(got, h.possibleRuns > 0)).To(Equal(httpCode))
 	},
 		Entry("not run, if no target got it", history{}, false, result.DeadlinePassed, 503),
 		Entry("the code of the last refusal", history{lastCode: result.QueueFull}, true, result.QueueFull, 503),
 		Entry("no claim that it did not run, if a target may have run it", history{possibleRuns: 1, lastCode: result.QueueFull}, false, result.AnswerCut, 502),
+		Entry("not run, if a part of its prompt is quarantined", history{lastCode: result.PromptQuarantined}, false, result.PromptQuarantined, 503),
 		Entry("no claim that it did not run, at its deadline", history{possibleRuns: 1}, true, result.Cancelled, 504),
 	)
 
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -63,6 +63,8 @@
 	target     *grantedTarget
 	tried      string // the target that failed, empty if the request was not sent
 	mayHaveRun bool
+	// brokeBeforeBegin is true if the target ended the connection.
+	brokeBeforeBegin bool
 }
 
 // await begins to watch for silence. The stream continues at another target after the
@@ -132,6 +134,9 @@
 		if found.mayHaveRun {
 			r.failed.possibleRuns++
 		}
+		if found.brokeBeforeBegin {
+			r.failed.brokenBegins++
+		}
 	}
 	switch {
 	case cancelled && found.target != nil:
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -21,6 +21,9 @@
 	// maxExtraSends is how many more targets than the route's MaxAttempts get
 	// the request if targets decline without running it.
 	maxExtraSends = 2
+	// maxBrokenBegins is the number of targets that may end the connection of one
+	// request before the first event: the request may be why they ended.
+	maxBrokenBegins = 2
 	// minAttemptTime is the time left to the deadline below which another
 	// attempt is useless.
 	minAttemptTime = 40 * time.Millisecond
@@ -42,6 +45,9 @@
 	// the request.
 	sends        int
 	possibleRuns int
+	// brokenBegins counts the attempts whose target ended the connection before the
+	// first event.
+	brokenBegins int
 	// streamStarted is true once the header of a stream went to the caller.
 	streamStarted bool
 	// failureResponse is the last failure response of a target.
@@ -69,7 +75,7 @@
 		return false
 	case h.possibleRuns >= route.MaxAttempts:
 		return false
-	case h.sends >= route.MaxAttempts+maxExtraSends:
+	case h.sends >= route.MaxAttempts+maxExtraSends, h.brokenBegins >= maxBrokenBegins:
 		return false
 	case lastAttemptMayHaveRun || h.possibleRuns > 0:
 		return route.Repeatable()
@@ -79,13 +85,14 @@
 
 // sendCounts counts attempts that failed while another one went on.
 type sendCounts struct {
-	sends, possibleRuns int
+	sends, possibleRuns, brokenBegins int
 }
 
 // add counts failed attempts.
 func (h *history) add(failed sendCounts) {
 	h.sends += failed.sends
 	h.possibleRuns += failed.possibleRuns
+	h.brokenBegins += failed.brokenBegins
 }
 
 // mayReplace reports whether a request may go to another target during the present
@@ -159,8 +166,12 @@
 
 // httpStatus returns the HTTP status of a refusal by the entry itself. Only a
 // request that did not run gets a status that promises so.
-func httpStatus(code result.Code) int {
+func httpStatus(code result.Code, mayHaveRun bool) int {
 	switch code {
+	case result.PromptQuarantined:
+		if mayHaveRun {
+			return http.StatusBadGateway
+		}
 	case result.Cancelled:
 		return http.StatusGatewayTimeout
 	case result.AnswerCut:
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -105,5 +105,20 @@
 	Done(requestNumber uint64, outcome steering.Outcome)
 }
 
+// Containment keeps requests with a part in their prompt under which engines crash away
+// from the engines. parts are those of Metadata.PromptParts.
+type Containment interface {
+	// Blocked returns the quarantined part of a request, if it has one.
+	Blocked(parts []string) (part string, blocked bool)
+	// Watch calls onBlocked once, in another goroutine, when one of the parts becomes
+	// quarantined, until stop is called.
+	Watch(parts []string, onBlocked func(part string)) (stop func())
+	// Began records that a target began to answer a request with these parts.
+	Began(parts []string)
+	// Broken records that a target ended the connection of a request that was sent at
+	// sentAt. parts is nil if the answer had begun.
+	Broken(target *catalog.Target, parts []string, sentAt time.Time)
+}
+
 // ViewFunc returns the published state in force, or nil before the first.
 type ViewFunc func() *catalog.View
