--- a/internal/wire/evidence.go
+++ b/internal/wire/evidence.go
@@ -82,7 +82,8 @@
 	})
 	x.Begun = keep(x.Begun, MaxBegunParts, func(b *BegunPart) bool { return !invalidPart(b.Part) && validAge(b.AgeMS) })
 	x.Verdicts = keep(x.Verdicts, MaxPartVerdicts, func(v *PartVerdict) bool {
-		return !invalidPart(v.Part) && validAge(v.AgeMS) && validAge(v.AskedAgeMS) && len(v.Entry) <= maxNameBytes && v.Crashes >= 0 && v.Trials >= 0
+		v.Entry = v.Entry[:min(len(v.Entry), maxNameBytes)]
+		return !invalidPart(v.Part) && validAge(v.AgeMS) && validAge(v.AskedAgeMS) && v.Crashes >= 0 && v.Trials >= 0
 	})
 }
 
--- a/internal/wire/evidence_test.go
+++ b/internal/wire/evidence_test.go
@@ -61,6 +61,9 @@
 			ok = ok && len(s.Parts) > 0 && len(s.Parts) <= wire.MaxSuspectParts && len(s.Parts[0]) <= wire.MaxPartBytes && s.AgeMS >= 0
 		}
 	}
+	for _, v := range x.Verdicts {
+		ok = ok && len(v.Part) <= wire.MaxPartBytes && len(v.Entry) <= 64 && v.AgeMS >= 0
+	}
 	if !ok {
 		t.Fatalf("out of bounds: %+v", x)
 	}
@@ -98,6 +101,7 @@
 		Entry("more than the bounds", fullEvidence(300), wire.MaxCrashRecords, wire.MaxBegunParts, wire.MaxPartVerdicts),
 		Entry("a record without suspects", &wire.Items{Crashes: []wire.CrashRecord{{Target: "t"}}}, 1, 0, 0),
 		Entry("parts that are empty or too long", &wire.Items{Begun: []wire.BegunPart{{}}, Verdicts: []wire.PartVerdict{{Part: strings.Repeat("a", 33)}}}, 0, 0, 0),
+		Entry("a verdict of an entry with a long name", &wire.Items{Verdicts: []wire.PartVerdict{{Part: "a", Entry: strings.Repeat("e", 300)}}}, 0, 0, 1),
 		Entry("ages outside the range", &wire.Items{
 			Crashes:  []wire.CrashRecord{{Target: "t", AgeMS: -1, Suspects: crash(1, 1, 1).Suspects}},
 			Begun:    []wire.BegunPart{{Part: "a", AgeMS: 1 << 62}},
