upstream: a silence of a second ends no request in a head or extra answer

Cause: an extra answer had to be read in 1 s and a head in 2 s, so that a sound target that fell silent for about a second there lost the request under way.

All heads and extra answers of one request now have 5 s together, counted from the first byte of each, so a single silence does not reach the bound.

A timeout inside the status line was reported as a malformed status, because http.ReadResponse drops the error of a read inside a line; the time that was used now decides.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,16 +24,16 @@
 	// awaited. It fits into the send buffers, so that writing it does not block
 	// on a target that does not read.
 	maxInlineBodyBytes = 32 << 10
-	// maxHeadBytes and maxHeadTime bound the head of a response, from its first byte
-	// to its end.
+	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
-	maxHeadTime  = 2 * time.Second
 	// maxInterimResponses bounds the responses with a status below 200, and
 	// maxExtraResponses those to earlier requests, before the one that is awaited.
 	maxInterimResponses = 8
 	maxExtraResponses   = 3
-	// maxSkipTime bounds the time to skip an extra response.
-	maxSkipTime = time.Second
+	// maxReadTime bounds the time to read all heads and extra responses of a round
+	// trip, each from its first byte to its end. A target may fall silent for about a
+	// second anywhere and go on.
+	maxReadTime = 5 * time.Second
 )
 
 var errUnexpectedBytes = errors.New("the target sent bytes that belong to no request")
@@ -61,8 +60,10 @@
 	bodyDoneOnce sync.Once
 	// bodyComplete is true if the body was read to its end.
 	bodyComplete bool
-	// interim and extra count the responses that were passed over.
+	// interim and extra count the responses that were passed over, and readTime is the
+	// part of maxReadTime that was used. Only readLoop uses them.
 	interim, extra int
+	readTime       time.Duration
 	// written is closed when the request was sent in full or sending failed.
 	written chan struct{}
 	// detach separates the connection from the context of the round trip, so
@@ -185,9 +186,12 @@
 // readResponse reads one response, sends it to the round trip and waits until its
 // body has been read. It returns false if the connection cannot be used any more.
 func (c *conn) readResponse(rt *roundTrip) bool {
-	c.head.start()
-	resp, err := http.ReadResponse(c.br, rt.req)
-	err = c.head.end(err)
+	var resp *http.Response
+	err := c.readInTime(rt, func() (err error) {
+		c.head.start()
+		resp, err = http.ReadResponse(c.br, rt.req)
+		return c.head.end(err)
+	})
 	if err == nil && resp.StatusCode < 200 {
 		if rt.interim++; rt.interim <= maxInterimResponses {
 			return true
@@ -223,15 +227,32 @@
 	return true
 }
 
+// readInTime calls read with the rest of maxReadTime as its deadline. It returns
+// ErrOverBounds if that is exceeded.
+func (c *conn) readInTime(rt *roundTrip, read func() error) error {
+	began := time.Now()
+	_ = c.nc.SetReadDeadline(began.Add(maxReadTime - rt.readTime))
+	err := read()
+	_ = c.nc.SetReadDeadline(time.Time{})
+	rt.readTime += time.Since(began)
+	if err != nil && rt.readTime >= maxReadTime {
+		// http.ReadResponse does not return the error of a read inside a line.
+		return ErrOverBounds
+	}
+	return err
+}
+
 // skipExtra skips an extra response to an earlier request. It returns false if the
 // connection cannot be used any more.
 func (c *conn) skipExtra(rt *roundTrip, resp *http.Response) bool {
 	hasLength := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	_ = c.nc.SetReadDeadline(time.Now().Add(maxSkipTime))
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
-	_ = c.nc.SetReadDeadline(time.Time{})
+	var n int64
+	err := c.readInTime(rt, func() (err error) {
+		n, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
+		return err
+	})
 	rt.extra++
-	overBounds := n == maxSkippedBytes || errors.Is(err, os.ErrDeadlineExceeded) || rt.extra > maxExtraResponses
+	overBounds := n == maxSkippedBytes || errors.Is(err, ErrOverBounds) || rt.extra > maxExtraResponses
 	if hasLength && err == nil && !overBounds && !resp.Close {
 		c.host.countSkipped()
 		return true
@@ -244,8 +265,8 @@
 	return false
 }
 
-// headLimiter reads from a connection and bounds the bytes and the time of a head. The
-// bytes that a bufio.Reader holds when a head starts are not counted.
+// headLimiter reads from a connection and bounds the bytes of a head. The bytes that a
+// bufio.Reader holds when a head starts are not counted.
 type headLimiter struct {
 	nc net.Conn
 	// active is true while a head is read, remaining the number of bytes left for it.
@@ -253,17 +274,12 @@
 	remaining int
 }
 
-func (l *headLimiter) start() {
-	l.active, l.remaining = true, maxHeadBytes
-	_ = l.nc.SetReadDeadline(time.Now().Add(maxHeadTime))
-}
+func (l *headLimiter) start() { l.active, l.remaining = true, maxHeadBytes }
 
-// end removes the bounds. It returns ErrOverBounds instead of err if they were
-// exceeded.
+// end removes the bound. It returns ErrOverBounds instead of err if that was exceeded.
 func (l *headLimiter) end(err error) error {
 	l.active = false
-	_ = l.nc.SetReadDeadline(time.Time{})
-	if err != nil && (l.remaining <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
+	if err != nil && l.remaining <= 0 {
 		return ErrOverBounds
 	}
 	return err
