Rename internal/platform to internal/clients; tests register targets in the project's words

internal/platform shared its name with the adapter to the users' platform. It holds the HTTP clients of the configuration service, the VM list, engines and plain services; no change of behaviour.

Tests of entry/edge, internal/soak and internal/ctl wrote the platform's keys, fields and headers themselves. Store.Register, RegisterAddress and Deregister and the functions of caller.go in platform/standin write them now. Tests that check a header or write the bytes of a request keep its name.

--- a/entry/edge/edge_suite_test.go
+++ b/entry/edge/edge_suite_test.go
@@ -90,7 +90,7 @@
 	for i := range services {
 		r := standin.NewReplica(fmt.Sprintf("s-%d", i), "", 0)
 		f.services = append(f.services, r)
-		f.store.Put("servers/"+r.ID, r.Describe("ledger", f.serve("127.0.0.1", r), "z1", "ready"))
+		f.store.Register(r, "ledger", f.serve("127.0.0.1", r), "z1", "ready")
 	}
 	f.configure(1, nil)
 	return f
@@ -103,7 +103,7 @@
 	address := f.serve(f.engineIP(i), r)
 	f.engines = append(f.engines, r)
 	f.targetProcesses = append(f.targetProcesses, f.startTargetProcess(i, address))
-	f.store.Put("servers/"+r.ID, r.Describe("llm", address, "z1", "ready"))
+	f.store.Register(r, "llm", address, "z1", "ready")
 }
 
 func (f *fleet) startTargetProcess(i int, engineAddress string) *agent.Agent {
@@ -199,8 +199,7 @@
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.settings[i].Listen+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", "6000")
+	standin.SetRequest(req.Header, id, 6*time.Second)
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
@@ -431,7 +430,7 @@
 		Expect(first.status).To(Equal(200))
 		for i, s := range f.services {
 			if len(runsOf(first.id, f.services[i:i+1])) > 0 {
-				f.store.Put("servers/"+s.ID, s.Describe("ledger", "127.0.0.1:1", "z1", "draining"))
+				f.store.Register(s, "ledger", "127.0.0.1:1", "z1", "draining")
 				time.Sleep(400 * time.Millisecond)
 				before := len(s.Runs())
 				for range 6 {
--- a/entry/edge/endless_suite_test.go
+++ b/entry/edge/endless_suite_test.go
@@ -16,6 +16,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/platform/standin"
 )
 
 // serveRaw starts a target that writes an answer of its own to each request and never
@@ -37,7 +39,7 @@
 				defer nc.Close()
 				if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
 					requests.Add(1)
-					write(nc, r.Header.Get("Attempt-Id"))
+					write(nc, standin.RequestID(r.Header))
 				}
 			}()
 		}
@@ -84,7 +86,7 @@
 	DescribeTable("costs neither memory nor time", func(path string, write func(nc net.Conn, id string), want int) {
 		f := newFleet(0, 0)
 		address, open, requests := serveRaw(write)
-		f.store.Put("servers/raw", map[string]any{"service": "raw", "address": address, "zone": "z1", "slots": 1000, "state": "ready", "born": 5, "seq": 1})
+		f.store.RegisterAddress("raw", address, 1000)
 		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
 			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1, "timeout_ms": deadline.Milliseconds()}),
 			route("flow", "/flow/", "stream", "raw", map[string]any{"max_attempts": 1, "resumable": false, "timeout_ms": deadline.Milliseconds()}))
--- a/entry/edge/halfclosed_suite_test.go
+++ b/entry/edge/halfclosed_suite_test.go
@@ -24,7 +24,7 @@
 			_, _ = io.WriteString(nc, begun)
 			_, _ = io.Copy(io.Discard, nc)
 		})
-		f.store.Put("servers/raw", map[string]any{"service": "raw", "address": address, "zone": "z1", "slots": slots, "state": "ready", "born": 5, "seq": 1})
+		f.store.RegisterAddress("raw", address, slots)
 		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
 			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1}),
 			route("flow", "/flow/", "stream", "raw", map[string]any{"max_attempts": 1, "resumable": false}))
--- a/entry/edge/notices_suite_test.go
+++ b/entry/edge/notices_suite_test.go
@@ -97,7 +97,7 @@
 		f.lookup()
 		time.Sleep(2 * time.Millisecond)
 		next := standin.NewReplica("s-0", "", 0)
-		f.store.Put("servers/s-0", next.Describe("ledger", f.serve("127.0.0.1", next), "z1", "ready"))
+		f.store.Register(next, "ledger", f.serve("127.0.0.1", next), "z1", "ready")
 		Eventually(func() int {
 			return f.call(context.Background(), 0, "GET", "/lookup/1", nil, "").status
 		}).Within(time.Second).Should(Equal(200))
--- a/entry/edge/quarantine_suite_test.go
+++ b/entry/edge/quarantine_suite_test.go
@@ -45,9 +45,9 @@
 		s, err := standin.Serve(f.engineIP(i)+":0", r)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(s.Close)
-		register := func() { f.store.Put("servers/"+r.ID, r.Describe("llm", s.Address, "z1", "ready")) }
+		register := func() { f.store.Register(r, "llm", s.Address, "z1", "ready") }
 		newID := func() string {
-			f.store.Delete("servers/" + r.ID)
+			f.store.Deregister(r.ID)
 			return fmt.Sprintf("e-%d-%d", i, len(r.Runs()))
 		}
 		register()
--- a/entry/edge/restore_suite_test.go
+++ b/entry/edge/restore_suite_test.go
@@ -29,7 +29,7 @@
 			f.store.Put("other", i)
 		}
 		f.configure(2, nil, route("added", "/added/", "idempotent", "ledger", nil))
-		f.store.Put("servers/"+left.ID, left.Describe("ledger", address[left.ID], "z1", "draining"))
+		f.store.Register(left, "ledger", address[left.ID], "z1", "draining")
 		Eventually(added).Within(2 * time.Second).Should(Equal(200))
 		time.Sleep(200 * time.Millisecond)
 		runs := len(left.Runs())
@@ -122,7 +122,7 @@
 		writeFor(500 * time.Millisecond)
 		f.store.Refuse(false)
 		writeFor(500 * time.Millisecond)
-		f.store.Delete("servers/s-0")
+		f.store.Deregister("s-0")
 		writeFor(4 * time.Second)
 		gone := f.services[0]
 		before := len(gone.Runs())
--- a/entry/edge/silence_suite_test.go
+++ b/entry/edge/silence_suite_test.go
@@ -96,7 +96,7 @@
 				}
 			})
 			all = append(all, requests)
-			f.store.Put(fmt.Sprintf("servers/raw-%d", i), map[string]any{"service": "raw", "address": address, "zone": "z1", "slots": 8, "state": "ready", "born": 5, "seq": 1})
+			f.store.RegisterAddress(fmt.Sprintf("raw-%d", i), address, 8)
 		}
 		f.start()
 		Expect(f.call(context.Background(), 0, "GET", "/slow/", nil, "").body).To(Equal("xxxxxxxxxx"))
--- a/entry/edge/unframed_suite_test.go
+++ b/entry/edge/unframed_suite_test.go
@@ -21,7 +21,7 @@
 				_ = nc.(*net.TCPConn).SetLinger(0)
 			}
 		})
-		f.store.Put("servers/raw", map[string]any{"service": "raw", "address": address, "zone": "z1", "slots": 8, "state": "ready", "born": 5, "seq": 1})
+		f.store.RegisterAddress("raw", address, 8)
 		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
 			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1}),
 			route("flow", "/flow/", "stream", "raw", map[string]any{"max_attempts": 1, "resumable": false}))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,10 +21,10 @@
 	"agatelanding.example/agatelanding/entry/router"
 	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/entry/watcher"
+	"agatelanding.example/agatelanding/internal/clients"
 	"agatelanding.example/agatelanding/internal/decide/dispatch"
 	"agatelanding.example/agatelanding/internal/decide/picker"
 	"agatelanding.example/agatelanding/internal/decide/retry"
-	"agatelanding.example/agatelanding/internal/platform"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/tables"
@@ -135,7 +135,7 @@
 
 func (e *Entry) newWatcher() *watcher.Watcher {
 	return &watcher.Watcher{
-		Name: e.settings.Name, Config: platform.NewConfigClient(e.settings.ConfigService), VMs: platform.NewVMList(e.settings.VMList),
+		Name: e.settings.Name, Config: clients.NewConfigClient(e.settings.ConfigService), VMs: clients.NewVMList(e.settings.VMList),
 		Peers: watcher.PeerClient{Hello: e.hello, Keys: e.keys}, Metrics: e.metrics, Publish: e.publish,
 		SetLeaving: func(leaving map[string]bool) {
 			e.system.Root.Send(e.router, &router.SetLeavingTargets{Leaving: leaving})
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -18,8 +18,8 @@
 	"math/rand"
 	"time"
 
+	"agatelanding.example/agatelanding/internal/clients"
 	"agatelanding.example/agatelanding/internal/decide/acceptance"
-	"agatelanding.example/agatelanding/internal/platform"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/tables"
 	"agatelanding.example/agatelanding/internal/telemetry"
@@ -56,8 +56,8 @@
 	// Name is the name of this entry in the VM list.
 	Name string
 	// Config reads the configuration service, VMs the VM list.
-	Config *platform.ConfigClient
-	VMs    *platform.VMList
+	Config *clients.ConfigClient
+	VMs    *clients.VMList
 	// Peers connects to the other entries and the target processes.
 	Peers   PeerClient
 	Metrics *telemetry.Metrics
@@ -75,8 +75,8 @@
 	refresh chan uint64
 	// entries and targets are the VMs of the other entries and of the target
 	// processes in the VM list.
-	entries []platform.VM
-	targets []platform.VM
+	entries []clients.VM
+	targets []clients.VM
 	// serviceManifest is the last manifest from the service. It is offered again
 	// when acceptance.SingleClaimTimeout has passed after the first offer and the
 	// claim of a single peer no longer counts.
@@ -101,7 +101,7 @@
 
 // watchResult is the result of a watch: a changed value or an error.
 type watchResult struct {
-	value   platform.Value
+	value   clients.Value
 	changed bool
 	err     error
 }
@@ -277,13 +277,13 @@
 		return
 	}
 	leaving := make(map[string]bool)
-	var entries, targets []platform.VM
+	var entries, targets []clients.VM
 	for _, vm := range vms {
 		switch {
-		case vm.Role == platform.VMTarget:
-			leaving[vm.Name] = vm.State == platform.VMLeaving
+		case vm.Role == clients.VMTarget:
+			leaving[vm.Name] = vm.State == clients.VMLeaving
 			targets = append(targets, vm)
-		case vm.Role == platform.VMEntry && vm.Name != w.Name:
+		case vm.Role == clients.VMEntry && vm.Name != w.Name:
 			entries = append(entries, vm)
 		}
 	}
@@ -294,14 +294,14 @@
 
 // forgetUnlisted removes the claims of the VMs that are not in the new lists, so
 // that they no longer hold back a snapshot.
-func (w *Watcher) forgetUnlisted(lists ...[]platform.VM) {
+func (w *Watcher) forgetUnlisted(lists ...[]clients.VM) {
 	listed := make(map[string]bool)
 	for _, list := range lists {
 		for _, vm := range list {
 			listed[vm.Name] = true
 		}
 	}
-	for _, list := range [][]platform.VM{w.entries, w.targets} {
+	for _, list := range [][]clients.VM{w.entries, w.targets} {
 		for _, vm := range list {
 			if !listed[vm.Name] {
 				w.gate.RemoveClaim(vm.Name)
@@ -313,7 +313,7 @@
 // peerReply is the result of a query for a peer's revision. reply is nil if the peer
 // did not reply; otherwise conn is open, so that parts can be fetched.
 type peerReply struct {
-	vm    platform.VM
+	vm    clients.VM
 	conn  *PeerConn
 	reply *wire.RevisionReply
 }
@@ -321,7 +321,7 @@
 // queryPeers queries up to count random peers for their revision and offers their
 // manifests to the gate. The queries run in parallel, so that peers that do not
 // reply delay it by one timeout together.
-func (w *Watcher) queryPeers(ctx context.Context, peers []platform.VM, count int) {
+func (w *Watcher) queryPeers(ctx context.Context, peers []clients.VM, count int) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	chosen := rand.Perm(len(peers))[:min(count, len(peers))]
@@ -340,7 +340,7 @@
 }
 
 // queryPeer queries one peer for its revision.
-func (w *Watcher) queryPeer(ctx context.Context, vm platform.VM, digest uint64) peerReply {
+func (w *Watcher) queryPeer(ctx context.Context, vm clients.VM, digest uint64) peerReply {
 	conn, err := w.Peers.Dial(ctx, vm.Name, vm.Address)
 	if err != nil {
 		return peerReply{vm: vm}
--- a/internal/platform/config.go
+++ b/internal/clients/config.go
@@ -1,4 +1,4 @@
-// Package platform holds HTTP clients of the configuration service, the VM list,
+// Package clients holds HTTP clients of the configuration service, the VM list,
 // model engines and plain services.
 //
 // All clients are safe for concurrent use. A call ends when its context is done.
@@ -7,7 +7,7 @@
 // Packages entry and target use these clients. The commands of agate-entry and
 // agate-target for the users' platform use package platform at the root of the
 // module instead, which implements that platform's protocol.
-package platform
+package clients
 
 import (
 	"context"
--- a/internal/platform/engine.go
+++ b/internal/clients/engine.go
@@ -1,4 +1,4 @@
-package platform
+package clients
 
 import (
 	"bytes"
--- a/internal/ctl/published_test.go
+++ b/internal/ctl/published_test.go
@@ -29,7 +29,7 @@
 		store.PutRaw("op/config", []byte(publishedConfig))
 		store.Put("op/version/m.a7", map[string]any{"model": "m", "adapter": "a7", "version": 4})
 		r := standin.NewReplica("e-1", "m", 2)
-		store.Put("servers/e-1", r.Describe("llm", "10.0.0.1:80", "z1", "draining"))
+		store.Register(r, "llm", "10.0.0.1:80", "z1", "draining")
 		server := httptest.NewServer(store)
 		DeferCleanup(server.Close)
 		address = server.URL
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -205,7 +205,7 @@
 	}
 	f.targetProxies = append(f.targetProxies, targetProxy)
 	f.registrations = append(f.registrations, func() {
-		f.store.Put("servers/"+r.ID, r.Describe(pool, targetProxy.address(), "z1", "ready"))
+		f.store.Register(r, pool, targetProxy.address(), "z1", "ready")
 	})
 	f.registrations[len(f.registrations)-1]()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -288,11 +288,9 @@
 	req.Host = "h.example"
 	// Without GetBody, http.Client cannot send the body of a POST again by itself.
 	req.GetBody = nil
-	req.Header.Set("Attempt-Id", o.id)
-	req.Header.Set("Deadline-Ms", "2500")
+	standin.SetRequest(req.Header, o.id, 2500*time.Millisecond)
 	if o.kind == "query" || o.kind == "brief" {
-		req.Header.Set("Model", "m/"+adapter)
-		req.Header.Set("Token-Usage", "100,60")
+		standin.SetPrompt(req.Header, adapter, 100, 60)
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
--- a/target/driver/driver.go
+++ b/target/driver/driver.go
@@ -13,10 +13,10 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"golang.org/x/sync/errgroup"
 
+	"agatelanding.example/agatelanding/internal/clients"
 	"agatelanding.example/agatelanding/internal/decide/authority"
 	"agatelanding.example/agatelanding/internal/decide/scheduler"
 	"agatelanding.example/agatelanding/internal/decide/slots"
-	"agatelanding.example/agatelanding/internal/platform"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
 )
@@ -68,8 +68,8 @@
 // Driver performs actions. Only one goroutine may call Perform.
 type Driver struct {
 	// Engine is nil beside a plain service, Service is nil beside an engine.
-	Engine    *platform.Engine
-	Service   *platform.Service
+	Engine    *clients.Engine
+	Service   *clients.Service
 	BaseModel func() string
 	// Incarnation distinguishes this process from earlier ones beside the same
 	// engine. It is part of the ID of every run.
@@ -130,7 +130,7 @@
 	d.report(probed)
 }
 
-func stateOf(s *platform.EngineState) scheduler.ProbeResult {
+func stateOf(s *clients.EngineState) scheduler.ProbeResult {
 	return scheduler.ProbeResult{
 		Fence:    authority.FenceState{Incarnation: s.Incarnation, Fence: s.Fence, ChecksFence: s.ChecksFence},
 		Resident: s.Adapters(),
--- a/target/driver/execute.go
+++ b/target/driver/execute.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
+	"agatelanding.example/agatelanding/internal/clients"
 	"agatelanding.example/agatelanding/internal/decide/scheduler"
-	"agatelanding.example/agatelanding/internal/platform"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/wire"
 )
@@ -97,7 +97,7 @@
 func (d *Driver) runEngine(ctx context.Context, a scheduler.Execute) scheduler.Completion {
 	model := d.BaseModel()
 	if a.Adapter.Adapter != "" {
-		model = platform.ModelName(a.Adapter)
+		model = clients.ModelName(a.Adapter)
 	}
 	body, err := rewriteBody(a.Run.Body, model, a.Priority)
 	if err != nil {
--- a/target/driver/orphans_test.go
+++ b/target/driver/orphans_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatelanding.example/agatelanding/internal/clients"
 	"agatelanding.example/agatelanding/internal/decide/authority"
 	"agatelanding.example/agatelanding/internal/decide/slots"
-	"agatelanding.example/agatelanding/internal/platform"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/standin"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -43,7 +43,7 @@
 			engine.Close()
 			server.Close()
 		})
-		client, ctx := platform.NewEngine(server.URL), context.Background()
+		client, ctx := clients.NewEngine(server.URL), context.Background()
 		key := slots.Key{Adapter: "a", Version: "1"}
 		old := authority.FencingStamp{Fence: 1, Incarnation: engine.State().Incarnation}
 		Expect(client.Load(ctx, key, old)).To(Succeed())
@@ -70,7 +70,7 @@
 			server.Close()
 		})
 		attempt := wire.AttemptID{Attempt: 1}
-		own, earlier := &Driver{Incarnation: 16, Engine: platform.NewEngine(server.URL)}, &Driver{Incarnation: 15}
+		own, earlier := &Driver{Incarnation: 16, Engine: clients.NewEngine(server.URL)}, &Driver{Incarnation: 15}
 		ids := []string{own.runID(attempt), earlier.runID(attempt), "of-an-operator"}
 		for _, id := range ids {
 			go func() {
--- a/target/target.go
+++ b/target/target.go
@@ -19,9 +19,9 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"agatelanding.example/agatelanding/internal/clients"
 	"agatelanding.example/agatelanding/internal/decide/scheduler"
 	"agatelanding.example/agatelanding/internal/decide/slots"
-	"agatelanding.example/agatelanding/internal/platform"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
@@ -95,9 +95,9 @@
 	t.system = runtime.NewSystem()
 	d := &driver.Driver{BaseModel: t.baseModel, Incarnation: t.started.UnixNano()}
 	if t.settings.Kind == KindEngine {
-		d.Engine = platform.NewEngine(t.settings.Backend)
+		d.Engine = clients.NewEngine(t.settings.Backend)
 	} else {
-		d.Service = platform.NewService(t.settings.Backend)
+		d.Service = clients.NewService(t.settings.Backend)
 	}
 	s := scheduler.New(t.started, t.schedulerConfig(), t.metrics)
 	root := t.system.Root.WithGuardian(runtime.FailProcess(t.onCoreFailure))
