--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -92,6 +92,17 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return slices.Contains(sharedParts(s.Parts), part) })
 }
 
+// parts returns the shared parts of all suspects.
+func (c *Crash) parts() map[Part]bool {
+	set := make(map[Part]bool)
+	for _, s := range c.Suspects {
+		for _, p := range sharedParts(s.Parts) {
+			set[p] = true
+		}
+	}
+	return set
+}
+
 // boundedParts returns the parts that are kept of a suspect: the first shared ones
 // that are valid, and the last one, cut if it is too long.
 func boundedParts(parts []Part) []Part {
--- a/internal/decide/quarantine/fleet_test.go
+++ b/internal/decide/quarantine/fleet_test.go
@@ -16,7 +16,10 @@
 	engineCount, entryCount = 12, 4
 	routes, firstParts      = 3, 3
 	callers                 = 95
-	maxEvidenceDelay        = 300 * time.Millisecond
+	// maxUnread is the number of requests that the target process of an engine
+	// admits before the engine begins to answer one.
+	maxUnread        = 4
+	maxEvidenceDelay = 300 * time.Millisecond
 )
 
 type event struct {
@@ -161,7 +164,7 @@
 	}
 	var up []*engine
 	for _, e := range f.engines {
-		if e.up {
+		if e.up && len(e.open) < maxUnread {
 			up = append(up, e)
 		}
 	}
--- a/internal/decide/quarantine/property_test.go
+++ b/internal/decide/quarantine/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -54,6 +55,9 @@
 	for _, x := range f.entries {
 		if _, blocked := x.q.Check(f.now(), []part{p, "own"}); !blocked {
 			f.late = append(f.late, fmt.Sprintf("late: entry %d sends requests with %s after %v, 3 s after the fifth crash", x.number, p, f.elapsed))
+			if debug {
+				f.dump(x)
+			}
 			return
 		}
 	}
@@ -156,3 +160,5 @@
 		}
 	})
 }
+
+var debug = os.Getenv("SEED") != ""
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -62,7 +63,7 @@
 // It should merge them before the crash records.
 func (q *Quarantine) Begins() []Begin {
 	var list []Begin
-	for p := range q.suspected {
+	for _, p := range slices.Sorted(maps.Keys(q.suspected)) {
 		if x := q.evidence.begins.get(p); !x.at.IsZero() {
 			list = append(list, Begin{Part: p, At: x.at})
 		}
@@ -74,7 +75,7 @@
 // record and acquit a part that it holds. Other entries should hear of each once.
 func (q *Quarantine) TakeBegins(now time.Time) []Begin {
 	var list []Begin
-	for p := range q.suspected {
+	for _, p := range slices.Sorted(maps.Keys(q.suspected)) {
 		if x := q.evidence.begins.get(p); q.untold(p, x) {
 			list = append(list, Begin{Part: p, At: x.at})
 			q.setBegin(now, p, begin{at: x.at, toldAt: x.at})
@@ -91,9 +92,10 @@
 		if !validPart(b.Part) {
 			continue
 		}
-		changed = append(changed, q.release(now, b.At, b.Part)...)
-		if x := q.begun(now, b.At, b.Part); b.At.After(x.toldAt) {
-			q.setBegin(now, b.Part, begin{at: x.at, toldAt: b.At})
+		at := b.At.Add(-maxTransit)
+		changed = append(changed, q.release(now, at, b.Part)...)
+		if x := q.begun(now, at, b.Part); at.After(x.toldAt) {
+			q.setBegin(now, b.Part, begin{at: x.at, toldAt: at})
 		}
 	}
 	return append(changed, q.Tick(now)...)
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -28,11 +28,13 @@
 
 // worstPart returns the candidate that is to be quarantined next.
 func worstPart(records []*Crash, begunAt func(Part) time.Time) (candidate, bool) {
+	all := records
 	list := candidates(records, begunAt)
 	for len(list) > 0 && list[0].crashes >= minHits {
 		c := list[0]
 		hits, others := countHits(records, c.part, begunAt(c.part))
-		if hits >= minHits+others/othersPerHit && (len(list) <= maxRivals+1 || list[maxRivals+1].crashes < c.crashes-1) {
+		if hits >= minHits+others/othersPerHit && (len(list) <= maxRivals+1 || list[maxRivals+1].crashes < c.crashes-1) &&
+			!overshadowed(all, c.part, begunAt) {
 			return c, true
 		}
 		// The part that is in the most records may be the cause of them, even if the
@@ -45,6 +47,34 @@
 	return candidate{}, false
 }
 
+// overshadowed reports whether the records that hold a part, but at most one of
+// them, also hold another part that is in more records and that no engine has
+// begun to answer since the last of them.
+func overshadowed(records []*Crash, part Part, begunAt func(Part) time.Time) bool {
+	total, shared := make(map[Part]int), make(map[Part]int)
+	var count int
+	var last time.Time
+	for _, r := range records {
+		guilty := r.At.After(begunAt(part).Add(acquitInterval)) && r.holds(part)
+		if guilty {
+			count++
+			last = r.At
+		}
+		for p := range r.parts() {
+			total[p]++
+			if guilty {
+				shared[p]++
+			}
+		}
+	}
+	for p, n := range shared {
+		if p != part && n >= count-1 && total[p] > count && !begunAt(p).After(last) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the parts that no begin acquits, the most suspect one first.
 func candidates(records []*Crash, begunAt func(Part) time.Time) []candidate {
 	found := make(map[Part]*candidate)
@@ -87,39 +117,38 @@
 	if first < 0 {
 		return 0, 0
 	}
-	hitsOf := make(map[Part]int)
+	requests := make(map[Part]bool)
+	repeats := 0
 	for rest := records[first:]; len(rest) > 0; {
 		size := 1
 		for size < len(rest) && rest[size].At.Sub(rest[0].At) < groupInterval {
 			size++
 		}
-		held, hit := countGroup(rest[:size], part, hitsOf)
-		switch {
-		case hit:
+		held, hit := countGroup(rest[:size], part, requests)
+		if hit {
 			hits++
-		case !held:
-			others++
+		} else if held > 0 {
+			repeats++
 		}
+		others += min(size-held, maxOthersPerGroup)
 		rest = rest[size:]
 	}
-	return hits, others
+	return hits + min(repeats, maxRepeats), others
 }
 
-// countGroup reports whether a group of crashes holds a part, and whether it is a
-// hit: one of the requests with the part has not counted too often. hitsOf holds
-// the hits of each request, by its own part.
-func countGroup(group []*Crash, part Part, hitsOf map[Part]int) (held, hit bool) {
-	requests := make(map[Part]bool)
+// countGroup returns how many crashes of a group hold a part, and whether a request
+// with the part is in none of the groups before. It adds the own parts of these
+// requests to requests.
+func countGroup(group []*Crash, part Part, requests map[Part]bool) (held int, hit bool) {
 	for _, r := range group {
+		if r.holds(part) {
+			held++
+		}
 		for _, s := range r.Suspects {
-			if slices.Contains(sharedParts(s.Parts), part) {
-				requests[s.Parts[len(s.Parts)-1]] = true
+			if own := s.Parts[len(s.Parts)-1]; slices.Contains(sharedParts(s.Parts), part) && !requests[own] {
+				requests[own], hit = true, true
 			}
 		}
 	}
-	for own := range requests {
-		hit = hit || hitsOf[own] < maxHitsPerRequest
-		hitsOf[own]++
-	}
-	return len(requests) > 0, hit
+	return held, hit
 }
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -89,7 +89,8 @@
 	// acquitInterval is the time after a begin in which a crash still was not due to
 	// the part. The times of crashes and begins are late by different delays of
 	// messages.
-	acquitInterval = 100 * time.Millisecond
+	acquitInterval = 50 * time.Millisecond
+	maxTransit = 150 * time.Millisecond
 	// minHits is the number of hits for a verdict while nothing else crashes.
 	minHits = 3
 	// othersPerHit is the number of groups of other crashes for which one more hit
@@ -97,9 +98,10 @@
 	// suspects by chance.
 	othersPerHit = 4
 	maxRivals = 1
-	// maxHitsPerRequest is the number of hits for which one request counts,
-	// because a sound request may be repeated on engines that crash anyway.
-	maxHitsPerRequest = 2
+	maxOthersPerGroup = 4
+	// maxRepeats is the number of hits for which repeats of requests count, because a
+	// sound request may be repeated on engines that crash anyway.
+	maxRepeats = 1
 
 	// quarantineTime is the time from a verdict to the first trial. It doubles
 	// with each trial that fails.
