--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -33,8 +33,11 @@
 	for len(list) > 0 && list[0].crashes >= minHits {
 		c := list[0]
 		hits, others := countHits(records, c.part, begunAt(c.part))
-		if hits >= minHits+others/othersPerHit && (len(list) <= maxRivals+1 || list[maxRivals+1].crashes < c.crashes-1) &&
-			!overshadowed(all, c.part, begunAt) {
+		rivals := 0
+		for rivals+1 < len(list) && list[rivals+1].crashes >= c.crashes-1 {
+			rivals++
+		}
+		if hits >= minHits+others/othersPerHit+rivals*hitsPerRival && !overshadowed(all, c.part, begunAt) {
 			return c, true
 		}
 		// The part that is in the most records may be the cause of them, even if the
@@ -107,24 +110,32 @@
 	return list
 }
 
-// countHits counts the groups of crashes since the first crash under a part: those
-// with a suspect that holds the part, and the others. Crashes before a begin, or
-// shortly after it, were not due to the part.
+// countHits counts the groups of crashes with a request that holds a part, and the
+// other crashes in that time or, if it is shorter than noiseWindow, in that window.
+// Crashes before a begin, or shortly after it, were not due to the part.
 func countHits(records []*Crash, part Part, begunAt time.Time) (hits, others int) {
-	first := slices.IndexFunc(records, func(r *Crash) bool {
-		return r.At.After(begunAt.Add(acquitInterval)) && r.holds(part)
-	})
-	if first < 0 {
-		return 0, 0
+	guilty := func(r *Crash) bool { return r.At.After(begunAt.Add(acquitInterval)) && r.holds(part) }
+	var first, last time.Time
+	for _, r := range records {
+		if guilty(r) {
+			if first.IsZero() {
+				first = r.At
+			}
+			last = r.At
+		}
+	}
+	if from := last.Add(-noiseWindow); from.Before(first) {
+		first = from
 	}
+	rest := records[slices.IndexFunc(records, func(r *Crash) bool { return !r.At.Before(first) }):]
 	requests := make(map[Part]bool)
 	repeats := 0
-	for rest := records[first:]; len(rest) > 0; {
+	for len(rest) > 0 {
 		size := 1
 		for size < len(rest) && rest[size].At.Sub(rest[0].At) < groupInterval {
 			size++
 		}
-		held, hit := countGroup(rest[:size], part, requests)
+		held, hit := countGroup(rest[:size], part, guilty, requests)
 		if hit {
 			hits++
 		} else if held > 0 {
@@ -136,14 +147,15 @@
 	return hits + min(repeats, maxRepeats), others
 }
 
-// countGroup returns how many crashes of a group hold a part, and whether a request
-// with the part is in none of the groups before. It adds the own parts of these
-// requests to requests.
-func countGroup(group []*Crash, part Part, requests map[Part]bool) (held int, hit bool) {
+// countGroup returns how many crashes of a group speak against a part, and whether a
+// request with the part is in none of the groups before. It adds the own parts of
+// these requests to requests.
+func countGroup(group []*Crash, part Part, guilty func(*Crash) bool, requests map[Part]bool) (held int, hit bool) {
 	for _, r := range group {
-		if r.holds(part) {
-			held++
+		if !guilty(r) {
+			continue
 		}
+		held++
 		for _, s := range r.Suspects {
 			if own := s.Parts[len(s.Parts)-1]; slices.Contains(sharedParts(s.Parts), part) && !requests[own] {
 				requests[own], hit = true, true
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -89,15 +89,16 @@
 	// acquitInterval is the time after a begin in which a crash still was not due to
 	// the part. The times of crashes and begins are late by different delays of
 	// messages.
-	acquitInterval = 50 * time.Millisecond
-	maxTransit = 150 * time.Millisecond
+	acquitInterval = 0 * time.Millisecond
+	maxTransit     = 150 * time.Millisecond
 	// minHits is the number of hits for a verdict while nothing else crashes.
 	minHits = 3
 	// othersPerHit is the number of groups of other crashes for which one more hit
 	// is needed. Where engines crash whatever they serve, sound requests are
 	// suspects by chance.
-	othersPerHit = 4
-	maxRivals = 1
+	othersPerHit      = 4
+	hitsPerRival      = 1
+	noiseWindow       = 5 * time.Second
 	maxOthersPerGroup = 4
 	// maxRepeats is the number of hits for which repeats of requests count, because a
 	// sound request may be repeated on engines that crash anyway.
