--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -122,7 +122,7 @@
 // heard of its last begin.
 func (q *Quarantine) untold(p Part, x begin) bool {
 	crashedAt, ok := q.suspected[p]
-	return ok && x.at.After(x.toldAt) && crashedAt.After(x.toldAt.Add(acquitInterval))
+	return ok && x.at.After(x.toldAt) && crashedAt.After(x.toldAt)
 }
 
 // Check returns the quarantined part of a request, if it has one, and whether the
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -43,7 +43,7 @@
 		// The part that is in the most records may be the cause of them, even if the
 		// evidence does not suffice yet. Others are judged by the remaining records.
 		records = slices.DeleteFunc(slices.Clone(records), func(r *Crash) bool {
-			return r.At.After(begunAt(c.part).Add(acquitInterval)) && r.holds(c.part)
+			return r.At.After(begunAt(c.part)) && r.holds(c.part)
 		})
 		list = candidates(records, begunAt)
 	}
@@ -58,7 +58,7 @@
 	var count int
 	var last time.Time
 	for _, r := range records {
-		guilty := r.At.After(begunAt(part).Add(acquitInterval)) && r.holds(part)
+		guilty := r.At.After(begunAt(part)) && r.holds(part)
 		if guilty {
 			count++
 			last = r.At
@@ -85,7 +85,7 @@
 		counted := make(map[Part]bool)
 		for _, s := range r.Suspects {
 			for i, p := range sharedParts(s.Parts) {
-				if !r.At.After(begunAt(p).Add(acquitInterval)) {
+				if !r.At.After(begunAt(p)) {
 					continue
 				}
 				c := found[p]
@@ -112,9 +112,9 @@
 
 // countHits counts the groups of crashes with a request that holds a part, and the
 // other crashes in that time or, if it is shorter than noiseWindow, in that window.
-// Crashes before a begin, or shortly after it, were not due to the part.
+// Crashes before a begin were not due to the part.
 func countHits(records []*Crash, part Part, begunAt time.Time) (hits, others int) {
-	guilty := func(r *Crash) bool { return r.At.After(begunAt.Add(acquitInterval)) && r.holds(part) }
+	guilty := func(r *Crash) bool { return r.At.After(begunAt) && r.holds(part) }
 	var first, last time.Time
 	for _, r := range records {
 		if guilty(r) {
@@ -129,22 +129,22 @@
 	}
 	rest := records[slices.IndexFunc(records, func(r *Crash) bool { return !r.At.Before(first) }):]
 	requests := make(map[Part]bool)
-	repeats := 0
 	for len(rest) > 0 {
 		size := 1
 		for size < len(rest) && rest[size].At.Sub(rest[0].At) < groupInterval {
 			size++
 		}
 		held, hit := countGroup(rest[:size], part, guilty, requests)
-		if hit {
+		switch {
+		case hit && held == size && size >= minMassCrash:
+			hits += 2
+		case hit:
 			hits++
-		} else if held > 0 {
-			repeats++
 		}
 		others += min(size-held, maxOthersPerGroup)
 		rest = rest[size:]
 	}
-	return hits + min(repeats, maxRepeats), others
+	return hits, others
 }
 
 // countGroup returns how many crashes of a group speak against a part, and whether a
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -83,26 +83,31 @@
 	// arrives. A younger record counts for no verdict, because the suspect that
 	// explains it, or a begin that acquits another, may still be on its way.
 	settleTime = 400 * time.Millisecond
-	// groupInterval is the time within which crashes count once: engines that lose
+	// groupInterval is the time within which crashes are one group. Engines that lose
 	// power together crash within it, as seen by different entries.
 	groupInterval = 250 * time.Millisecond
-	// acquitInterval is the time after a begin in which a crash still was not due to
-	// the part. The times of crashes and begins are late by different delays of
-	// messages.
-	acquitInterval = 0 * time.Millisecond
-	maxTransit     = 150 * time.Millisecond
+	// maxTransit is subtracted from the times of begins at other entries, which are
+	// late by the transit of the message. Without it a begin just before the first
+	// crash under a part would acquit the part of the next ones, too.
+	maxTransit = 150 * time.Millisecond
+
 	// minHits is the number of hits for a verdict while nothing else crashes.
 	minHits = 3
-	// othersPerHit is the number of groups of other crashes for which one more hit
-	// is needed. Where engines crash whatever they serve, sound requests are
+	// othersPerHit is the number of other crashes for which one more hit is needed,
+	// and hitsPerRival the number of hits for another part that is in as many crashes
+	// or in one less. Where engines crash whatever they serve, sound requests are
 	// suspects by chance.
-	othersPerHit      = 4
-	hitsPerRival      = 1
+	othersPerHit = 3
+	hitsPerRival = 1
+	// noiseWindow is the shortest time over which other crashes are counted, and
+	// maxOthersPerGroup how many of a group count, so that a loss of power does not
+	// hide a crashing part.
 	noiseWindow       = 5 * time.Second
 	maxOthersPerGroup = 4
-	// maxRepeats is the number of hits for which repeats of requests count, because a
-	// sound request may be repeated on engines that crash anyway.
-	maxRepeats = 1
+	// minMassCrash is the number of crashes from which a group whose crashes all hold
+	// the part counts as two hits. A popular part may end every engine within a
+	// second, and a loss of power hits engines without it, too.
+	minMassCrash = 3
 
 	// quarantineTime is the time from a verdict to the first trial. It doubles
 	// with each trial that fails.
