--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -28,24 +28,28 @@
 
 // worstPart returns the candidate that is to be quarantined next.
 func worstPart(records []*Crash, begunAt func(Part) time.Time) (candidate, bool) {
-	all := records
-	list := candidates(records, begunAt)
+	left, ahead := records, 0
+	list := candidates(left, begunAt)
 	for len(list) > 0 && list[0].crashes >= minHits {
 		c := list[0]
-		hits, others := countHits(records, c.part, begunAt(c.part))
-		rivals := 0
-		for rivals+1 < len(list) && list[rivals+1].crashes >= c.crashes-1 {
+		hits, others := countHits(left, c.part, begunAt(c.part))
+		rivals := ahead
+		for _, other := range list[1:] {
+			if other.crashes < c.crashes-1 {
+				break
+			}
 			rivals++
 		}
-		if hits >= minHits+others/othersPerHit+rivals*hitsPerRival && !overshadowed(all, c.part, begunAt) {
+		if hits >= minHits+others/othersPerHit+rivals*hitsPerRival && !overshadowed(records, c.part, begunAt) {
 			return c, true
 		}
 		// The part that is in the most records may be the cause of them, even if the
 		// evidence does not suffice yet. Others are judged by the remaining records.
-		records = slices.DeleteFunc(slices.Clone(records), func(r *Crash) bool {
+		left = slices.DeleteFunc(slices.Clone(left), func(r *Crash) bool {
 			return r.At.After(begunAt(c.part)) && r.holds(c.part)
 		})
-		list = candidates(records, begunAt)
+		list = candidates(left, begunAt)
+		ahead++
 	}
 	return candidate{}, false
 }
