--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -28,23 +28,60 @@
 
 // worstPart returns the candidate that is to be quarantined next.
 func worstPart(records []*Crash, begunAt func(Part) time.Time) (candidate, bool) {
-	list := candidates(records, begunAt)
+	left, ahead := records, 0
+	list := candidates(left, begunAt)
 	for len(list) > 0 && list[0].crashes >= minHits {
 		c := list[0]
-		hits, others := countHits(records, c.part, begunAt(c.part))
-		if hits >= minHits+others/othersPerHit && (len(list) <= maxRivals+1 || list[maxRivals+1].crashes < c.crashes-1) {
+		hits, others := countHits(left, c.part, begunAt(c.part))
+		rivals := ahead
+		for _, other := range list[1:] {
+			if other.crashes < c.crashes-1 {
+				break
+			}
+			rivals++
+		}
+		if hits >= minHits+others/othersPerHit+rivals*hitsPerRival && !overshadowed(records, c.part, begunAt) {
 			return c, true
 		}
 		// The part that is in the most records may be the cause of them, even if the
 		// evidence does not suffice yet. Others are judged by the remaining records.
-		records = slices.DeleteFunc(slices.Clone(records), func(r *Crash) bool {
-			return r.At.After(begunAt(c.part).Add(acquitInterval)) && r.holds(c.part)
+		left = slices.DeleteFunc(slices.Clone(left), func(r *Crash) bool {
+			return r.At.After(begunAt(c.part)) && r.holds(c.part)
 		})
-		list = candidates(records, begunAt)
+		list = candidates(left, begunAt)
+		ahead++
 	}
 	return candidate{}, false
 }
 
+// overshadowed reports whether the records that hold a part, but at most one of
+// them, also hold another part that is in more records and that no engine has
+// begun to answer since the last of them.
+func overshadowed(records []*Crash, part Part, begunAt func(Part) time.Time) bool {
+	total, shared := make(map[Part]int), make(map[Part]int)
+	var count int
+	var last time.Time
+	for _, r := range records {
+		guilty := r.At.After(begunAt(part)) && r.holds(part)
+		if guilty {
+			count++
+			last = r.At
+		}
+		for p := range r.parts() {
+			total[p]++
+			if guilty {
+				shared[p]++
+			}
+		}
+	}
+	for p, n := range shared {
+		if p != part && n >= count-1 && total[p] > count && !begunAt(p).After(last) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the parts that no begin acquits, the most suspect one first.
 func candidates(records []*Crash, begunAt func(Part) time.Time) []candidate {
 	found := make(map[Part]*candidate)
@@ -52,7 +89,7 @@
 		counted := make(map[Part]bool)
 		for _, s := range r.Suspects {
 			for i, p := range sharedParts(s.Parts) {
-				if !r.At.After(begunAt(p).Add(acquitInterval)) {
+				if !r.At.After(begunAt(p)) {
 					continue
 				}
 				c := found[p]
@@ -77,49 +114,57 @@
 	return list
 }
 
-// countHits counts the groups of crashes since the first crash under a part: those
-// with a suspect that holds the part, and the others. Crashes before a begin, or
-// shortly after it, were not due to the part.
+// countHits counts the groups of crashes with a request that holds a part, and the
+// other crashes in that time or, if it is shorter than noiseWindow, in that window.
+// Crashes before a begin were not due to the part.
 func countHits(records []*Crash, part Part, begunAt time.Time) (hits, others int) {
-	first := slices.IndexFunc(records, func(r *Crash) bool {
-		return r.At.After(begunAt.Add(acquitInterval)) && r.holds(part)
-	})
-	if first < 0 {
-		return 0, 0
+	guilty := func(r *Crash) bool { return r.At.After(begunAt) && r.holds(part) }
+	var first, last time.Time
+	for _, r := range records {
+		if guilty(r) {
+			if first.IsZero() {
+				first = r.At
+			}
+			last = r.At
+		}
+	}
+	if from := last.Add(-noiseWindow); from.Before(first) {
+		first = from
 	}
-	hitsOf := make(map[Part]int)
-	for rest := records[first:]; len(rest) > 0; {
+	rest := records[slices.IndexFunc(records, func(r *Crash) bool { return !r.At.Before(first) }):]
+	requests := make(map[Part]bool)
+	for len(rest) > 0 {
 		size := 1
 		for size < len(rest) && rest[size].At.Sub(rest[0].At) < groupInterval {
 			size++
 		}
-		held, hit := countGroup(rest[:size], part, hitsOf)
+		held, hit := countGroup(rest[:size], part, guilty, requests)
 		switch {
+		case hit && held == size && size >= minMassCrash:
+			hits += 2
 		case hit:
 			hits++
-		case !held:
-			others++
 		}
+		others += min(size-held, maxOthersPerGroup)
 		rest = rest[size:]
 	}
 	return hits, others
 }
 
-// countGroup reports whether a group of crashes holds a part, and whether it is a
-// hit: one of the requests with the part has not counted too often. hitsOf holds
-// the hits of each request, by its own part.
-func countGroup(group []*Crash, part Part, hitsOf map[Part]int) (held, hit bool) {
-	requests := make(map[Part]bool)
+// countGroup returns how many crashes of a group speak against a part, and whether a
+// request with the part is in none of the groups before. It adds the own parts of
+// these requests to requests.
+func countGroup(group []*Crash, part Part, guilty func(*Crash) bool, requests map[Part]bool) (held int, hit bool) {
 	for _, r := range group {
+		if !guilty(r) {
+			continue
+		}
+		held++
 		for _, s := range r.Suspects {
-			if slices.Contains(sharedParts(s.Parts), part) {
-				requests[s.Parts[len(s.Parts)-1]] = true
+			if own := s.Parts[len(s.Parts)-1]; slices.Contains(sharedParts(s.Parts), part) && !requests[own] {
+				requests[own], hit = true, true
 			}
 		}
 	}
-	for own := range requests {
-		hit = hit || hitsOf[own] < maxHitsPerRequest
-		hitsOf[own]++
-	}
-	return len(requests) > 0, hit
+	return held, hit
 }
