--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2"
@@ -32,14 +33,24 @@
 // KNOWN-RED.txt at the root of the module lists. With KNOWN_RED=run it runs all.
 func RunSpecs(t ginkgo.GinkgoTestingT, description string) bool {
 	suite, reporter := ginkgo.GinkgoConfiguration()
-	if os.Getenv(runVariable) != "run" {
-		for _, text := range Specs(readList()) {
-			suite.SkipStrings = append(suite.SkipStrings, "^"+regexp.QuoteMeta(text)+"$")
-		}
+	for _, text := range listed() {
+		suite.SkipStrings = append(suite.SkipStrings, "^"+regexp.QuoteMeta(text)+"$")
 	}
 	return ginkgo.RunSpecs(t, description, suite, reporter)
 }
 
+// Listed reports whether KNOWN-RED.txt lists a check that is no spec of ginkgo. With
+// KNOWN_RED=run it is always false.
+func Listed(text string) bool { return slices.Contains(listed(), text) }
+
+// listed returns the listed specs, none with KNOWN_RED=run.
+func listed() []string {
+	if os.Getenv(runVariable) == "run" {
+		return nil
+	}
+	return Specs(readList())
+}
+
 // readList returns the content of KNOWN-RED.txt, empty if there is none.
 func readList() string {
 	for dir, _ := os.Getwd(); dir != filepath.Dir(dir); dir = filepath.Dir(dir) {
