--- a/internal/decide/quarantine/fleet_test.go
+++ b/internal/decide/quarantine/fleet_test.go
@@ -60,8 +60,8 @@
 }
 
 type entry struct {
-	number, starts int
-	q              *quarantine.Quarantine
+	number int
+	q      *quarantine.Quarantine
 }
 
 // fleet simulates engines and entries in virtual time. Engines crash under the parts
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -72,7 +72,7 @@
 }
 
 // TakeBegins returns the begins at this entry that preceded the arrival of a crash
-// record and acquit a part that it holds. Other entries should hear of each once.
+// record and show that a part in it is sound. Other entries should hear of each once.
 func (q *Quarantine) TakeBegins(now time.Time) []Begin {
 	var list []Begin
 	for _, p := range slices.Sorted(maps.Keys(q.suspected)) {
@@ -189,7 +189,7 @@
 }
 
 // evaluate quarantines one part after the other until the remaining crashes
-// convict none.
+// suffice for none.
 func (q *Quarantine) evaluate(now time.Time) []Verdict {
 	var changed []Verdict
 	for {
@@ -203,7 +203,7 @@
 		if len(records) < minHits || q.countVerdicts(true) >= maxQuarantined {
 			return changed
 		}
-		c, ok := worstPart(records, func(p Part) time.Time { return q.evidence.begins.get(p).at })
+		c, ok := mostSuspectPart(records, func(p Part) time.Time { return q.evidence.begins.get(p).at })
 		if !ok {
 			return changed
 		}
--- a/internal/decide/quarantine/quarantine_suite_test.go
+++ b/internal/decide/quarantine/quarantine_suite_test.go
@@ -84,13 +84,13 @@
 
 var _ = Describe("The decision", func() {
 	// The numbers are those of the cases that the design is held against.
-	DescribeTable("condemns the part that crashes engines and no other",
+	DescribeTable("quarantines the part that crashes engines and no other",
 		func(steps []step, want ...string) {
 			Expect(play(quarantine.New(quarantine.Config{}), steps)).To(ConsistOf(want))
 		},
 		Entry("3, 5: a middle part", append(repeat(3, func(i time.Duration) step { return crash(i*700, fmt.Sprintf("f%d.bad", i), fmt.Sprintf("f7.c%d", i)) }), begun(1450, "f7.c9")), "bad"),
 		Entry("3: a first part", repeat(3, func(i time.Duration) step { return crash(i*700, fmt.Sprintf("bad.c%d", i)) }), "bad"),
-		Entry("two crashes are no proof", repeat(2, func(i time.Duration) step { return crash(i*700, fmt.Sprintf("f%d.bad", i)) })),
+		Entry("two crashes do not suffice", repeat(2, func(i time.Duration) step { return crash(i*700, fmt.Sprintf("f%d.bad", i)) })),
 		Entry("1: a sound part shared an engine with a crashing one three times",
 			repeat(4, func(i time.Duration) step {
 				return crash(i*700, fmt.Sprintf("f%d.bad", i), []string{"f7.sound", "f8.sound", "f7.sound", "f6.c1"}[i])
@@ -131,8 +131,8 @@
 	})
 })
 
-// condemned returns a Quarantine in which the part "bad" has been quarantined.
-func condemned(cfg quarantine.Config) *quarantine.Quarantine {
+// quarantinedBad returns a Quarantine in which the part "bad" has been quarantined.
+func quarantinedBad(cfg quarantine.Config) *quarantine.Quarantine {
 	q := quarantine.New(cfg)
 	Expect(play(q, repeat(3, func(i time.Duration) step { return crash(i*700, fmt.Sprintf("f%d.bad", i)) }))).To(Equal([]string{"bad"}))
 	return q
@@ -146,7 +146,7 @@
 var _ = Describe("Trials", func() {
 	// Each request of a trial may end an engine.
 	It("6: send one request, double the time when it crashes an engine, and end after two", func() {
-		q := condemned(quarantine.Config{Entry: "e"})
+		q := quarantinedBad(quarantine.Config{Entry: "e"})
 		Expect(blocked(q, 9*time.Minute)).To(BeTrue())
 		for trial, d := range []time.Duration{11 * time.Minute, 32 * time.Minute} {
 			Expect(blocked(q, d)).To(BeFalse())
@@ -160,18 +160,18 @@
 	})
 
 	It("6: release a part that is begun, at all entries", func() {
-		q, other := condemned(quarantine.Config{}), condemned(quarantine.Config{OwnsTrial: func(part) bool { return false }})
+		q, other := quarantinedBad(quarantine.Config{}), quarantinedBad(quarantine.Config{OwnsTrial: func(part) bool { return false }})
 		Expect(blocked(other, 11*time.Minute)).To(BeTrue())
 		Expect(blocked(q, 11*time.Minute)).To(BeFalse())
 		_, changed := q.RecordBegan(at(11*time.Minute+time.Second), at(11*time.Minute+time.Second), parseRequest("f1.bad"))
 		Expect(changed).To(HaveExactElements(And(HaveField("Generation", uint64(2)), HaveField("Quarantined", false))))
 		Expect(other.Merge(at(12*time.Minute), changed)).To(HaveLen(1))
 		Expect(blocked(q, 12*time.Minute) || blocked(other, 12*time.Minute)).To(BeFalse())
-		Expect(other.Merge(at(12*time.Minute), condemned(quarantine.Config{}).Verdicts())).To(BeEmpty(), "an older generation")
+		Expect(other.Merge(at(12*time.Minute), quarantinedBad(quarantine.Config{}).Verdicts())).To(BeEmpty(), "an older generation")
 	})
 
 	It("are repeated without an outcome, three sends in all", func() {
-		q := condemned(quarantine.Config{})
+		q := quarantinedBad(quarantine.Config{})
 		sent := 0
 		for d := 11 * time.Minute; d < 30*time.Minute; d += 10 * time.Second {
 			if !blocked(q, d) {
@@ -182,14 +182,14 @@
 	})
 
 	It("are not made with a request that has two quarantined parts", func() {
-		q := condemned(quarantine.Config{})
+		q := quarantinedBad(quarantine.Config{})
 		q.Merge(at(2*time.Second), []quarantine.Verdict{{Part: "worse", Generation: 1, Quarantined: true, Since: at(0)}})
 		_, b := q.Check(at(11*time.Minute), []part{"worse", "bad", "own"})
 		Expect(b).To(BeTrue())
 	})
 
 	It("a part is forgotten an hour after the last request for it", func() {
-		q := condemned(quarantine.Config{OwnsTrial: func(part) bool { return false }})
+		q := quarantinedBad(quarantine.Config{OwnsTrial: func(part) bool { return false }})
 		Expect(blocked(q, 50*time.Minute)).To(BeTrue())
 		q.Tick(at(109 * time.Minute))
 		Expect(q.Verdicts()).To(HaveLen(1))
@@ -199,7 +199,7 @@
 })
 
 var _ = Describe("Begins of suspected parts", func() {
-	// Without it another entry condemns a part of which it has not seen a begin.
+	// Without it another entry quarantines a part of which it has not seen a begin.
 	It("7: are told once, also if the crash becomes known after the begin", func() {
 		q, other := quarantine.New(quarantine.Config{}), quarantine.New(quarantine.Config{})
 		suspected, _ := q.RecordBegan(at(0), at(0), parseRequest("f1.c1"))
@@ -219,26 +219,28 @@
 var _ = Describe("State", func() {
 	// A caller chooses the IDs of parts.
 	It("9: a million distinct parts cost less than 4 MB and evict no quarantined part", func() {
-		q := condemned(quarantine.Config{})
+		q := quarantinedBad(quarantine.Config{})
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		for i := range 1_000_000 {
+		for i := 0; i < 1_000_000; i += 8 {
 			now := at(2*time.Second + time.Duration(i)*10*time.Microsecond)
-			parts := []part{part(fmt.Sprintf("%032d", i)), "own"}
-			switch {
-			case i%1000 == 0:
+			var parts []part
+			for n := range 8 {
+				parts = append(parts, part(fmt.Sprintf("%032d", i+n)))
+			}
+			switch i % 16_000 {
+			case 0:
 				c := record(crash(0))
 				c.At = now
 				for n := range 40 {
-					c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: []part{part(fmt.Sprintf("%031d%d", i, n)), parts[0], "a", "b", "c", "d", "e", "f", "g", part(fmt.Sprint(n))}})
+					c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: append([]part{part(fmt.Sprintf("%030d%02d", i, n))}, parts...)})
 				}
 				q.RecordCrash(now, c)
-			case i%1000 == 1:
-				q.Merge(now, []quarantine.Verdict{{Part: parts[0], Generation: 1, Quarantined: i%2000 == 1, Since: now}})
-			case i%2 == 0:
-				q.RecordBegan(now, now, parts)
+			case 8:
+				q.Merge(now, []quarantine.Verdict{{Part: parts[0], Generation: 1, Quarantined: i%32_000 == 8, Since: now}})
 			default:
+				q.RecordBegan(now, now, parts)
 				q.Check(now, parts)
 			}
 		}
@@ -253,7 +255,7 @@
 
 	DescribeTable("9: malformed lists of parts change nothing",
 		func(parts ...part) {
-			q := condemned(quarantine.Config{})
+			q := quarantinedBad(quarantine.Config{})
 			q.RecordCrash(at(3*time.Second), quarantine.Crash{At: at(3 * time.Second), Suspects: []quarantine.Suspect{{Parts: parts}}})
 			suspected, changed := q.RecordBegan(at(3*time.Second), at(3*time.Second), parts)
 			_, b := q.Check(at(3*time.Second), parts)
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// candidate is a part that crash records hold, with what speaks against it.
+// candidate is a part that crash records hold, with the evidence against it.
 type candidate struct {
 	part Part
 	// crashes is the number of records that hold it, and suspects the number of
@@ -26,8 +26,8 @@
 	)
 }
 
-// worstPart returns the candidate that is to be quarantined next.
-func worstPart(records []*Crash, begunAt func(Part) time.Time) (candidate, bool) {
+// mostSuspectPart returns the candidate that is to be quarantined next.
+func mostSuspectPart(records []*Crash, begunAt func(Part) time.Time) (candidate, bool) {
 	left, ahead := records, 0
 	list := candidates(left, begunAt)
 	for len(list) > 0 && list[0].crashes >= minHits {
@@ -40,7 +40,7 @@
 			}
 			rivals++
 		}
-		if hits >= minHits+others/othersPerHit+rivals*hitsPerRival && !overshadowed(records, c.part, begunAt) {
+		if hits >= minHits+min(others/othersPerHit, maxHitsForOthers)+rivals*hitsPerRival && !explainedByAnother(records, c.part, begunAt) {
 			return c, true
 		}
 		// The part that is in the most records may be the cause of them, even if the
@@ -54,22 +54,22 @@
 	return candidate{}, false
 }
 
-// overshadowed reports whether the records that hold a part, but at most one of
+// explainedByAnother reports whether the records that hold a part, but at most one of
 // them, also hold another part that is in more records and that no engine has
 // begun to answer since the last of them.
-func overshadowed(records []*Crash, part Part, begunAt func(Part) time.Time) bool {
+func explainedByAnother(records []*Crash, part Part, begunAt func(Part) time.Time) bool {
 	total, shared := make(map[Part]int), make(map[Part]int)
 	var count int
 	var last time.Time
 	for _, r := range records {
-		guilty := r.At.After(begunAt(part)) && r.holds(part)
-		if guilty {
+		counts := r.At.After(begunAt(part)) && r.holds(part)
+		if counts {
 			count++
 			last = r.At
 		}
 		for p := range r.parts() {
 			total[p]++
-			if guilty {
+			if counts {
 				shared[p]++
 			}
 		}
@@ -82,7 +82,7 @@
 	return false
 }
 
-// candidates returns the parts that no begin acquits, the most suspect one first.
+// candidates returns the parts with a crash since their last begin, the most suspect one first.
 func candidates(records []*Crash, begunAt func(Part) time.Time) []candidate {
 	found := make(map[Part]*candidate)
 	for _, r := range records {
@@ -118,10 +118,10 @@
 // other crashes in that time or, if it is shorter than noiseWindow, in that window.
 // Crashes before a begin were not due to the part.
 func countHits(records []*Crash, part Part, begunAt time.Time) (hits, others int) {
-	guilty := func(r *Crash) bool { return r.At.After(begunAt) && r.holds(part) }
+	counts := func(r *Crash) bool { return r.At.After(begunAt) && r.holds(part) }
 	var first, last time.Time
 	for _, r := range records {
-		if guilty(r) {
+		if counts(r) {
 			if first.IsZero() {
 				first = r.At
 			}
@@ -138,7 +138,7 @@
 		for size < len(rest) && rest[size].At.Sub(rest[0].At) < groupInterval {
 			size++
 		}
-		held, hit := countGroup(rest[:size], part, guilty, requests)
+		held, hit := countGroup(rest[:size], part, counts, requests)
 		switch {
 		case hit && held == size && size >= minMassCrash:
 			hits += 2
@@ -151,12 +151,12 @@
 	return hits, others
 }
 
-// countGroup returns how many crashes of a group speak against a part, and whether a
+// countGroup returns how many crashes of a group hold a part, and whether a
 // request with the part is in none of the groups before. It adds the own parts of
 // these requests to requests.
-func countGroup(group []*Crash, part Part, guilty func(*Crash) bool, requests map[Part]bool) (held int, hit bool) {
+func countGroup(group []*Crash, part Part, counts func(*Crash) bool, requests map[Part]bool) (held int, hit bool) {
 	for _, r := range group {
-		if !guilty(r) {
+		if !counts(r) {
 			continue
 		}
 		held++
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -81,24 +81,25 @@
 	evidenceTTL = time.Minute
 	// settleTime is the time after a crash in which the evidence of all entries
 	// arrives. A younger record counts for no verdict, because the suspect that
-	// explains it, or a begin that acquits another, may still be on its way.
+	// explains it, or a begin that shows that another is sound, may arrive later.
 	settleTime = 400 * time.Millisecond
 	// groupInterval is the time within which crashes are one group. Engines that lose
 	// power together crash within it, as seen by different entries.
 	groupInterval = 250 * time.Millisecond
 	// maxTransit is subtracted from the times of begins at other entries, which are
 	// late by the transit of the message. Without it a begin just before the first
-	// crash under a part would acquit the part of the next ones, too.
+	// crash under a part would void the next ones, too.
 	maxTransit = 150 * time.Millisecond
 
 	// minHits is the number of hits for a verdict while nothing else crashes.
 	minHits = 3
-	// othersPerHit is the number of other crashes for which one more hit is needed,
-	// and hitsPerRival the number of hits for another part that is in as many crashes
-	// or in one less. Where engines crash whatever they serve, sound requests are
-	// suspects by chance.
-	othersPerHit = 3
-	hitsPerRival = 1
+	// othersPerHit is the number of other crashes for which one more hit is needed, up
+	// to maxHitsForOthers, and hitsPerRival the number of hits for another part that
+	// is in as many crashes or in one less. Where engines crash whatever they serve,
+	// sound requests are suspects by chance, but rarely so often in a row.
+	othersPerHit     = 3
+	maxHitsForOthers = 4
+	hitsPerRival     = 1
 	// noiseWindow is the shortest time over which other crashes are counted, and
 	// maxOthersPerGroup how many of a group count, so that a loss of power does not
 	// hide a crashing part.
