--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -281,7 +281,8 @@
 // waitServing waits until every entry serves each kind of request with the newest
 // configuration. It fails the test after servingTimeout.
 func (s *soak) waitServing(when string) {
-	end := time.Now().Add(servingTimeout)
+	began := time.Now()
+	end := began.Add(servingTimeout)
 	for _, front := range s.frontAddresses {
 		for _, path := range []string{"/query/x", "/brief/x", "/release/x", "/lookup/x", fmt.Sprintf("/v%d/x", s.configVersion)} {
 			for {
@@ -296,6 +297,7 @@
 			}
 		}
 	}
+	s.t.Logf("%s: served after %v", when, time.Since(began).Round(time.Millisecond))
 }
 
 // callUntil sends random requests one after the other until ctx is cancelled.
