quarantine: 5 hits suffice for a part that is in half of the crashes

Sound callers have three hits by chance where engines crash for other reasons, and the suspects and first events of other entries arrive after the decision.

A part in half of the crashes needs at most 5 hits besides those for rivals.

--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -40,7 +40,11 @@
 			}
 			rivals++
 		}
-		if hits >= minHits+min(others/othersPerHit, maxHitsForOthers)+rivals*hitsPerRival && !explainedByAnother(records, c.part, begunAt) {
+		needed := minHits + others/othersPerHit
+		if c.crashes >= others {
+			needed = min(needed, minHitsInMost)
+		}
+		if hits >= needed+rivals*hitsPerRival && !explainedByAnother(records, c.part, begunAt) {
 			return c, true
 		}
 		// The part that is in the most records may be the cause of them, even if the
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -93,13 +93,15 @@
 
 	// minHits is the number of hits for a verdict while nothing else crashes.
 	minHits = 3
-	// othersPerHit is the number of other crashes for which one more hit is needed, up
-	// to maxHitsForOthers, and hitsPerRival the number of hits for another part that
-	// is in as many crashes or in one less. Where engines crash whatever they serve,
-	// sound requests are suspects by chance, but rarely so often in a row.
-	othersPerHit     = 3
-	maxHitsForOthers = 4
-	hitsPerRival     = 1
+	// othersPerHit is the number of other crashes for which one more hit is needed,
+	// and hitsPerRival the number of hits for another part that is in as many crashes
+	// or in one less. Where engines crash whatever they serve, sound requests are
+	// suspects by chance.
+	othersPerHit = 3
+	hitsPerRival = 1
+	// minHitsInMost is the number of hits that suffices, however many other crashes
+	// there are, for a part that is in at least half of the crashes.
+	minHitsInMost = 5
 	// noiseWindow is the shortest time over which other crashes are counted, and
 	// maxOthersPerGroup how many of a group count, so that a loss of power does not
 	// hide a crashing part.
