relay: a failed attempt waits for the one that was sent beside it

A caller of a stream whose silent target then broke off lost the stream, although the request had been sent to another target meanwhile: the end of the attempt cancelled that send, which counts as a possible run, and no further attempt was allowed.

The search ends with the request's context, so that a caller that leaves ends it too. internal/relay and the specs of silent targets pass with -race.

--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -36,7 +36,7 @@
 func (x *callerRequest) newReplacement(ctx context.Context, endAttempt func()) *replacement {
 	history, tried := x.history, x.triedTargets
 	return &replacement{
-		timeout: attemptTimeout(x.route, &x.history), endAttempt: endAttempt, release: x.release,
+		ctx: ctx, timeout: attemptTimeout(x.route, &x.history), endAttempt: endAttempt, release: x.release,
 		mayReplace: func(failed sendCounts) bool { return history.mayReplace(x.route, x.remaining(), failed) },
 		open: func(searchCtx context.Context, resumeAfter string, failed []string) openOutcome {
 			excluded := append(append([]string(nil), tried...), failed...)
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -28,6 +28,8 @@
 // ends the search. The timer, the search and the attempt run in goroutines of their own;
 // mu guards the fields below it.
 type replacement struct {
+	// ctx is that of the request.
+	ctx context.Context
 	// timeout is the silence after which a search begins, 0 for no search.
 	timeout time.Duration
 	// mayReplace reports whether the request may go to another target, after failed
@@ -114,7 +116,7 @@
 		r.mu.Unlock()
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(r.ctx)
 	r.cancelSearch = cancel
 	resumeAfter, tried := r.resumeAfter, r.tried
 	r.searching.Add(1)
@@ -154,23 +156,27 @@
 		r.endAttempt()
 		return
 	}
-	r.timer.Reset(r.timeout)
+	if !r.ended {
+		r.timer.Reset(r.timeout)
+	}
 }
 
 // finish ends the watch with the attempt. It returns the target that replaces the one of
-// the attempt, nil if there is none. A target that is not needed is released.
+// the attempt, nil if there is none. If the attempt failed, needed is true and a search
+// in progress goes on to its end. A target that is not needed is released.
 func (r *replacement) finish(needed bool) *grantedTarget {
 	r.mu.Lock()
 	r.ended = true
-	r.stopSearch()
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	granted := r.granted
-	r.granted = nil
+	if !needed {
+		r.stopSearch()
+	}
 	r.mu.Unlock()
 	// The failed sends are counted after this.
 	r.searching.Wait()
+	granted := r.granted
 	if granted != nil && !needed {
 		r.release(granted)
 		return nil
--- a/internal/relay/replacement_suite_test.go
+++ b/internal/relay/replacement_suite_test.go
@@ -25,7 +25,7 @@
 		ended.Store(0)
 		outcome = make(chan openOutcome, 1)
 		r = &replacement{
-			timeout: 20 * time.Millisecond,
+			ctx: context.Background(), timeout: 20 * time.Millisecond,
 			mayReplace: func(failed sendCounts) bool {
 				return failed.possibleRuns == 0
 			},
@@ -79,6 +79,14 @@
 		Expect(r.failed).To(Equal(sendCounts{sends: 1, possibleRuns: 1}))
 	})
 
+	// Guards against an attempt that fails and takes with it the one that was sent beside
+	// it.
+	It("goes on to its end when the attempt fails", func() {
+		time.AfterFunc(50*time.Millisecond, func() { outcome <- openOutcome{target: other} })
+		Expect(r.finish(true)).To(BeIdenticalTo(other))
+		Expect(released.Load()).To(BeZero())
+	})
+
 	It("releases a target that answers when the answer is complete", func() {
 		outcome <- openOutcome{target: other}
 		Eventually(ended.Load).Should(BeNumerically("==", 1))
