soak: daemons end with the test process; name the request that nobody sent

A test process of the soak that is killed left its entries and target processes at their addresses, where a later run got the same block of ports.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -61,6 +61,8 @@
 	cmd := exec.Command(p.program, "platform")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
+	// A test process that is killed must not leave daemons at its addresses.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	err = cmd.Start()
 	p.cmd = cmd
 	p.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -371,9 +371,9 @@
 		}
 		s.checkOutcome(o, runs[o.id])
 	}
-	for id := range runs {
+	for id, list := range runs {
 		if !seen[id] {
-			s.t.Errorf("request %q was executed but no caller sent it", id)
+			s.t.Errorf("request %q was executed but no caller sent it: %s %s at %s", id, list[0].Method, list[0].URI, list[0].Replica)
 		}
 	}
 	s.t.Logf("%d requests, %d served, configuration %d", len(s.outcomes), served, s.configVersion)
