--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -86,7 +86,8 @@
 	return false
 }
 
-// candidates returns the parts with a crash since their last begin, the most suspect one first.
+// candidates returns the parts with a crash since their last begin, the most suspect
+// one first.
 func candidates(records []*Crash, begunAt func(Part) time.Time) []candidate {
 	found := make(map[Part]*candidate)
 	for _, r := range records {
