--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// evidenceTTL is how long a crash can still condemn a part.
+	// evidenceTTL is how long a crash counts as evidence.
 	evidenceTTL = 60 * time.Second
 	// tickInterval is the time between two evaluations while there is evidence.
 	tickInterval = 100 * time.Millisecond
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -168,7 +168,7 @@
 	g.mu.Lock()
 	merged := g.quarantine.Merge(now, e.Verdicts)
 	g.adopt(merged)
-	// A begin acquits its part of the crashes before it, so it comes first.
+	// A begin voids the hits of its part before it, so it is merged first.
 	changed := g.quarantine.MergeBegins(now, e.Begins)
 	g.adopt(changed)
 	for _, v := range merged {
--- a/entry/peers/evidence.go
+++ b/entry/peers/evidence.go
@@ -52,8 +52,8 @@
 }
 
 // take removes evidence of up to maxBytes and returns it with its size. Verdicts come
-// first, because they stop requests, and begins before the crashes after which they
-// acquit a part.
+// first, because they stop requests, and begins before crashes, because they void the
+// hits of a part.
 func (e *Evidence) take(maxBytes int) (Evidence, int) {
 	var t Evidence
 	size := 0
