steering, platform: count and log the rate that a target names

Entries count rate_limits_named and rate_limits_malformed and log 'target names a rate limit' with the rate when it is new.

No decision uses the rate yet.

--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -159,7 +159,7 @@
 	case *notified:
 		actions, isNew := b.steering.Notified(now, m.target, m.notice)
 		if isNew {
-			b.log.With("target", m.target.ID).With("leaving", m.notice.Leaving).With("retry_after_ms", m.notice.RetryAfter.Milliseconds()).Info("target wants no new requests")
+			b.logNotice(m)
 		}
 		b.perform(ctx, now, actions)
 	case *setView:
@@ -184,6 +184,16 @@
 	b.tickTimer.ScheduleWithin(ctx, now, interval)
 }
 
+func (b *brokerActor) logNotice(m *notified) {
+	line := b.log.With("target", m.target.ID)
+	if n := m.notice; n.Leaving || n.RetryAfter > 0 {
+		line.With("leaving", n.Leaving).With("retry_after_ms", n.RetryAfter.Milliseconds()).Info("target wants no new requests")
+	}
+	if m.notice.RateLimit > 0 {
+		line.With("per_second", m.notice.RateLimit).Info("target names a rate limit")
+	}
+}
+
 // busyTickInterval bounds how late a deadline is noticed while there are open
 // requests.
 const busyTickInterval = 25 * time.Millisecond
--- a/internal/decide/steering/incarnation.go
+++ b/internal/decide/steering/incarnation.go
@@ -19,8 +19,22 @@
 	// RetryAfter is how long the target must get no requests from this entry, 0 if
 	// it did not ask for time.
 	RetryAfter time.Duration
+	// RateLimit is the number of requests a second that the target takes from all
+	// entries together, from MinRateLimit to MaxRateLimit, 0 if it names none.
+	RateLimit float64
+	// MalformedRateLimit is true if the target names a rate that cannot be read.
+	MalformedRateLimit bool
 }
 
+const (
+	// MinRateLimit is the smallest rate that a target can name. It takes that many
+	// requests a second also if it names less, because only answers show whether it
+	// still names a rate.
+	MinRateLimit = 0.05
+	// MaxRateLimit is the largest rate that a target can name.
+	MaxRateLimit = 1e5
+)
+
 // incarnationKey identifies an incarnation of a target.
 type incarnationKey struct {
 	id          string
@@ -34,7 +48,9 @@
 	leaving bool
 	// pausedUntil is the end of the time for which the target asked.
 	pausedUntil time.Time
-	listedAt    time.Time
+	// rateLimit is the rate that the target named last, 0 if it named none.
+	rateLimit float64
+	listedAt  time.Time
 }
 
 func keyOf(t *catalog.Target) incarnationKey {
@@ -78,6 +94,14 @@
 		x.pausedUntil = until
 		s.rec.Count("targets_paused_by_answer")
 	}
+	if n.MalformedRateLimit {
+		s.rec.Count("rate_limits_malformed")
+	}
+	if n.RateLimit > 0 {
+		s.rec.Count("rate_limits_named")
+		isNew = isNew || x.rateLimit != n.RateLimit
+		x.rateLimit = n.RateLimit
+	}
 	if t, ok := s.targets[at.ID]; ok && t.notices == x && !t.accepts(now) {
 		s.rerouteUnadmitted(now, []*target{t})
 		s.serveQueue(now)
