Bound the requests to a target by the rate that it names, over all entries

Callers saw targets in need slow down for everybody; the users' rule LIMIT was broken (24 and 18 requests in 4 s where 15 and 13 are allowed).

Cause: nobody read Server-Limit (H1), and a bound at each entry alone would leave the sum over the entries unbounded (H2).

Change: internal/decide/ratelimit holds the decisions, without clock and network. A model engine's rate is bounded by its target process, which admits every request in the order of its queue; entries tell it what answers name, also after its restart, and its reports tell all entries. For a plain service, and an engine whose process is gone or of a former build, the entries share one token bucket at an owner, the first by rendezvous hashing among the connected ones, which waits 2 s after each change of its view before it takes over. An entry that reaches half of the others or fewer has an equal part. A request that has no room goes elsewhere, or is refused at once with 2020 and the time until there is room. The need ends with an answer without the header to a request that was sent after the last naming.

Why it works: every send is granted by the broker (placing, repeats, sends beside a silent target, resumed streams), so each takes a token of one bucket, whatever the number of entries; rates below one request for each entry need no parts.

--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -14,6 +14,7 @@
 
 	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/ratelimit"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/runtime"
@@ -51,6 +52,26 @@
 	notice steering.Notice
 }
 
+// permitted is the reply to a request for a permit.
+type permitted struct {
+	requestNumber uint64
+	targetID      string
+	granted       bool
+	retryAfter    time.Duration
+}
+
+// heardRateLimits passes on what another entry has learnt of the rates of targets.
+type heardRateLimits struct{ limits []wire.RateLimit }
+
+// getRateLimits requests the targets that name a rate.
+type getRateLimits struct{}
+
+// Permits asks the other entries for permits and passes rates on to them.
+type Permits interface {
+	Ask(a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration))
+	Share(l wire.RateLimit)
+}
+
 // setView puts a view of the published state in force.
 type setView struct{ view *catalog.View }
 
@@ -65,10 +86,10 @@
 
 // Start spawns the actor below root. internalPort is the port at which target
 // processes accept sessions.
-func Start(root *actor.RootContext, s *steering.Steering, local session.Options, internalPort string) *Broker {
+func Start(root *actor.RootContext, s *steering.Steering, permits Permits, local session.Options, internalPort string) *Broker {
 	props := actor.PropsFromProducer(func() actor.Actor {
 		return &brokerActor{
-			steering: s, local: local, internalPort: internalPort, sessions: make(map[string]*processSession), addresses: make(map[string]string),
+			steering: s, permits: permits, local: local, internalPort: internalPort, sessions: make(map[string]*processSession), addresses: make(map[string]string),
 			replies: make(map[uint64]chan any), tickTimer: runtime.NewTickTimer(&tick{}), log: telemetry.For("broker"),
 		}
 	}, actor.WithSupervisor(runtime.RestartChildren()))
@@ -112,6 +133,21 @@
 	b.root.Send(b.pid, &notified{target: target, notice: n})
 }
 
+// HeardRateLimits takes what another entry has learnt of the rates of targets.
+func (b *Broker) HeardRateLimits(limits []wire.RateLimit) {
+	b.root.Send(b.pid, &heardRateLimits{limits: limits})
+}
+
+// RateLimits returns the targets that name a rate.
+func (b *Broker) RateLimits() ([]steering.RateLimitStatus, error) {
+	reply, err := b.root.RequestFuture(b.pid, &getRateLimits{}, time.Second).Result()
+	if err != nil {
+		return nil, err
+	}
+	list, _ := reply.([]steering.RateLimitStatus)
+	return list, nil
+}
+
 // Stop stops the actor and its sessions.
 func (b *Broker) Stop() { _ = b.root.StopFuture(b.pid).Wait() }
 
@@ -127,6 +163,7 @@
 // brokerActor is the actor behind a Broker.
 type brokerActor struct {
 	steering     *steering.Steering
+	permits      Permits
 	local        session.Options
 	internalPort string
 	// sessions holds the sessions by the address of the target process. The
@@ -162,6 +199,15 @@
 			b.logNotice(m)
 		}
 		b.perform(ctx, now, actions)
+	case *permitted:
+		b.perform(ctx, now, b.steering.Permitted(now, m.requestNumber, m.targetID, m.granted, m.retryAfter))
+	case *heardRateLimits:
+		for _, l := range m.limits {
+			b.log.With("target", l.Target).With("per_second", l.PerSecond).With("age_ms", l.AgeMS).With("by", ratelimit.FromEntry).Info("rate limit heard")
+		}
+		b.perform(ctx, now, b.steering.HeardRateLimits(now, m.limits))
+	case *getRateLimits:
+		ctx.Respond(b.steering.RateLimits(now))
 	case *setView:
 		b.perform(ctx, now, b.steering.SetView(now, m.view))
 	case *tick:
@@ -190,7 +236,10 @@
 		line.With("leaving", n.Leaving).With("retry_after_ms", n.RetryAfter.Milliseconds()).Info("target wants no new requests")
 	}
 	if m.notice.RateLimit > 0 {
-		line.With("per_second", m.notice.RateLimit).Info("target names a rate limit")
+		line.With("per_second", m.notice.RateLimit).With("by", ratelimit.FromAnswer).Info("target names a rate limit")
+	}
+	if !m.notice.UnlimitedSince.IsZero() {
+		line.Info("target names no rate limit any more")
 	}
 }
 
@@ -234,6 +283,13 @@
 			if ps, ok := b.sessions[b.addresses[a.Target]]; ok {
 				ctx.Send(ps.pid, a.Message)
 			}
+		case steering.AskPermit:
+			root, self := ctx.ActorSystem().Root, ctx.Self()
+			b.permits.Ask(a.Ask, func(granted bool, retryAfter time.Duration) {
+				root.Send(self, &permitted{requestNumber: a.Number, targetID: a.Ask.Key.Target, granted: granted, retryAfter: retryAfter})
+			})
+		case steering.ShareRateLimit:
+			b.permits.Share(a.Limit)
 		case steering.Connect:
 			b.connect(ctx, now, a.Target)
 		case steering.Disconnect:
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -25,8 +25,10 @@
 	"agatelanding.example/agatelanding/entry/broker"
 	"agatelanding.example/agatelanding/entry/containment"
 	"agatelanding.example/agatelanding/entry/peers"
+	"agatelanding.example/agatelanding/entry/permits"
 	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/ratelimit"
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/relay"
@@ -77,6 +79,7 @@
 	mesh           *peers.Mesh
 	stateWatcher   *stateWatcher
 	guard          *containment.Guard
+	permits        *permits.Exchange
 	leaving        containment.LeavingTargets
 	retryBudget    *retry.SharedBudget
 	server         atomic.Pointer[http.Server]
@@ -140,7 +143,6 @@
 	e.system = runtime.NewSystem()
 	b := e.settings.Bounds
 	e.retryBudget = retry.NewSharedBudget(b.RetryRatio, b.RetryAllowance, b.RetryWindow)
-	e.startBroker()
 	e.stateWatcher = newStateWatcher(platform.NewStore(e.settings.Store), b, e.metrics)
 	e.mesh = &peers.Mesh{
 		Address: e.settings.PeerListen, Seeds: e.settings.Seeds, Hello: e.hello, StateAfter: e.stateWatcher.stateAfter, ReceiveState: e.stateWatcher.receiveFromPeer,
@@ -151,6 +153,14 @@
 		Leaving: e.leaving.Has, Broadcast: e.mesh.BroadcastEvidence, Metrics: e.metrics, Log: telemetry.For("quarantine"),
 	})
 	e.mesh.CurrentEvidence, e.mesh.ReceiveEvidence = e.guard.Evidence, e.guard.Receive
+	e.permits = &permits.Exchange{
+		Address: e.settings.PeerListen, Mesh: e.mesh, Metrics: e.metrics,
+		Heard: func(limits []wire.RateLimit) { e.broker.HeardRateLimits(limits) },
+	}
+	e.permits.Start()
+	e.startBroker()
+	e.mesh.ReceiveLimits = e.permits.Receive
+	e.mesh.CurrentLimits = func() []wire.RateLimit { return e.permits.Limits(e.isListed) }
 	e.stateWatcher.publish, e.stateWatcher.queryPeers = e.publish, e.mesh.QueryPeers
 	e.stateWatcher.broadcast, e.stateWatcher.entries = e.mesh.Broadcast, e.mesh.EntryCount
 	go e.stateWatcher.run(ctx)
@@ -170,7 +180,7 @@
 	}, e.metrics)
 	local := session.Options{Hello: e.hello, PingInterval: broker.PingInterval}
 	// Every target process accepts sessions on the first internal port of its VM.
-	e.broker = broker.Start(root, s, local, fmt.Sprint(e.settings.InternalPorts[0]))
+	e.broker = broker.Start(root, s, e.permits, local, fmt.Sprint(e.settings.InternalPorts[0]))
 }
 
 // fail reports the failure of the broker through Failed. Only the first failure
@@ -238,6 +248,16 @@
 	r.Broker.Notified(target, n)
 }
 
+// isListed reports whether an incarnation of a target is in the published state.
+func (e *Edge) isListed(k ratelimit.Key) bool {
+	v := e.view.Load()
+	if v == nil {
+		return false
+	}
+	t, ok := v.Targets[k.Target]
+	return ok && t.StartedAtMS == k.StartedAtMS
+}
+
 // configured reports whether a configuration is in force.
 func (e *Edge) configured() bool {
 	v := e.view.Load()
@@ -268,12 +288,19 @@
 		// CrashRecords the crashes behind present suspicions.
 		Quarantined  []containment.PartStatus `json:"quarantined_parts"`
 		CrashRecords int                      `json:"crash_records"`
+		// RateLimits are the targets that name the requests a second which they take.
+		RateLimits []steering.RateLimitStatus `json:"rate_limits"`
 	}{
 		Name: e.settings.Name, FailureDomain: e.settings.FailureDomain, Entries: e.mesh.EntryCount(), Open: e.openRequests.Load(),
 		StoreCurrent: e.stateWatcher.storeCurrent(), Refused: e.metrics.Refusals(), Retried: e.metrics.Retries(),
 		StateAgeMS: e.stateWatcher.age().Milliseconds(),
 	}
 	s.Quarantined, s.CrashRecords = e.guard.Status()
+	if limits, err := e.broker.RateLimits(); err != nil {
+		e.log.With("error", err).Warn("the broker does not report its rate limits")
+	} else {
+		s.RateLimits = limits
+	}
 	if v := e.view.Load(); v != nil && v.Config != nil {
 		s.Version, s.Targets = v.Config.Version, len(v.Targets)
 		for _, t := range v.Targets {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -73,7 +73,12 @@
 	// be nil.
 	CurrentEvidence func() Evidence
 	ReceiveEvidence func(e Evidence)
-	Log             *telemetry.Logger
+	// CurrentLimits returns the rates of targets for a peer that has just connected, and
+	// ReceiveLimits takes a message about rates from the peer at an address. Both may be
+	// nil.
+	CurrentLimits func() []wire.RateLimit
+	ReceiveLimits func(from string, x *wire.Items)
+	Log           *telemetry.Logger
 
 	mu sync.Mutex
 	// lastSeen holds the known addresses of peers and when each was last
@@ -98,6 +103,8 @@
 	// address is the address at which the peer accepts connections. It is
 	// empty until the peer has sent it on a connection that the peer opened.
 	address string
+	// grantsPermits is true if the peer has said that it grants permits.
+	grantsPermits bool
 }
 
 // Run opens and accepts connections until ctx ends. listener may be nil.
@@ -209,11 +216,11 @@
 		switch x := message.(type) {
 		case *wire.ItemsQuery:
 			m.answer(c, x)
-		// wire.Items carries items, the addresses of entries, evidence, or nothing as
+		// wire.Items carries items, the addresses of entries, evidence, rates, or nothing as
 		// a keep-alive message.
 		case *wire.Items:
 			if len(x.Peers) > 0 {
-				m.receiveAddresses(c, x.Peers)
+				m.receiveAddresses(c, x.Peers, x.GrantsPermits)
 			}
 			if len(x.Items) > 0 || x.CompleteRevision > 0 || x.UpToRevision > 0 {
 				m.ReceiveState(stateOf(x))
@@ -221,6 +228,9 @@
 			if x.HasEvidence() && m.ReceiveEvidence != nil {
 				m.ReceiveEvidence(evidenceOf(x, time.Now()))
 			}
+			if x.HasRateLimits() && m.ReceiveLimits != nil {
+				m.receiveLimits(c, x)
+			}
 		default:
 			return
 		}
@@ -305,8 +315,9 @@
 // receiveAddresses adds the addresses that a peer sent in wire.Items. The first is
 // the peer's own. If it was unknown, the other connected entries get it: those that
 // connected to this entry before do not have it.
-func (m *Mesh) receiveAddresses(c *peerConn, addresses []string) {
+func (m *Mesh) receiveAddresses(c *peerConn, addresses []string, grantsPermits bool) {
 	m.mu.Lock()
+	c.grantsPermits = c.grantsPermits || grantsPermits
 	first := c.address == ""
 	c.address = addresses[0]
 	if _, known := m.lastSeen[c.address]; !known && c.address != m.Address {
@@ -332,8 +343,9 @@
 		peers = append(peers, address)
 	}
 	m.mu.Unlock()
-	c.queue <- &wire.Items{Peers: peers}
+	c.queue <- &wire.Items{Peers: peers, GrantsPermits: m.ReceiveLimits != nil}
 	m.sendInitialEvidence(c)
+	m.sendInitialLimits(c)
 }
 
 // batches splits items into lists of about maxBatchBytes at most. A larger item is
--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -56,6 +56,7 @@
 	flow         flowControl
 	stepTimer    stepTimer
 	loadLimiter  loadLimiter
+	limiter      rateLimiter
 	// instances holds the IDs of the engine's incarnations by their start time.
 	instances map[int64]string
 
@@ -126,6 +127,7 @@
 			a.pausedUntil = time.Time{}
 		}
 	}
+	a.limiter.hear(now, settings.StartedAtMS, settings.RateLimit)
 	if a.settings == nil || settings.Revision >= a.settings.Revision {
 		a.settings = settings
 		a.flow.configuredEventSteps = settings.TokensPerEvent
@@ -179,7 +181,10 @@
 	case instance != "" && a.instance() != "" && instance != a.instance():
 		return result.EngineUnavailable, 0
 	}
-	if start := a.startDelay(r); now.Add(start).After(r.deadline) || r.redirect && a.isLate(now, r, start) {
+	if start := a.startDelay(now, r); now.Add(start).After(r.deadline) || r.redirect && a.isLate(now, r, start) {
+		if start == a.limiter.wait(now, a.countAhead(r)) {
+			return result.TargetsLimited, start
+		}
 		return result.BudgetExceeded, start
 	}
 	return result.OK, 0
@@ -301,6 +306,7 @@
 		a.rec.Count("engine_paused_by_answer")
 		a.refuseWaiting(now, result.TargetsPaused, n.RetryAfter)
 	}
+	isNew = a.notifiedRate(now, n) || isNew
 	return a.takeActions(), isNew
 }
 
@@ -359,17 +365,19 @@
 	}
 	a.admit(now)
 	a.redirectLate(now)
+	a.refuseLimited(now)
 	a.sendOrder(now)
 }
 
 // Report returns the utilization of the engine for entries. The adapter lists are
 // included if they have changed since the last report, or if all is set;
 // EngineReport.HasAdapterLists is true if this report includes them.
-func (a *Agent) Report(all bool) *wire.EngineReport {
+func (a *Agent) Report(now time.Time, all bool) *wire.EngineReport {
 	r := &wire.EngineReport{
 		Running: a.flow.running, Waiting: len(a.queue), Backlog: a.flow.unreadTokens + promptTokens(a.queue),
 		StartedAtMS: a.status.StartedAtMS, Leaving: a.leaving, EngineLeaving: a.engineLeaving, Slow: a.stepTimer.slow(), NotReady: a.unready(),
 		PredictedLoadWaitMS: a.loadLimiter.predictWait(a.countAbsentAdapters()).Milliseconds(),
+		BoundsRate:          true, RateLimit: a.limiter.report(now), PermitWaitMS: a.limiter.wait(now, len(a.queue)).Milliseconds(),
 	}
 	if all || !a.adaptersReported {
 		// A report with all set goes to one new session; the other sessions still
--- a/internal/decide/engineagent/engineagent_suite_test.go
+++ b/internal/decide/engineagent/engineagent_suite_test.go
@@ -410,11 +410,11 @@
 	It("list the adapters only when they have changed", func() {
 		h := newHarness(2)
 		h.advance(300 * time.Millisecond)
-		Expect(h.agent.Report(false).HasAdapterLists).To(BeTrue())
-		Expect(h.agent.Report(false).HasAdapterLists).To(BeFalse())
+		Expect(h.agent.Report(h.now, false).HasAdapterLists).To(BeTrue())
+		Expect(h.agent.Report(h.now, false).HasAdapterLists).To(BeFalse())
 		h.reserve(1, "a1")
 		h.advance(300 * time.Millisecond)
-		r := h.agent.Report(false)
+		r := h.agent.Report(h.now, false)
 		Expect(r.HasAdapterLists).To(BeTrue())
 		Expect(r.Held).To(Equal([]string{"m/a1"}))
 	})
@@ -427,7 +427,7 @@
 			h.started(uint64(n))
 			h.release(uint64(n))
 		}
-		r := h.agent.Report(true)
+		r := h.agent.Report(h.now, true)
 		Expect(r.Held).To(Equal([]string{"m/a2"}))
 		Expect(r.Cached).To(Equal([]string{"m/a1"}))
 	})
@@ -448,7 +448,7 @@
 		h.reserve(3, "a1")
 		h.advance(time.Second)
 		Expect(h.granted).To(Equal([]uint64{1}))
-		Expect(h.agent.Report(true).Held).To(BeEmpty())
+		Expect(h.agent.Report(h.now, true).Held).To(BeEmpty())
 
 		// The engine refuses the order.
 		h.capturedOrders = nil
@@ -508,13 +508,13 @@
 	It("ends with a new incarnation", func() {
 		a, e := newAgent()
 		a.Notified(start, engineagent.Notice{Leaving: true, RetryAfter: time.Hour})
-		Expect(a.Report(true).EngineLeaving).To(BeTrue())
+		Expect(a.Report(start, true).EngineLeaving).To(BeTrue())
 		Expect(a.Reserve(start, 1, reserve(1))).To(ConsistOf(HaveField("Code", result.TargetLeaving)))
 		actions := a.SetSettings(start.Add(time.Second), &wire.EngineSettings{Revision: 1, MaxRunning: 8, StartedAtMS: 2, Instance: "i-2"})
 		actions = append(actions, a.Tick(start.Add(time.Second))...)
 		Expect(actions).To(ContainElement(engineagent.PollEngine{}))
 		e.incarnation = 2
 		a.PollSucceeded(start.Add(time.Second), e.status())
-		Expect(a.Report(true).EngineLeaving).To(BeFalse())
+		Expect(a.Report(start, true).EngineLeaving).To(BeFalse())
 	})
 })
--- a/internal/decide/engineagent/flowcontrol.go
+++ b/internal/decide/engineagent/flowcontrol.go
@@ -126,25 +126,35 @@
 // it, for the load of its adapter and until fewer than settings.MaxRunning
 // requests run at the engine. settings.MaxRunning limits the running requests;
 // it is not the number of adapter slots in a.slots.
-func (a *Agent) startDelay(r *reservation) time.Duration {
-	tokens, ahead := a.flow.unreadTokens, 0
+func (a *Agent) startDelay(now time.Time, r *reservation) time.Duration {
+	tokens := a.flow.unreadTokens
 	for _, x := range a.queue {
 		if x.rank <= r.rank {
 			tokens += x.prompt
-			ahead++
 		}
 	}
-	delay := a.queueDelay(tokens, ahead)
+	delay := a.queueDelay(now, tokens, a.countAhead(r))
 	if _, ok := a.ready(r); !ok {
 		delay = max(delay, a.loadLimiter.predictWait(a.countAbsentAdapters()))
 	}
 	return delay
 }
 
+// countAhead returns the number of waiting requests that are admitted before a new one.
+func (a *Agent) countAhead(r *reservation) int {
+	n := 0
+	for _, x := range a.queue {
+		if x.rank <= r.rank {
+			n++
+		}
+	}
+	return n
+}
+
 // queueDelay predicts how long a request waits behind a number of requests and of
 // prompt tokens that the engine has not read.
-func (a *Agent) queueDelay(tokens, ahead int) time.Duration {
-	delay := prompt.PrefillTime(tokens)
+func (a *Agent) queueDelay(now time.Time, tokens, ahead int) time.Duration {
+	delay := max(prompt.PrefillTime(tokens), a.limiter.wait(now, ahead))
 	if over := a.flow.running + ahead + 1 - a.settings.MaxRunning; over > 0 {
 		delay = max(delay, time.Duration(float64(a.flow.meanAnswerTime())*float64(over)/float64(max(1, a.settings.MaxRunning))))
 	}
@@ -168,7 +178,7 @@
 	}
 	tokens, ahead := a.flow.unreadTokens, 0
 	for _, r := range slices.Clone(a.queue) {
-		delay := a.queueDelay(tokens, ahead)
+		delay := a.queueDelay(now, tokens, ahead)
 		if _, ok := a.ready(r); ok && r.redirect && a.isLate(now, r, delay) {
 			a.rec.Count("redirects")
 			a.refuse(r, result.BudgetExceeded, delay)
@@ -214,6 +224,9 @@
 			i++
 			continue
 		}
+		if !a.limiter.take(now) {
+			return
+		}
 		a.queue = append(a.queue[:i], a.queue[i+1:]...)
 		r.phase, r.admittedAt = reading, now
 		a.flow.admitted(r.prompt)
--- a/internal/decide/engineagent/load_test.go
+++ b/internal/decide/engineagent/load_test.go
@@ -97,7 +97,7 @@
 		h.engine.restart()
 		h.engine.modelNeverLoads = true
 		h.advance(300 * time.Millisecond)
-		Expect(h.agent.Report(true).NotReady).To(BeTrue())
+		Expect(h.agent.Report(h.now, true).NotReady).To(BeTrue())
 		h.reserve(2, "a1")
 		Expect(h.refused[2].Code).To(Equal(result.EngineUnavailable))
 	})
@@ -123,9 +123,9 @@
 		h := newHarness(2)
 		h.reserve(1, "a1")
 		h.advance(300 * time.Millisecond)
-		Expect(h.agent.Report(true).Held).To(Equal([]string{"m/a1"}))
+		Expect(h.agent.Report(h.now, true).Held).To(Equal([]string{"m/a1"}))
 		Expect(h.agent.AdapterListsReported()).To(BeFalse())
-		Expect(h.agent.Report(false).Held).To(Equal([]string{"m/a1"}))
+		Expect(h.agent.Report(h.now, false).Held).To(Equal([]string{"m/a1"}))
 		Expect(h.agent.AdapterListsReported()).To(BeTrue())
 	})
 })
@@ -143,11 +143,11 @@
 		h.reserve(1, "a1")
 		h.started(1)
 		h.advance(3 * time.Second)
-		Expect(h.agent.Report(true).Slow).To(BeFalse())
+		Expect(h.agent.Report(h.now, true).Slow).To(BeFalse())
 
 		e.step = 15 * time.Millisecond
 		h.advance(200 * time.Millisecond)
-		Expect(h.agent.Report(true).Slow).To(BeTrue())
+		Expect(h.agent.Report(h.now, true).Slow).To(BeTrue())
 		h.reserve(2, "a1", func(m *wire.Reserve) { m.PromptTokens = 600 })
 		h.reserve(3, "a1", func(m *wire.Reserve) { m.PromptTokens = 600 })
 		Expect(h.granted).To(Equal([]uint64{1, 2}))
@@ -164,7 +164,7 @@
 
 		e.step = 6 * time.Millisecond
 		h.advance(300 * time.Millisecond)
-		Expect(h.agent.Report(true).Slow).To(BeFalse())
+		Expect(h.agent.Report(h.now, true).Slow).To(BeFalse())
 	})
 })
 
--- a/internal/decide/engineagent/types.go
+++ b/internal/decide/engineagent/types.go
@@ -133,6 +133,11 @@
 	// RetryAfter is how long the engine must get neither polls nor orders, 0 if it
 	// did not ask for time.
 	RetryAfter time.Duration
+	// RateLimit is the number of requests a second that the engine takes from all
+	// entries together, 0 if the answer names none.
+	RateLimit float64
+	// MalformedRateLimit is true if the answer names a rate that cannot be read.
+	MalformedRateLimit bool
 }
 
 // Action is something that the code which uses the Agent must perform.
--- a/internal/decide/joint/agent_test.go
+++ b/internal/decide/joint/agent_test.go
@@ -40,7 +40,7 @@
 	a.do(incarnation, func() {
 		if l.session == session {
 			a.links[session] = l
-			l.sendToEntry(a.agent.Report(true))
+			l.sendToEntry(a.agent.Report(a.clock.now(), true))
 		}
 	})
 }
@@ -73,7 +73,7 @@
 		return
 	}
 	a.reportedAt = a.clock.elapsed
-	r := a.agent.Report(false)
+	r := a.agent.Report(a.clock.now(), false)
 	for _, session := range slices.Sorted(maps.Keys(a.links)) {
 		if l := a.links[session]; l.session == session {
 			l.sendToEntry(r)
--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -17,7 +17,7 @@
 	}
 	t.sessionOpen, t.lastMessageAt = true, time.Time{}
 	if t.engine != nil && s.view != nil && s.view.Config != nil {
-		s.sendEngineSettings(t)
+		s.sendEngineSettings(now, t)
 	}
 	for _, r := range s.openRequests() {
 		if r.target == t && r.state == granted {
@@ -94,6 +94,9 @@
 		r.retryAfter = after
 	}
 	s.rec.Retried(m.Code)
+	if m.Code == result.TargetsLimited {
+		t.notices.redirected++
+	}
 	s.retryElsewhere(now, r, m.Code)
 }
 
@@ -115,6 +118,7 @@
 	}
 	t.report, t.reportedAt = *m, now
 	s.reportedLeaving(now, t, m)
+	s.reportedRate(now, t, m)
 	s.placeAwaiting(now)
 }
 
@@ -189,7 +193,11 @@
 
 // Tick handles expired deadlines and timeouts and retries the queued requests.
 func (s *Steering) Tick(now time.Time) []Action {
+	s.shareRateLimits(now)
 	for _, r := range s.openRequests() {
+		if r.state == awaitingPermit && !now.Before(r.Deadline) {
+			s.refuse(r, result.TargetsLimited, r.target.rateWait(now))
+		}
 		if r.state != reserving {
 			continue
 		}
--- a/internal/decide/steering/incarnation.go
+++ b/internal/decide/steering/incarnation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/ratelimit"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/wire"
 )
@@ -12,6 +13,9 @@
 // kept. A target whose registration lapses may serve on and register again.
 const incarnationTTL = 10 * time.Minute
 
+// maxIncarnations bounds the incarnations of which other entries make notices known.
+const maxIncarnations = 8192
+
 // Notice is what a target says of itself in an answer, besides the answer.
 type Notice struct {
 	// Leaving is true if the target ends and must get no new requests.
@@ -24,6 +28,9 @@
 	RateLimit float64
 	// MalformedRateLimit is true if the target names a rate that cannot be read.
 	MalformedRateLimit bool
+	// UnlimitedSince is when the request was sent of an answer that names no rate, zero
+	// if the answer does not show that.
+	UnlimitedSince time.Time
 }
 
 const (
@@ -48,9 +55,15 @@
 	leaving bool
 	// pausedUntil is the end of the time for which the target asked.
 	pausedUntil time.Time
-	// rateLimit is the rate that the target named last, 0 if it named none.
-	rateLimit float64
-	listedAt  time.Time
+	// limit is what is known of the rate that the target names. It is passed on to other
+	// processes while unshared is true, last at sharedAt.
+	limit    ratelimit.Limit
+	unshared bool
+	sharedAt time.Time
+	// redirected counts the requests that the rate sent elsewhere, and refused those that
+	// were refused for it.
+	redirected, refused int64
+	listedAt            time.Time
 }
 
 func keyOf(t *catalog.Target) incarnationKey {
@@ -94,14 +107,7 @@
 		x.pausedUntil = until
 		s.rec.Count("targets_paused_by_answer")
 	}
-	if n.MalformedRateLimit {
-		s.rec.Count("rate_limits_malformed")
-	}
-	if n.RateLimit > 0 {
-		s.rec.Count("rate_limits_named")
-		isNew = isNew || x.rateLimit != n.RateLimit
-		x.rateLimit = n.RateLimit
-	}
+	isNew = s.notifiedRate(now, keyOf(at), x, n) || isNew
 	if t, ok := s.targets[at.ID]; ok && t.notices == x && !t.accepts(now) {
 		s.rerouteUnadmitted(now, []*target{t})
 		s.serveQueue(now)
@@ -126,7 +132,8 @@
 }
 
 // refusalFor returns the code and the delay for a request that no target can take
-// now. If all that could take it have asked for time, the delay is the shortest one.
+// now. If all that could take it have asked for time or name a rate, the delay is the
+// shortest one.
 func (s *Steering) refusalFor(now time.Time, r *request) (result.Code, time.Duration) {
 	var earliest time.Time
 	for _, listed := range s.view.Pools[r.Pool] {
@@ -138,6 +145,9 @@
 			earliest = until
 		}
 	}
+	if wait, limited := s.rateRefusal(now, r); limited {
+		return result.TargetsLimited, wait
+	}
 	if earliest.IsZero() {
 		return r.codeOr(result.NoTarget), r.retryAfter
 	}
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -45,6 +45,8 @@
 	// reserving requests are being placed or wait for the reply of a target
 	// process.
 	reserving
+	// awaitingPermit requests wait for a permit to be sent to a target that names a rate.
+	awaitingPermit
 	// granted requests have been assigned to their target.
 	granted
 )
@@ -72,6 +74,10 @@
 
 	retryAfter time.Duration
 	code       result.Code
+	// mayWait is true if the last ask for a permit may wait until the deadline, and
+	// refusedPermits holds the targets where such an ask was refused.
+	mayWait        bool
+	refusedPermits []string
 }
 
 // Steering selects a target for each request of one entry.
@@ -200,15 +206,15 @@
 			t.sessionRequested, t.sessionRequestedAt = true, now
 			s.emit(Connect{Target: t.Target})
 		} else if changed && t.sessionOpen {
-			s.sendEngineSettings(t)
+			s.sendEngineSettings(now, t)
 		}
 	}
 }
 
-func (s *Steering) sendEngineSettings(t *target) {
+func (s *Steering) sendEngineSettings(now time.Time, t *target) {
 	row := &wire.EngineSettings{
 		Revision: uint64(s.view.Config.Version), MaxRunning: t.engine.MaxRunning, TokensPerEvent: t.engine.TokensPerEvent, MemoryMB: t.engine.MemoryMB,
-		Instance: t.ID, StartedAtMS: t.StartedAtMS,
+		Instance: t.ID, StartedAtMS: t.StartedAtMS, RateLimit: t.notices.wireLimit(now),
 	}
 	for _, m := range t.engine.Models {
 		row.Models = append(row.Models, wire.EngineModel{Name: m.Name, WeightsMB: m.WeightsMB, Adapters: t.engine.Capacity(m)})
@@ -296,6 +302,7 @@
 
 func (s *Steering) refuse(r *request, code result.Code, after time.Duration) {
 	delete(s.requests, r.Number)
+	countRateRefusal(r, code)
 	s.emit(Refused{Number: r.Number, Code: code, RetryAfter: max(after, minRetryAfter)})
 }
 
@@ -369,9 +376,11 @@
 			return candidate{}, false
 		}
 		delay, ok := t.engineDelay(&r.Request)
-		if !ok {
+		wait := t.rateWait(now)
+		if !ok || now.Add(wait).After(r.Deadline) || t.needsPermit() && !t.mayAsk(now, r) {
 			return candidate{}, false
 		}
+		delay += millis(wait)
 		cost := t.engineCost(now, &r.Request, delay, positions[t.ID], rate, s.cfg.FailureDomain)
 		if t.holds(&r.Request) {
 			cost += staleReportCost * min(1, now.Sub(t.reportedAt).Seconds()) * s.random()
@@ -392,7 +401,18 @@
 		s.refuse(r, r.codeOr(result.NoTarget), r.retryAfter)
 		return
 	}
-	t := best.t
+	redirect := r.attempts < maxRedirects && otherDelay < millis(r.FirstEventDue.Sub(now)-minRedirectBudget)
+	if best.t.needsPermit() {
+		s.askPermit(now, r, best.t, false)
+		return
+	}
+	s.reserveAt(now, r, best.t, redirect)
+}
+
+// reserveAt reserves admission at the target process of an engine, or grants the engine
+// at once if no session is open. redirect is true if another engine is expected to serve
+// the request on time.
+func (s *Steering) reserveAt(now time.Time, r *request, t *target, redirect bool) {
 	r.target, r.selectedAt = t, now
 	r.running, r.backlog, r.age = t.report.Running, t.report.Backlog, now.Sub(t.reportedAt)
 	r.held = t.held[adapterName(&r.Request)]
@@ -405,11 +425,11 @@
 	}
 	r.state = reserving
 	t.reservedTokens += r.PromptTokens
+	t.reservations++
 	s.emit(Send{Target: t.ID, Message: &wire.Reserve{
 		ID: s.attemptID(r), Pool: r.Pool, Model: r.Model, Adapter: r.Adapter, Version: s.announcedVersion(r),
 		BudgetMS: max(0, r.Deadline.Sub(now).Milliseconds()), PromptTokens: r.PromptTokens, Priority: r.Priority,
-		Repeatable: true, Instance: t.ID, FirstEventBudgetMS: max(0, r.FirstEventDue.Sub(now).Milliseconds()),
-		Redirect: r.attempts <= maxRedirects && otherDelay < millis(r.FirstEventDue.Sub(now)-minRedirectBudget),
+		Repeatable: true, Instance: t.ID, FirstEventBudgetMS: max(0, r.FirstEventDue.Sub(now).Milliseconds()), Redirect: redirect,
 	}})
 }
 
@@ -437,6 +457,6 @@
 		version = s.view.Versions[catalog.AdapterKey{Model: r.Model, Adapter: r.Adapter}]
 	}
 	s.emit(Granted{Number: r.Number, Grant: Grant{
-		Target: r.target.Target, Version: version, Unreserved: r.direct, RunningRequests: r.running, BacklogTokens: r.backlog, ReportAge: r.age, AdapterHeld: r.held,
+		Target: r.target.Target, Version: version, Unreserved: r.direct, RunningRequests: r.running, BacklogTokens: r.backlog, ReportAge: r.age, AdapterHeld: r.held, RateLimited: r.target.notices.limit.Rate > 0,
 	}})
 }
--- a/internal/decide/steering/target.go
+++ b/internal/decide/steering/target.go
@@ -104,6 +104,13 @@
 	timesAvoided int
 	// lastMessageAt is when the last message of the target process arrived.
 	lastMessageAt time.Time
+	// No permit is asked for before permitAfter, while the target names a rate and other
+	// targets can take requests.
+	permitAfter time.Time
+	// reservations counts the reservations since the last report, and rateSentAt is when
+	// its target process was last told of a rate that it did not know.
+	reservations int
+	rateSentAt   time.Time
 }
 
 func (s *Steering) newTarget(now time.Time, t *catalog.Target) *target {
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -64,6 +64,9 @@
 	// Unreserved is true if the request goes to the engine without a reservation,
 	// because no session with the target process is open.
 	Unreserved bool
+	// RateLimited is true if the entry knew that the target names a rate. Then what the
+	// answer says of the rate is of interest also if it names none.
+	RateLimited bool
 }
 
 // Outcome is the result of a request at its target.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -84,10 +84,9 @@
 		return false, x.handleNoResponse(ctx, requestNumber, failure)
 	}
 	defer resp.Body.Close()
-	if n := x.h.Dialect.ParseNotice(resp); n != (steering.Notice{}) {
-		x.h.Broker.Notified(grant.Target, n)
-	}
-	switch x.h.Dialect.Classify(resp, x.meta.AttemptID) {
+	class := x.h.Dialect.Classify(resp, x.meta.AttemptID)
+	x.h.passOnNotice(grant, resp, class, x.sentAt)
+	switch class {
 	case Declined:
 		x.handleDeclined(requestNumber, resp)
 		return false, false
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -95,6 +95,7 @@
 // open sends the request and waits for the begin of the response. It returns the outcome
 // of a send that failed, else 0, and whether the target may have run the request.
 func (x *callerRequest) open(o *openedResponse, grant steering.Grant, resumeAfter string) (outcome steering.Outcome, mayHaveRun bool) {
+	sentAt := time.Now()
 	resp, failure := x.h.Upstream.Do(o.ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	switch {
 	case failure != nil && !failure.MaybeSent:
@@ -105,10 +106,9 @@
 		return steering.ResponseBroken, true
 	}
 	o.resp = resp
-	if n := x.h.Dialect.ParseNotice(resp); n != (steering.Notice{}) {
-		x.h.Broker.Notified(grant.Target, n)
-	}
-	switch x.h.Dialect.Classify(resp, x.meta.AttemptID) {
+	class := x.h.Dialect.Classify(resp, x.meta.AttemptID)
+	x.h.passOnNotice(grant, resp, class, sentAt)
+	switch class {
 	case Declined:
 		if wrongTarget, _ := x.h.Dialect.ParseDecline(resp); wrongTarget {
 			return steering.WrongIncarnation, false
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -353,6 +353,9 @@
 	// milliseconds.
 	Instance    string `msgpack:"in"`
 	StartedAtMS int64  `msgpack:"bo"`
+	// RateLimit is what the entry knows of the rate that this incarnation names, nil if
+	// it has named none.
+	RateLimit *RateLimit `msgpack:"rl,omitempty"`
 }
 
 // EngineReport is the state and load of an engine as observed by its target
@@ -384,6 +387,12 @@
 	NotReady bool `msgpack:"un,omitempty"`
 	// Slow is true while the engine runs at a fraction of its usual speed.
 	Slow bool `msgpack:"sl,omitempty"`
+	// BoundsRate is true if the target process admits no more requests than the engine
+	// names. RateLimit is what it knows of that, nil if the engine has named none, and
+	// PermitWaitMS the time until it could admit another request.
+	BoundsRate   bool       `msgpack:"br,omitempty"`
+	RateLimit    *RateLimit `msgpack:"rl,omitempty"`
+	PermitWaitMS int64      `msgpack:"pw,omitempty"`
 }
 
 // Item is one change of an item in the platform's store, as an entry read it.
@@ -418,6 +427,14 @@
 	Crashes  []CrashRecord `msgpack:"c,omitempty"`
 	Begun    []BegunPart   `msgpack:"b,omitempty"`
 	Verdicts []PartVerdict `msgpack:"q,omitempty"`
+	// RateLimits, PermitAsks and Permits are about targets that name the requests a
+	// second which they take from all entries together. A message with one of them has
+	// no other fields: to earlier builds it is a keep-alive message. GrantsPermits goes
+	// with Peers and is true if the sender replies to asks.
+	RateLimits    []RateLimit `msgpack:"l,omitempty"`
+	PermitAsks    []PermitAsk `msgpack:"pa,omitempty"`
+	Permits       []Permit    `msgpack:"pr,omitempty"`
+	GrantsPermits bool        `msgpack:"g,omitempty"`
 }
 
 // ItemsQuery asks another entry for the changes after a revision of an era.
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -7,6 +7,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"agatelanding.example/agatelanding/internal/decide/engineagent"
+	"agatelanding.example/agatelanding/internal/decide/ratelimit"
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -54,10 +55,16 @@
 	Slow bool `json:"slow"`
 	// Unready is true while the engine does not answer or holds no model.
 	Unready bool `json:"unready"`
+	// RatePerSecond is the rate that the engine names, 0 if it names none; RateSinceMS
+	// is the time since it first did, and RateSource how that was learnt.
+	RatePerSecond float64 `json:"rate_per_second"`
+	RateSinceMS   int64   `json:"rate_since_ms,omitempty"`
+	RateSource    string  `json:"rate_source,omitempty"`
 }
 
 // pollResult is the result of a poll of the engine's status.
 type pollResult struct {
+	sentAt       time.Time
 	engineStatus engineagent.EngineStatus
 	notice       engineagent.Notice
 	err          error
@@ -113,7 +120,7 @@
 		id := engineagent.SessionID(m.ID)
 		c.writers[id] = m.Writer
 		c.log.With("peer", m.Peer.Process).Info("session open")
-		ctx.Send(m.Writer, c.stateMachine.Report(true))
+		ctx.Send(m.Writer, c.stateMachine.Report(time.Now(), true))
 	case *session.Closed:
 		id := engineagent.SessionID(m.ID)
 		delete(c.writers, id)
@@ -129,6 +136,9 @@
 			c.perform(ctx, c.stateMachine.PollSucceeded(now, m.engineStatus))
 		}
 		c.notified(ctx, now, m.notice)
+		if n := m.notice; m.err == nil && n.RateLimit == 0 && !n.MalformedRateLimit && c.stateMachine.PollNamedNoRate(now, m.sentAt) {
+			c.log.Info("the engine names no rate limit any more")
+		}
 	case *orderResult:
 		// This line is logged when the outcome of the order arrives.
 		c.log.With("kind", m.order.Kind).With("adapter", m.order.Adapter).With("version", m.order.Version).
@@ -154,7 +164,12 @@
 		return c.stateMachine.Release(now, m.ID)
 	case *wire.EngineSettings:
 		// The row is the configuration of the engine's pool.
-		return c.stateMachine.SetSettings(now, m)
+		before := c.stateMachine.RateLimit().Rate
+		actions := c.stateMachine.SetSettings(now, m)
+		if after := c.stateMachine.RateLimit().Rate; after != before {
+			c.log.With("per_second", after).With("before", before).With("by", ratelimit.FromEntry).Info("the engine's rate limit has changed")
+		}
+		return actions
 	case *wire.Ping:
 		c.send(ctx, id, &wire.Pong{Sequence: m.Sequence})
 	default:
@@ -167,10 +182,14 @@
 }
 
 func (c *core) status() status {
-	engineStatus, r := c.stateMachine.Status(), c.stateMachine.Report(true)
-	return status{
+	engineStatus, r := c.stateMachine.Status(), c.stateMachine.Report(time.Now(), true)
+	s := status{
 		Running: r.Running, Waiting: r.Waiting, Orders: engineStatus.AcceptedOrders, Models: engineStatus.Models, Held: r.Held, Slow: r.Slow, Unready: r.NotReady,
 	}
+	if l := c.stateMachine.RateLimit(); l.Rate > 0 {
+		s.RatePerSecond, s.RateSinceMS, s.RateSource = l.Rate, time.Since(l.Since).Milliseconds(), string(l.Source)
+	}
+	return s
 }
 
 // notified passes on what the engine says of itself in an answer.
@@ -179,9 +198,12 @@
 		return
 	}
 	actions, isNew := c.stateMachine.Notified(now, n)
-	if isNew {
+	if isNew && (n.Leaving || n.RetryAfter > 0) {
 		c.log.With("leaving", n.Leaving).With("retry_after_ms", n.RetryAfter.Milliseconds()).Info("the engine wants no new requests")
 	}
+	if isNew && n.RateLimit > 0 {
+		c.log.With("per_second", n.RateLimit).With("by", ratelimit.FromPoll).Info("the engine names a rate limit")
+	}
 	c.perform(ctx, actions)
 }
 
@@ -225,8 +247,9 @@
 }
 
 func (c *core) pollEngine(root *actor.RootContext, self *actor.PID) {
+	sentAt := time.Now()
 	engineStatus, notice, err := c.engine.ReadStatus(context.Background())
-	root.Send(self, &pollResult{engineStatus: engineStatus, notice: notice, err: err})
+	root.Send(self, &pollResult{sentAt: sentAt, engineStatus: engineStatus, notice: notice, err: err})
 }
 
 func (c *core) send(ctx actor.Context, id engineagent.SessionID, message any) {
@@ -235,6 +258,14 @@
 	}
 }
 
+// perSecond returns the rate in a report, 0 if there is none.
+func perSecond(r *wire.EngineReport) float64 {
+	if r.RateLimit == nil {
+		return 0
+	}
+	return r.RateLimit.PerSecond
+}
+
 // report sends the load to the entries when it has changed. An unchanged load
 // is sent after unchangedReportInterval, which shows that the process is alive.
 func (c *core) report(ctx actor.Context, now time.Time) {
@@ -244,9 +275,9 @@
 		return
 	}
 	listsSent := c.stateMachine.AdapterListsReported()
-	r := c.stateMachine.Report(false)
+	r := c.stateMachine.Report(now, false)
 	unchanged := listsSent && r.Running == c.lastReport.Running && r.Waiting == c.lastReport.Waiting && r.Backlog == c.lastReport.Backlog && r.Leaving == c.lastReport.Leaving && r.EngineLeaving == c.lastReport.EngineLeaving &&
-		r.Slow == c.lastReport.Slow && r.NotReady == c.lastReport.NotReady
+		r.Slow == c.lastReport.Slow && r.NotReady == c.lastReport.NotReady && perSecond(r) == perSecond(&c.lastReport)
 	if unchanged && elapsed < unchangedReportInterval {
 		return
 	}
