steering: a refusal for an engine's rate is no attempt; status and trace show rates

A request whose homes name a rate used up its four attempts at engines whose reports were up to 0.3 s old, and its caller was refused although other engines had room. The refusal's wait now replaces the reported one, and the attempt does not count (spec 'is passed over after a refusal, which is no attempt').

agatectl status has a table of the targets that name a rate: since when, by how learnt, who bounds the requests, how many went elsewhere or were refused. The refused ask for a permit has a line with the request's number for agatectl trace.

--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -200,6 +200,9 @@
 		}
 		b.perform(ctx, now, actions)
 	case *permitted:
+		if !m.granted {
+			b.log.With("entry", b.local.Hello().Process).With("number", m.requestNumber).With("target", m.targetID).With("after_ms", m.retryAfter.Milliseconds()).Info("no permit for a target that names a rate limit")
+		}
 		b.perform(ctx, now, b.steering.Permitted(now, m.requestNumber, m.targetID, m.granted, m.retryAfter))
 	case *heardRateLimits:
 		for _, l := range m.limits {
--- a/internal/ctl/ctl_suite_test.go
+++ b/internal/ctl/ctl_suite_test.go
@@ -228,6 +228,8 @@
 		Entry("prints simple fields", `{"load": {"x": {}}, "a": 1, "role": "entry", "revision": 18446744073709551615}`, 200, ctl.ExitOK, `ADDRESS +ROLE +REVISION +A\n127.0.0.1:\d+ +entry +18446744073709551615 +1\n`),
 		Entry("prints quarantined parts", `{"name": "e1", "crash_records": 4, "quarantined_parts": [{"part": "5c1e", "crashes": 3, "since_ms": 1200, "entry": "e2", "trials": 1, "refused": 7}]}`, 200, ctl.ExitOK,
 			`NAME +QUARANTINED_PARTS +CRASH_RECORDS\n127.0.0.1:\d+ +e1 +1 +4\n\nQUARANTINED PART +CRASHES +SINCE_MS +BY +TRIALS +REFUSED +KNOWN_BY\n5c1e +3 +1200 +e2 +1 +7 +1 of 1\n`),
+		Entry("prints targets with a rate limit", `{"name": "e1", "rate_limits": [{"target": "i-1", "per_second": 1.2, "since_ms": 900, "learnt_by": "answer", "permits": "target process", "redirected": 5, "refused": 2}]}`, 200, ctl.ExitOK,
+			`NAME +RATE_LIMITS\n127.0.0.1:\d+ +e1 +1\n\nTARGET WITH A RATE LIMIT +PER_SECOND +SINCE_MS +LEARNT_BY +PERMITS +REDIRECTED +REFUSED +KNOWN_BY\ni-1 +1.2 +900 +answer +target process +5 +2 +1 of 1\n`),
 		Entry("prints no table without quarantined parts", `{"name": "e1", "crash_records": 0, "quarantined_parts": null}`, 200, ctl.ExitOK, `NAME +CRASH_RECORDS\n127.0.0.1:\d+ +e1 +0\n$`),
 		Entry("prints JSON", `{"load": {"x": 1}}`, 200, ctl.ExitOK, `"x": 1`, "--json"),
 		Entry("reports an HTTP error", `{}`, 503, ctl.ExitIO, "5008 platform_unreached: .*503"),
--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -95,7 +95,7 @@
 	}
 	s.rec.Retried(m.Code)
 	if m.Code == result.TargetsLimited {
-		t.notices.redirected++
+		s.refusedForRate(now, t, r, m)
 	}
 	s.retryElsewhere(now, r, m.Code)
 }
--- a/internal/decide/steering/ratelimit.go
+++ b/internal/decide/steering/ratelimit.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// refusedForRate handles a reservation that was refused because of the rate. Other
+// requests need not learn it by a refusal too, and it is no failed attempt.
+func (s *Steering) refusedForRate(now time.Time, t *target, r *request, m *wire.Refused) {
+	t.notices.redirected++
+	t.report.PermitWaitMS = m.RetryAfterMS + now.Sub(t.reportedAt).Milliseconds()
+	r.attempts--
+}
+
 // notifiedRate handles what an answer says of the rate of a target, and reports whether
 // that is new.
 func (s *Steering) notifiedRate(now time.Time, key incarnationKey, x *incarnation, n Notice) bool {
--- a/internal/decide/steering/ratelimit_test.go
+++ b/internal/decide/steering/ratelimit_test.go
@@ -166,6 +166,23 @@
 		Expect(e.refused[1].RetryAfter).To(Equal(3300 * time.Millisecond))
 	})
 
+	// Guards against engines that name a rate and use up the attempts of a request.
+	It("is passed over after a refusal, which is no attempt", func() {
+		e := newEntry(pool, targets(6)...)
+		for _, t := range e.view.Pools["p"] {
+			e.connect(t.ID)
+			e.report(t.ID, report(1, 0))
+		}
+		e.want(1, "a1")
+		for range 5 {
+			tried := e.reserves(1)
+			e.do(e.s.Message(e.now, tried[len(tried)-1], &wire.Refused{ID: e.reservation(1), Code: result.TargetsLimited, RetryAfterMS: 800}))
+		}
+		Expect(e.reserves(1)).To(HaveLen(6))
+		e.want(2, "a1")
+		Expect(e.reserves(2)).To(Equal(e.reserves(1)[5:]))
+	})
+
 	It("tells a target process that does not know the rate, and needs permits of a former build", func() {
 		e := newEntry(pool, targets(1)...)
 		id := e.view.Pools["p"][0].ID
