edge, soak: named rates of whole pools, after their end, without a target process, beside other faults

Specs: a pool of which all targets name 0.3 a second refuses within 0.3 s with 2020 and Retry-After; a target that names no rate any more gets its work back; an engine keeps its bound while its target process stops and another one starts.

The soak makes targets name rates beside the other faults, drawn from an rng of its own, and checks the sum over both entries in a calm phase.

--- a/entry/edge/limit_suite_test.go
+++ b/entry/edge/limit_suite_test.go
@@ -90,6 +90,96 @@
 	)
 })
 
+var _ = Describe("A pool of which all targets name a rate", func() {
+	// Guards against callers that wait for room until their deadline, or come back before
+	// there is any.
+	It("refuses at once what has no room, with the time to come back", func() {
+		f := newFleet(0, 2)
+		f.start()
+		for _, s := range f.services {
+			s.NameLimit("0.3")
+		}
+		f.load(time.Second, 25*time.Millisecond, f.lookupAt)
+		began := time.Now()
+		var slowest time.Duration
+		var mu sync.Mutex
+		refused := 0
+		f.load(2*time.Second, 25*time.Millisecond, func(entry, i int) response {
+			sent := time.Now()
+			r := f.lookupAt(entry, i)
+			mu.Lock()
+			defer mu.Unlock()
+			if r.status == 503 {
+				refused++
+				Expect(r.body).To(ContainSubstring("2020 targets_limited"))
+				Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+				slowest = max(slowest, time.Since(sent))
+			}
+			return r
+		})
+		Expect(refused).To(BeNumerically(">=", 70))
+		Expect(slowest).To(BeNumerically("<", 300*time.Millisecond))
+		Expect(len(f.services[0].Runs()) + len(f.services[1].Runs())).To(BeNumerically("<", 45))
+		Expect(time.Since(began)).To(BeNumerically("<", 4*time.Second))
+	})
+})
+
+var _ = Describe("A target that names no rate any more", func() {
+	// Guards against a target that stays bounded after its need.
+	DescribeTable("gets its work back", func(engines, services int) {
+		f := newFleet(engines, services)
+		for range 2 {
+			f.start()
+		}
+		call, limited := f.lookupAt, slices.Concat(f.services, f.engines)[0]
+		if engines > 0 {
+			call = f.queryAt
+		}
+		limited.NameLimit("2")
+		f.load(3*time.Second, 20*time.Millisecond, call)
+		bounded := len(limited.Runs())
+		f.load(2*time.Second, 20*time.Millisecond, call)
+		Expect(len(limited.Runs()) - bounded).To(BeNumerically("<=", 11))
+		limited.NameLimit("")
+		f.load(2*time.Second, 20*time.Millisecond, call)
+		bounded = len(limited.Runs())
+		f.load(time.Second, 20*time.Millisecond, call)
+		Expect(len(limited.Runs()) - bounded).To(BeNumerically(">=", 45))
+	},
+		Entry("an engine", 1, 0), Entry("a plain service", 0, 1),
+	)
+})
+
+var _ = Describe("An engine that names a rate", func() {
+	// Guards against entries that go around the bound while its process is away, and
+	// against a new process that knows no rate.
+	It("gets no more while its target process is gone and after it has come back", func() {
+		f := newFleet(2, 0)
+		for range 3 {
+			f.start()
+		}
+		limited := f.engines[0]
+		address := f.engineAddress(0)
+		limited.NameLimit("1.5")
+		f.load(2*time.Second, 20*time.Millisecond, f.queryAt)
+		began := time.Now()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			time.Sleep(time.Second)
+			f.targetProcesses[0].Shutdown(context.Background())
+			time.Sleep(3 * time.Second)
+		}()
+		go func() {
+			defer GinkgoRecover()
+			<-stopped
+			f.targetProcesses[0] = f.startTargetProcess(0, address)
+		}()
+		f.load(9*time.Second, 20*time.Millisecond, f.queryAt)
+		Expect(mostInWindow(limited.Runs(), began)).To(BeNumerically("<=", allowedInWindow(1.5)))
+	})
+})
+
 func (f *fleet) lookupAt(entry, i int) response {
 	return f.call(context.Background(), entry, "GET", fmt.Sprintf("/lookup/%d", i), nil, "")
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,6 +76,8 @@
 	copiedOnce bool
 	// partRng draws crashes and silences, which were added after those of laterRng.
 	partRng *rand.Rand
+	// limitRng draws targets that name a rate, which were added after those of partRng.
+	limitRng *rand.Rand
 	// lastTerm is when a process last got SIGTERM.
 	lastTerm time.Time
 	client   *http.Client
@@ -124,7 +126,7 @@
 // run runs the test with one seed and injects faults for faultTime.
 func run(t *testing.T, binDir string, seed int64, network int, faultTime time.Duration) {
 	s := &soak{
-		fleet: newFleet(t, binDir, network), rng: rand.New(rand.NewSource(seed)), laterRng: rand.New(rand.NewSource(^seed)), partRng: rand.New(rand.NewSource(seed + 1<<32)),
+		fleet: newFleet(t, binDir, network), rng: rand.New(rand.NewSource(seed)), laterRng: rand.New(rand.NewSource(^seed)), partRng: rand.New(rand.NewSource(seed + 1<<32)), limitRng: rand.New(rand.NewSource(seed + 1<<33)),
 		client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}},
 	}
 	for _, p := range s.procs() {
@@ -156,6 +158,7 @@
 	time.Sleep(time.Until(s.lastTerm.Add(gracePeriod + time.Second)))
 	calm := time.Now()
 	s.silenceEngines()
+	s.checkLimits(s.limitRng)
 	cancel()
 	callers.Wait()
 	time.Sleep(500 * time.Millisecond)
@@ -228,6 +231,10 @@
 		case 1:
 			s.engineServers[s.partRng.Intn(engineCount)].Crash()
 		}
+		if s.limitRng.Intn(8) == 0 {
+			all := append(append([]*standin.Replica(nil), s.engines...), s.services...)
+			nameLimit(s.limitRng, all[s.limitRng.Intn(len(all))], healAfter)
+		}
 		time.Sleep(time.Duration(50+s.rng.Intn(400)) * time.Millisecond)
 	}
 	pending.Wait()
