--- a/internal/decide/engineagent/ratelimit_test.go
+++ b/internal/decide/engineagent/ratelimit_test.go
@@ -37,7 +37,6 @@
 	return &wire.EngineSettings{Revision: 1, MaxRunning: 1000, MemoryMB: 100, Models: []wire.EngineModel{{Name: "m", WeightsMB: 50}}, StartedAtMS: a.e.incarnation, Instance: "i", RateLimit: l}
 }
 
-
 func (a *limitedAgent) do(actions []engineagent.Action) {
 	for _, x := range actions {
 		switch x := x.(type) {
