--- a/internal/decide/ratelimit/ratelimit.go
+++ b/internal/decide/ratelimit/ratelimit.go
@@ -6,7 +6,7 @@
 // model engine has one Bucket, at its target process, which admits every request. For a
 // plain service, and for an engine whose target process is unreachable or does not bound
 // requests, the entries share a Bucket at one of them: Ownership says at which, and its
-// Granter answers the asks of all entries.
+// Granter answers the asks of all entries. Sharing joins the two for one entry.
 //
 // All types are pure state machines without clock and network. None is safe for
 // concurrent use.
