containment: the spec's mesh reads its counters under its lock

The race is the spec's: recordCrash makes the crash visible to Status before examine broadcasts, and the count was read without the lock that the broadcast holds.

--- a/entry/containment/containment_suite_test.go
+++ b/entry/containment/containment_suite_test.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// cut puts a Guard on the other side of a partition.
+func (m *mesh) cut(i int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.side[i] = 1
+}
+
 // heal ends a partition: connections are opened again.
 func (m *mesh) heal() {
 	m.mu.Lock()
@@ -111,6 +118,13 @@
 	EventuallyWithOffset(1, func() int { return records(m.guards[entry]) }).WithPolling(2 * time.Millisecond).Should(Equal(before + 1))
 }
 
+// counts returns the begins that were broadcast and the targets that were dialed.
+func (m *mesh) counts() (begins, dials int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begins, m.dials
+}
+
 func target(i int) *catalog.Target { return &catalog.Target{ID: fmt.Sprint("i-", i), StartedAtMS: 5} }
 
 func records(g *containment.Guard) int {
@@ -133,7 +147,7 @@
 			case "join":
 				m.join()
 			case "cut":
-				m.side[2] = 1
+				m.cut(2)
 			case "heal":
 				Expect(blocked(m.guards[2], "bad", "own")).To(BeFalse())
 				m.heal()
@@ -198,7 +212,8 @@
 		m := newMesh(1)
 		m.leaving.Add(&catalog.Target{ID: target(1).ID, StartedAtMS: 4})
 		m.crash(0, 1, "a,1", "b,2", "c,3", "own")
-		Expect(m.dials).To(Equal(1))
+		_, dials := m.counts()
+		Expect(dials).To(Equal(1))
 		Expect(m.guards[0].Evidence().Crashes).To(ConsistOf(HaveField("Suspects", HaveLen(3))))
 	})
 
@@ -244,7 +259,8 @@
 			for i := range 100 {
 				m.guards[i%2].Began([]string{"wall", "a"})
 			}
-			return m.begins
+			begins, _ := m.counts()
+			return begins
 		}
 		Expect(begins()).To(BeZero())
 		for i := range 2 {
