engineagent: obey a rate also if the registration of the engine lacks its start

An entry whose target has no start time sent the rate with 0, which the target process took for an earlier incarnation and dropped. Unless its own polls named the rate, the engine then got all requests, because entries count on a target process that says that it bounds rates. Found by reading the diff; the spec 'is bounded also if entries do not know when it started' failed before.

--- a/internal/decide/engineagent/ratelimit.go
+++ b/internal/decide/engineagent/ratelimit.go
@@ -34,9 +34,10 @@
 	return changed
 }
 
-// hear takes what an entry knows of the rate of an incarnation.
+// hear takes what an entry knows of the rate of an incarnation. An entry that does not
+// know when the engine started means the present incarnation.
 func (l *rateLimiter) hear(now time.Time, startedAtMS int64, x *wire.RateLimit) {
-	if x == nil || !x.Valid() || startedAtMS < l.startedAtMS {
+	if x == nil || !x.Valid() || startedAtMS != 0 && startedAtMS < l.startedAtMS {
 		return
 	}
 	if startedAtMS > l.startedAtMS {
--- a/internal/decide/engineagent/ratelimit_test.go
+++ b/internal/decide/engineagent/ratelimit_test.go
@@ -129,6 +129,18 @@
 		Expect(r.PermitWaitMS).To(BeNumerically(">", 4000))
 	})
 
+	// Guards against a rate that is dropped because the registration of the engine lacks its start.
+	It("is bounded also if entries do not know when it started", func() {
+		a := newLimitedAgent()
+		settings := a.settings(&wire.RateLimit{PerSecond: 1})
+		settings.StartedAtMS = 0
+		a.do(a.SetSettings(a.now, settings))
+		for range 10 {
+			a.reserve(1, 5*time.Second)
+		}
+		Expect(a.granted).To(BeEmpty())
+	})
+
 	It("is not bounded in another incarnation, nor by what is said of an earlier one", func() {
 		a := newLimitedAgent()
 		a.Notified(a.now, engineagent.Notice{RateLimit: 1})
