steering: refuse with the shorter of two waits

A pool in which one target names a rate and another has asked for time was refused with the wait of the rate even if the other one took requests before, so that callers came back too late. Found by reading the diff; the spec 'is compared with targets that have asked for time' failed before (targets_limited in place of targets_paused).

--- a/internal/decide/steering/incarnation.go
+++ b/internal/decide/steering/incarnation.go
@@ -145,10 +145,11 @@
 			earliest = until
 		}
 	}
-	if wait, limited := s.rateRefusal(now, r); limited {
+	wait, limited := s.rateRefusal(now, r)
+	switch {
+	case limited && (earliest.IsZero() || wait < earliest.Sub(now)):
 		return result.TargetsLimited, wait
-	}
-	if earliest.IsZero() {
+	case earliest.IsZero():
 		return r.codeOr(result.NoTarget), r.retryAfter
 	}
 	return result.TargetsPaused, earliest.Sub(now)
--- a/internal/decide/steering/ratelimit_test.go
+++ b/internal/decide/steering/ratelimit_test.go
@@ -95,6 +95,18 @@
 		Expect(e.refused[1].Code).To(Equal(result.TargetLeaving))
 	})
 
+	// Guards against callers that come back later than the first target has room.
+	It("is compared with targets that have asked for time", func() {
+		e := newEntry(&catalog.Pool{Name: "p"}, targets(2)...)
+		e.names("t0", 1, 0)
+		actions, _ := e.s.Notified(e.now, e.view.Targets["t1"], steering.Notice{RetryAfter: 300 * time.Millisecond})
+		e.do(actions)
+		e.acquire(1)
+		e.permit(1, "t0", false, 5*time.Second)
+		Expect(e.refused[1].Code).To(Equal(result.TargetsPaused))
+		Expect(e.refused[1].RetryAfter).To(Equal(300 * time.Millisecond))
+	})
+
 	It("is unbounded again only after an answer to a request that was sent since", func() {
 		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
 		id := e.view.Pools["p"][0].ID
