permits: withdraw the ask of a request that has ended

The ask of a caller that had left kept its place at the owner and took a permit that nobody used, so that a target at a low rate got fewer requests than it takes.

--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -68,7 +68,8 @@
 
 // Permits asks the other entries for permits and passes rates on to them.
 type Permits interface {
-	Ask(a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration))
+	Ask(requestNumber uint64, a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration))
+	Withdraw(requestNumber uint64)
 	Share(l wire.RateLimit)
 }
 
@@ -288,9 +289,11 @@
 			}
 		case steering.AskPermit:
 			root, self := ctx.ActorSystem().Root, ctx.Self()
-			b.permits.Ask(a.Ask, func(granted bool, retryAfter time.Duration) {
+			b.permits.Ask(a.Number, a.Ask, func(granted bool, retryAfter time.Duration) {
 				root.Send(self, &permitted{requestNumber: a.Number, targetID: a.Ask.Key.Target, granted: granted, retryAfter: retryAfter})
 			})
+		case steering.WithdrawAsk:
+			b.permits.Withdraw(a.Number)
 		case steering.ShareRateLimit:
 			b.permits.Share(a.Limit)
 		case steering.Connect:
--- a/entry/permits/permits.go
+++ b/entry/permits/permits.go
@@ -51,12 +51,18 @@
 	// pending holds the asks of this entry without a reply, by their numbers.
 	pending    map[uint64]*pendingAsk
 	lastNumber uint64
-	timer      *time.Timer
+	// askOf holds the number of the pending ask of each request.
+	askOf map[uint64]uint64
+	timer *time.Timer
 	// limits holds the rates that this entry knows, with the times they were learnt at.
 	limits map[ratelimit.Key]knownLimit
 }
 
 type pendingAsk struct {
+	requestNumber uint64
+	key           ratelimit.Key
+	// owner is the entry that was asked.
+	owner string
 	reply func(granted bool, retryAfter time.Duration)
 	timer *time.Timer
 }
@@ -69,18 +75,21 @@
 // Start prepares the exchange. It must be called before the other methods.
 func (e *Exchange) Start() {
 	e.sharing = ratelimit.NewSharing(time.Now(), e.Address)
-	e.pending, e.limits = make(map[uint64]*pendingAsk), make(map[ratelimit.Key]knownLimit)
+	e.pending, e.askOf, e.limits = make(map[uint64]*pendingAsk), make(map[uint64]uint64), make(map[ratelimit.Key]knownLimit)
 }
 
-// Ask asks the owner of a target for a permit. reply is called once, in any goroutine.
-func (e *Exchange) Ask(a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration)) {
+// Ask asks the owner of a target for a permit for a request of this entry, which has no
+// other pending ask. reply is called once, in any goroutine, unless the ask is withdrawn.
+func (e *Exchange) Ask(requestNumber uint64, a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration)) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.updateMembers(now)
 	e.lastNumber++
 	a.Number, a.From = e.lastNumber, ""
-	e.pending[a.Number] = &pendingAsk{reply: reply, timer: time.AfterFunc(a.Deadline.Sub(now)+replyTimeout, func() {
+	owner := e.sharing.Owner(a.Key)
+	e.askOf[requestNumber] = a.Number
+	e.pending[a.Number] = &pendingAsk{requestNumber: requestNumber, key: a.Key, owner: owner, reply: reply, timer: time.AfterFunc(a.Deadline.Sub(now)+replyTimeout, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.finish(a.Number, false, lostRetryAfter) {
@@ -88,7 +97,7 @@
 		}
 	})}
 	e.Metrics.Count("permit_asks")
-	if owner := e.sharing.Owner(a.Key); owner != e.Address {
+	if owner != e.Address {
 		e.Mesh.SendTo(owner, &wire.Items{PermitAsks: []wire.PermitAsk{{
 			Number: a.Number, Target: a.Key.Target, StartedAtMS: a.Key.StartedAtMS, PerSecond: a.Rate, Priority: a.Priority, WaitMS: wire.AgeMS(a.Deadline.Sub(now)),
 		}}})
@@ -97,6 +106,31 @@
 	e.handleAsk(now, a)
 }
 
+// Withdraw withdraws the pending ask of a request, if there is one.
+func (e *Exchange) Withdraw(requestNumber uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	number, ok := e.askOf[requestNumber]
+	if !ok {
+		return
+	}
+	p := e.pending[number]
+	e.remove(number)
+	if p.owner == e.Address {
+		e.sharing.Withdraw(p.key, "", number)
+		return
+	}
+	e.Mesh.SendTo(p.owner, &wire.Items{PermitAsks: []wire.PermitAsk{{Number: number, Target: p.key.Target, StartedAtMS: p.key.StartedAtMS, Withdrawn: true}}})
+}
+
+// remove ends a pending ask. The caller holds mu.
+func (e *Exchange) remove(number uint64) {
+	p := e.pending[number]
+	p.timer.Stop()
+	delete(e.pending, number)
+	delete(e.askOf, p.requestNumber)
+}
+
 // handleAsk answers an ask or lets it wait. The caller holds mu, as for the methods below.
 func (e *Exchange) handleAsk(now time.Time, a ratelimit.Ask) {
 	e.replyAll(e.sharing.Ask(now, a, a.From == ""))
@@ -152,8 +186,7 @@
 	if !ok {
 		return false
 	}
-	delete(e.pending, number)
-	p.timer.Stop()
+	e.remove(number)
 	p.reply(granted, retryAfter)
 	return true
 }
@@ -166,8 +199,13 @@
 	defer e.mu.Unlock()
 	e.updateMembers(now)
 	for _, a := range x.PermitAsks {
+		key := ratelimit.Key{Target: a.Target, StartedAtMS: a.StartedAtMS}
+		if a.Withdrawn {
+			e.sharing.Withdraw(key, from, a.Number)
+			continue
+		}
 		e.handleAsk(now, ratelimit.Ask{
-			Key: ratelimit.Key{Target: a.Target, StartedAtMS: a.StartedAtMS}, Rate: a.PerSecond, From: from, Number: a.Number, Priority: a.Priority,
+			Key: key, Rate: a.PerSecond, From: from, Number: a.Number, Priority: a.Priority,
 			Deadline: now.Add(wire.Age(a.WaitMS)),
 		})
 	}
--- a/internal/decide/ratelimit/granter.go
+++ b/internal/decide/ratelimit/granter.go
@@ -80,6 +80,13 @@
 	return p.serve(now)
 }
 
+// Withdraw drops an ask that waits.
+func (g *Granter) Withdraw(k Key, from string, number uint64) {
+	if p := g.pools[k]; p != nil {
+		p.queue = slices.DeleteFunc(p.queue, func(a Ask) bool { return a.From == from && a.Number == number })
+	}
+}
+
 // Tick grants what has become possible and refuses what has become impossible.
 func (g *Granter) Tick(now time.Time) []Reply {
 	var replies []Reply
--- a/internal/decide/ratelimit/ratelimit_suite_test.go
+++ b/internal/decide/ratelimit/ratelimit_suite_test.go
@@ -131,6 +131,16 @@
 		Expect(describe(g.Ask(start, ask(4, 0, 2500)))).To(Equal("1:false "))
 	})
 
+	// Guards against permits that are used up by requests which have ended.
+	It("gives no permit to an ask that was withdrawn", func() {
+		g := ratelimit.NewGranter()
+		g.Ask(start, ask(1, 0, 9000))
+		g.Ask(start, ask(2, 1, 9000))
+		g.Withdraw(ratelimit.Key{Target: "t"}, "another entry", 1)
+		g.Withdraw(ratelimit.Key{Target: "t"}, "", 1)
+		Expect(describe(g.Tick(at(1000)))).To(Equal("2:true "))
+	})
+
 	It("keeps no more than its bounds", func() {
 		g := ratelimit.NewGranter()
 		refused := 0
--- a/internal/decide/ratelimit/sharing.go
+++ b/internal/decide/ratelimit/sharing.go
@@ -43,6 +43,9 @@
 	return s.granter.Ask(now, a)
 }
 
+// Withdraw drops an ask that waits.
+func (s *Sharing) Withdraw(k Key, from string, number uint64) { s.granter.Withdraw(k, from, number) }
+
 // Tick grants what has become possible and refuses what has become impossible.
 func (s *Sharing) Tick(now time.Time) []Reply { return s.granter.Tick(now) }
 
--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -162,6 +162,8 @@
 	case queued:
 		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
 		s.awaitingEngine = slices.DeleteFunc(s.awaitingEngine, func(x *request) bool { return x == r })
+	case awaitingPermit:
+		s.withdrawAsk(r)
 	case reserving:
 		s.sendToTargetProcess(r, &wire.Release{ID: s.attemptID(r)})
 	case granted:
@@ -196,6 +198,7 @@
 	s.shareRateLimits(now)
 	for _, r := range s.openRequests() {
 		if r.state == awaitingPermit && !now.Before(r.Deadline) {
+			s.withdrawAsk(r)
 			s.refuse(r, result.TargetsLimited, r.target.rateWait(now))
 		}
 		if r.state != reserving {
--- a/internal/decide/steering/ratelimit.go
+++ b/internal/decide/steering/ratelimit.go
@@ -29,10 +29,17 @@
 	Ask    ratelimit.Ask
 }
 
+// WithdrawAsk withdraws the ask for a permit of a request that does not need it any more.
+type WithdrawAsk struct {
+	Number uint64
+	Target string
+}
+
 // ShareRateLimit passes on to the other entries what this one has learnt of a rate.
 type ShareRateLimit struct{ Limit wire.RateLimit }
 
 func (AskPermit) isAction()      {}
+func (WithdrawAsk) isAction()    {}
 func (ShareRateLimit) isAction() {}
 
 // RateLimitStatus describes a target that names a rate.
@@ -91,6 +98,12 @@
 	}})
 }
 
+// withdrawAsk withdraws the ask of a request that waits for a permit.
+func (s *Steering) withdrawAsk(r *request) {
+	r.state = reserving
+	s.emit(WithdrawAsk{Number: r.Number, Target: r.target.ID})
+}
+
 // Permitted handles the reply to an AskPermit. Without a permit, retryAfter is when there
 // would be one.
 func (s *Steering) Permitted(now time.Time, number uint64, targetID string, granted bool, retryAfter time.Duration) []Action {
--- a/internal/decide/steering/ratelimit_test.go
+++ b/internal/decide/steering/ratelimit_test.go
@@ -95,6 +95,15 @@
 		Expect(e.refused[1].Code).To(Equal(result.TargetLeaving))
 	})
 
+	// Guards against permits that are used up by requests which have ended.
+	It("withdraws the ask of a request that ends", func() {
+		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
+		e.names("t0", 1, 0)
+		e.acquire(1)
+		e.do(e.s.Done(e.now, 1, steering.Abandoned))
+		Expect(e.withdrawn).To(Equal([]string{"t0"}))
+	})
+
 	// Guards against callers that come back later than the first target has room.
 	It("is compared with targets that have asked for time", func() {
 		e := newEntry(&catalog.Pool{Name: "p"}, targets(2)...)
--- a/internal/decide/steering/steering_suite_test.go
+++ b/internal/decide/steering/steering_suite_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/ratelimit"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -33,6 +34,10 @@
 	granted map[uint64]steering.Grant
 	refused map[uint64]steering.Refused
 	up      map[string]bool
+	// asked holds the asks for permits, withdrawn the targets of those that were
+	// withdrawn.
+	asked     []ratelimit.Ask
+	withdrawn []string
 }
 
 func newEntry(pool *catalog.Pool, targets ...*catalog.Target) *entry {
@@ -61,6 +66,10 @@
 			e.refused[a.Number] = a
 		case steering.Send:
 			e.sent = append(e.sent, a)
+		case steering.AskPermit:
+			e.asked = append(e.asked, a.Ask)
+		case steering.WithdrawAsk:
+			e.withdrawn = append(e.withdrawn, a.Target)
 		}
 	}
 }
--- a/internal/wire/ratelimit.go
+++ b/internal/wire/ratelimit.go
@@ -34,6 +34,9 @@
 	Priority    int     `msgpack:"p,omitempty"`
 	// WaitMS is how long the ask may wait.
 	WaitMS int64 `msgpack:"w,omitempty"`
+	// Withdrawn is true if the ask with this number is withdrawn. PerSecond, Priority and
+	// WaitMS are then empty.
+	Withdrawn bool `msgpack:"x,omitempty"`
 }
 
 // Permit is the reply to a PermitAsk.
@@ -55,7 +58,7 @@
 		return validName(l.Target) && l.Valid()
 	})
 	x.PermitAsks = keep(x.PermitAsks, MaxPermitAsks, func(a *PermitAsk) bool {
-		return validName(a.Target) && a.PerSecond > 0 && validRate(a.PerSecond) && a.Priority >= 0 && validAge(a.WaitMS)
+		return validName(a.Target) && (a.PerSecond > 0 || a.Withdrawn) && validRate(a.PerSecond) && a.Priority >= 0 && validAge(a.WaitMS)
 	})
 	x.Permits = keep(x.Permits, MaxPermitAsks, func(p *Permit) bool { return validAge(p.RetryAfterMS) })
 }
