steering: place requests anew that need a permit no longer

A request waited for a permit until its deadline although its target had left, was listed no longer, named no rate any more, or another target took requests without a permit; its caller got a refusal, or an answer up to 2 s late. What waits for admission at a target that takes nothing any more was placed elsewhere already, what waits for a permit was not.

--- a/internal/decide/steering/incarnation.go
+++ b/internal/decide/steering/incarnation.go
@@ -110,6 +110,7 @@
 	isNew = s.notifiedRate(now, keyOf(at), x, n) || isNew
 	if t, ok := s.targets[at.ID]; ok && t.notices == x && !t.accepts(now) {
 		s.rerouteUnadmitted(now, []*target{t})
+		s.placeAwaitingPermit(now)
 		s.serveQueue(now)
 	}
 	return s.takeActions(), isNew
--- a/internal/decide/steering/ratelimit.go
+++ b/internal/decide/steering/ratelimit.go
@@ -104,6 +104,22 @@
 	s.emit(WithdrawAsk{Number: r.Number, Target: r.target.ID})
 }
 
+// placeAwaitingPermit places the requests anew that wait for a permit which they do not
+// need any more: their target takes no requests, needs no permits, or another target
+// needs none.
+func (s *Steering) placeAwaitingPermit(now time.Time) {
+	for _, r := range s.openRequests() {
+		if r.state != awaitingPermit {
+			continue
+		}
+		t := r.target
+		if s.targets[t.ID] != t || !t.accepts(now) || !t.needsPermit() || r.mayWait && s.anyUnlimited(now, r) {
+			s.withdrawAsk(r)
+			s.place(now, r)
+		}
+	}
+}
+
 // Permitted handles the reply to an AskPermit. Without a permit, retryAfter is when there
 // would be one.
 func (s *Steering) Permitted(now time.Time, number uint64, targetID string, granted bool, retryAfter time.Duration) []Action {
@@ -178,6 +194,7 @@
 func (s *Steering) rateChanged(now time.Time, key incarnationKey) {
 	if t, ok := s.targets[key.id]; ok && keyOf(t.Target) == key {
 		t.permitAfter = time.Time{}
+		s.placeAwaitingPermit(now)
 		s.serveQueue(now)
 	}
 }
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -171,6 +171,7 @@
 	s.setRankings(v)
 	s.connectEngines(now, v)
 	s.rerouteUnadmitted(now, leaving)
+	s.placeAwaitingPermit(now)
 	s.serveQueue(now)
 	return s.takeActions()
 }
