--- a/entry/permits/permits.go
+++ b/entry/permits/permits.go
@@ -238,11 +238,23 @@
 		return
 	}
 	if _, ok := e.limits[k]; !ok && len(e.limits) >= maxLimits {
-		return
+		e.forgetOldest()
 	}
 	e.limits[k] = knownLimit{limit: l, at: now}
 }
 
+// forgetOldest drops the rate that was named longest ago.
+func (e *Exchange) forgetOldest() {
+	var oldest ratelimit.Key
+	var at time.Time
+	for k, known := range e.limits {
+		if named := known.at.Add(-wire.Age(known.limit.AgeMS)); at.IsZero() || named.Before(at) {
+			oldest, at = k, named
+		}
+	}
+	delete(e.limits, oldest)
+}
+
 // Limits returns the rates that this entry knows, for an entry that has just connected.
 // Those of targets that isListed does not report are dropped.
 func (e *Exchange) Limits(isListed func(ratelimit.Key) bool) []wire.RateLimit {
