Names, comments and duplicates of the rate limits, read as a newcomer

One name for one thing: a message to all entries is a broadcast (a share was also a part of a rate), processes receive rates, the bucket of a target is no pool, BoundedBy in place of Permits, NoRateLimitSentAt in place of UnlimitedSince, RateWaitMS in place of PermitWaitMS. A tick of the steering walks over the limits to send, not over all incarnations. Regression tests have one line of comment.

--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -60,8 +60,8 @@
 	retryAfter    time.Duration
 }
 
-// heardRateLimits passes on what another entry has learnt of the rates of targets.
-type heardRateLimits struct{ limits []wire.RateLimit }
+// receivedRateLimits passes on what another entry has learnt of the rates of targets.
+type receivedRateLimits struct{ limits []wire.RateLimit }
 
 // getRateLimits requests the targets that name a rate.
 type getRateLimits struct{}
@@ -70,7 +70,7 @@
 type Permits interface {
 	Ask(requestNumber uint64, a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration))
 	Withdraw(requestNumber uint64)
-	Share(l wire.RateLimit)
+	Broadcast(l wire.RateLimit)
 }
 
 // setView puts a view of the published state in force.
@@ -134,9 +134,9 @@
 	b.root.Send(b.pid, &notified{target: target, notice: n})
 }
 
-// HeardRateLimits takes what another entry has learnt of the rates of targets.
-func (b *Broker) HeardRateLimits(limits []wire.RateLimit) {
-	b.root.Send(b.pid, &heardRateLimits{limits: limits})
+// ReceiveRateLimits takes what another entry has learnt of the rates of targets.
+func (b *Broker) ReceiveRateLimits(limits []wire.RateLimit) {
+	b.root.Send(b.pid, &receivedRateLimits{limits: limits})
 }
 
 // RateLimits returns the targets that name a rate.
@@ -205,11 +205,11 @@
 			b.log.With("entry", b.local.Hello().Process).With("number", m.requestNumber).With("target", m.targetID).With("after_ms", m.retryAfter.Milliseconds()).Info("no permit for a target that names a rate limit")
 		}
 		b.perform(ctx, now, b.steering.Permitted(now, m.requestNumber, m.targetID, m.granted, m.retryAfter))
-	case *heardRateLimits:
+	case *receivedRateLimits:
 		for _, l := range m.limits {
-			b.log.With("target", l.Target).With("per_second", l.PerSecond).With("age_ms", l.AgeMS).With("by", ratelimit.FromEntry).Info("rate limit heard")
+			b.log.With("target", l.Target).With("per_second", l.PerSecond).With("age_ms", l.AgeMS).With("by", ratelimit.FromEntry).Info("rate limit received")
 		}
-		b.perform(ctx, now, b.steering.HeardRateLimits(now, m.limits))
+		b.perform(ctx, now, b.steering.ReceiveRateLimits(now, m.limits))
 	case *getRateLimits:
 		ctx.Respond(b.steering.RateLimits(now))
 	case *setView:
@@ -242,7 +242,7 @@
 	if m.notice.RateLimit > 0 {
 		line.With("per_second", m.notice.RateLimit).With("by", ratelimit.FromAnswer).Info("target names a rate limit")
 	}
-	if !m.notice.UnlimitedSince.IsZero() {
+	if !m.notice.NoRateLimitSentAt.IsZero() {
 		line.Info("target names no rate limit any more")
 	}
 }
@@ -294,8 +294,8 @@
 			})
 		case steering.WithdrawAsk:
 			b.permits.Withdraw(a.Number)
-		case steering.ShareRateLimit:
-			b.permits.Share(a.Limit)
+		case steering.BroadcastRateLimit:
+			b.permits.Broadcast(a.Limit)
 		case steering.Connect:
 			b.connect(ctx, now, a.Target)
 		case steering.Disconnect:
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -155,7 +155,7 @@
 	e.mesh.CurrentEvidence, e.mesh.ReceiveEvidence = e.guard.Evidence, e.guard.Receive
 	e.permits = &permits.Exchange{
 		Address: e.settings.PeerListen, Mesh: e.mesh, Metrics: e.metrics,
-		Heard: func(limits []wire.RateLimit) { e.broker.HeardRateLimits(limits) },
+		ReceiveRateLimits: func(limits []wire.RateLimit) { e.broker.ReceiveRateLimits(limits) },
 	}
 	e.permits.Start()
 	e.startBroker()
--- a/entry/edge/limit_suite_test.go
+++ b/entry/edge/limit_suite_test.go
@@ -64,8 +64,7 @@
 }
 
 var _ = Describe("A target that names the requests a second that it takes", func() {
-	// Guards against entries that pass the header on and send as before, each for itself
-	// or all together.
+	// Guards against entries that send as before, each for itself or all together.
 	DescribeTable("gets no more than that from all entries together", func(engines, services int, rate float64) {
 		f := newFleet(engines, services)
 		for range 4 {
@@ -91,8 +90,7 @@
 })
 
 var _ = Describe("A pool of which all targets name a rate", func() {
-	// Guards against callers that wait for room until their deadline, or come back before
-	// there is any.
+	// Guards against callers that wait for room that does not come.
 	It("refuses at once what has no room, with the time to come back", func() {
 		f := newFleet(0, 2)
 		f.start()
@@ -154,8 +152,7 @@
 })
 
 var _ = Describe("An engine that names a rate", func() {
-	// Guards against entries that go around the bound while its process is away, and
-	// against a new process that knows no rate.
+	// Guards against entries that go around the bound, and a new process without it.
 	It("gets no more while its target process is gone and after it has come back", func() {
 		f := newFleet(2, 0)
 		for range 3 {
--- a/entry/permits/permits.go
+++ b/entry/permits/permits.go
@@ -42,9 +42,9 @@
 	// Address is the address at which other entries reach this one.
 	Address string
 	Mesh    Mesh
-	// Heard takes the rates that other entries have learnt.
-	Heard   func([]wire.RateLimit)
-	Metrics *telemetry.Metrics
+	// ReceiveRateLimits takes the rates that other entries have learnt.
+	ReceiveRateLimits func([]wire.RateLimit)
+	Metrics           *telemetry.Metrics
 
 	mu      sync.Mutex
 	sharing *ratelimit.Sharing
@@ -218,12 +218,12 @@
 		e.remember(now, l)
 	}
 	if len(x.RateLimits) > 0 {
-		e.Heard(x.RateLimits)
+		e.ReceiveRateLimits(x.RateLimits)
 	}
 }
 
-// Share passes on a rate that this entry has learnt.
-func (e *Exchange) Share(l wire.RateLimit) {
+// Broadcast passes on a rate that this entry has learnt.
+func (e *Exchange) Broadcast(l wire.RateLimit) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.remember(time.Now(), l)
--- a/entry/permits/permits_suite_test.go
+++ b/entry/permits/permits_suite_test.go
@@ -69,7 +69,7 @@
 
 func newExchange() (*permits.Exchange, *mesh) {
 	m := &mesh{connected: []string{"a", "b", "c"}, sent: map[string][]*wire.Items{}}
-	e := &permits.Exchange{Address: "a", Mesh: m, Heard: func([]wire.RateLimit) {}, Metrics: telemetry.NewMetrics()}
+	e := &permits.Exchange{Address: "a", Mesh: m, ReceiveRateLimits: func([]wire.RateLimit) {}, Metrics: telemetry.NewMetrics()}
 	e.Start()
 	return e, m
 }
--- a/internal/ctl/ratelimit.go
+++ b/internal/ctl/ratelimit.go
@@ -20,7 +20,7 @@
 	PerSecond  float64 `json:"per_second"`
 	SinceMS    int64   `json:"since_ms"`
 	LearntBy   string  `json:"learnt_by"`
-	Permits    string  `json:"permits"`
+	BoundedBy  string  `json:"bounded_by"`
 	Redirected int64   `json:"redirected"`
 	Refused    int64   `json:"refused"`
 }
@@ -63,10 +63,10 @@
 		return
 	}
 	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "\nTARGET WITH A RATE LIMIT\tPER_SECOND\tSINCE_MS\tLEARNT_BY\tPERMITS\tREDIRECTED\tREFUSED\tKNOWN_BY")
+	_, _ = fmt.Fprintln(w, "\nTARGET WITH A RATE LIMIT\tPER_SECOND\tSINCE_MS\tLEARNT_BY\tBOUNDED_BY\tREDIRECTED\tREFUSED\tKNOWN_BY")
 	for _, name := range slices.Sorted(maps.Keys(targets)) {
 		l := targets[name]
-		_, _ = fmt.Fprintf(w, "%s\t%g\t%d\t%s\t%s\t%d\t%d\t%d of %d\n", l.Target, l.PerSecond, l.SinceMS, l.LearntBy, l.Permits, l.Redirected, l.Refused, knownBy[name], entries)
+		_, _ = fmt.Fprintf(w, "%s\t%g\t%d\t%s\t%s\t%d\t%d\t%d of %d\n", l.Target, l.PerSecond, l.SinceMS, l.LearntBy, l.BoundedBy, l.Redirected, l.Refused, knownBy[name], entries)
 	}
 	_ = w.Flush()
 }
--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -127,7 +127,7 @@
 			a.pausedUntil = time.Time{}
 		}
 	}
-	a.limiter.hear(now, settings.StartedAtMS, settings.RateLimit)
+	a.limiter.receive(now, settings.StartedAtMS, settings.RateLimit)
 	if a.settings == nil || settings.Revision >= a.settings.Revision {
 		a.settings = settings
 		a.flow.configuredEventSteps = settings.TokensPerEvent
@@ -377,7 +377,7 @@
 		Running: a.flow.running, Waiting: len(a.queue), Backlog: a.flow.unreadTokens + promptTokens(a.queue),
 		StartedAtMS: a.status.StartedAtMS, Leaving: a.leaving, EngineLeaving: a.engineLeaving, Slow: a.stepTimer.slow(), NotReady: a.unready(),
 		PredictedLoadWaitMS: a.loadLimiter.predictWait(a.countAbsentAdapters()).Milliseconds(),
-		BoundsRate:          true, RateLimit: a.limiter.report(now), PermitWaitMS: a.limiter.wait(now, len(a.queue)).Milliseconds(),
+		BoundsRate:          true, RateLimit: a.limiter.limit.Message(now), RateWaitMS: a.limiter.wait(now, len(a.queue)).Milliseconds(),
 	}
 	if all || !a.adaptersReported {
 		// A report with all set goes to one new session; the other sessions still
--- a/internal/decide/engineagent/orders.go
+++ b/internal/decide/engineagent/orders.go
@@ -49,7 +49,7 @@
 	if !a.hasStatus || !maps.Equal(status.Held, a.status.Held) || !maps.Equal(status.Loading, a.status.Loading) {
 		a.adaptersReported = false
 	}
-	a.limiter.begin(status.StartedAtMS)
+	a.limiter.startIncarnation(status.StartedAtMS)
 	a.unloading = Adapter{}
 	a.loadLimiter.update(now, status, a.cached)
 	a.updateCached(status)
--- a/internal/decide/engineagent/ratelimit.go
+++ b/internal/decide/engineagent/ratelimit.go
@@ -1,6 +1,7 @@
 package engineagent
 
 import (
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/ratelimit"
@@ -20,39 +21,43 @@
 	polled bool
 }
 
-// named records that an answer of the engine names a rate.
-func (l *rateLimiter) named(now, at time.Time, rate float64, source ratelimit.Source) bool {
-	unlimited := l.limit.Rate == 0
-	changed := l.limit.Named(at, rate, source)
+// changed applies a change of the limit to the bucket, which begins empty with each need.
+func (l *rateLimiter) changed(now time.Time, before float64) {
+	if before == 0 {
+		l.bucket, l.polled = ratelimit.Bucket{}, false
+	}
+	l.bucket.SetRate(now, l.limit.Rate)
+}
+
+// namedByPoll records that an answer to a poll or an order names a rate, and reports
+// whether that changes the rate.
+func (l *rateLimiter) namedByPoll(now time.Time, rate float64) bool {
+	before := l.limit.Rate
+	changed := l.limit.Named(now, rate, ratelimit.FromPoll)
 	if changed {
-		if unlimited {
-			l.bucket, l.polled = ratelimit.Bucket{}, false
-		}
-		l.bucket.SetRate(now, l.limit.Rate)
+		l.changed(now, before)
 	}
-	l.polled = l.polled || source == ratelimit.FromPoll
+	l.polled = true
 	return changed
 }
 
-// hear takes what an entry knows of the rate of an incarnation. An entry that does not
+// receive takes what an entry knows of the rate of an incarnation. An entry that does not
 // know when the engine started means the present incarnation.
-func (l *rateLimiter) hear(now time.Time, startedAtMS int64, x *wire.RateLimit) {
-	if x == nil || !x.Valid() || startedAtMS != 0 && startedAtMS < l.startedAtMS {
+func (l *rateLimiter) receive(now time.Time, startedAtMS int64, x *wire.RateLimit) {
+	if x == nil || startedAtMS != 0 && startedAtMS < l.startedAtMS {
 		return
 	}
 	if startedAtMS > l.startedAtMS {
 		*l = rateLimiter{startedAtMS: startedAtMS}
 	}
-	at := now.Add(-wire.Age(x.AgeMS))
-	if x.PerSecond > 0 {
-		l.named(now, at, x.PerSecond, ratelimit.FromEntry)
-	} else {
-		l.limit.Ended(at)
+	if before := l.limit.Rate; l.limit.Receive(now, x, ratelimit.FromEntry) {
+		l.changed(now, before)
 	}
 }
 
-// begin drops what is known of another incarnation than the one that started at a time.
-func (l *rateLimiter) begin(startedAtMS int64) {
+// startIncarnation drops what is known of another incarnation than the one that started
+// at a time.
+func (l *rateLimiter) startIncarnation(startedAtMS int64) {
 	if l.startedAtMS != startedAtMS {
 		*l = rateLimiter{startedAtMS: startedAtMS}
 	}
@@ -71,18 +76,6 @@
 	return l.limit.Rate == 0 || l.bucket.Take(now)
 }
 
-// report returns what is known of the rate, nil if the engine has named none.
-func (l *rateLimiter) report(now time.Time) *wire.RateLimit {
-	if l.limit.NamedAt.IsZero() {
-		return nil
-	}
-	x := &wire.RateLimit{PerSecond: l.limit.Rate, AgeMS: wire.AgeMS(now.Sub(l.limit.NamedAt)), SinceMS: wire.AgeMS(now.Sub(l.limit.Since))}
-	if x.PerSecond == 0 {
-		x.AgeMS = wire.AgeMS(now.Sub(l.limit.EndedAt))
-	}
-	return x
-}
-
 // notifiedRate handles the rate in an answer to a poll or an order, and reports whether it
 // is new.
 func (a *Agent) notifiedRate(now time.Time, n Notice) bool {
@@ -91,7 +84,7 @@
 		a.rec.Count("rate_limits_malformed")
 	case n.RateLimit > 0:
 		a.rec.Count("rate_limits_named")
-		return a.limiter.named(now, now, n.RateLimit, ratelimit.FromPoll)
+		return a.limiter.namedByPoll(now, n.RateLimit)
 	}
 	return false
 }
@@ -106,7 +99,7 @@
 // their deadlines.
 func (a *Agent) refuseLimited(now time.Time) {
 	ahead := 0
-	for _, r := range append([]*reservation(nil), a.queue...) {
+	for _, r := range slices.Clone(a.queue) {
 		if wait := a.limiter.wait(now, ahead); wait > 0 && now.Add(wait).After(r.deadline) {
 			a.refuse(r, result.TargetsLimited, wait)
 			a.removeReservation(now, r)
--- a/internal/decide/engineagent/ratelimit_test.go
+++ b/internal/decide/engineagent/ratelimit_test.go
@@ -72,8 +72,7 @@
 }
 
 var _ = Describe("An engine that names the requests a second that it takes", func() {
-	// Guards against admissions of many entries that add up to more than the rate, and
-	// against an engine that gets no work.
+	// Guards against admissions that add up to more than the rate, and an engine without work.
 	DescribeTable("gets that from all entries together, and most of it", func(rate float64) {
 		a := newLimitedAgent()
 		a.Notified(a.now, engineagent.Notice{RateLimit: rate})
@@ -126,7 +125,7 @@
 		Expect(r.BoundsRate).To(BeTrue())
 		Expect(r.RateLimit.PerSecond).To(Equal(1.0))
 		Expect(r.RateLimit.AgeMS).To(BeEquivalentTo(60_000))
-		Expect(r.PermitWaitMS).To(BeNumerically(">", 4000))
+		Expect(r.RateWaitMS).To(BeNumerically(">", 4000))
 	})
 
 	// Guards against a rate that is dropped because the registration of the engine lacks its start.
--- a/internal/decide/ratelimit/granter.go
+++ b/internal/decide/ratelimit/granter.go
@@ -10,10 +10,10 @@
 	// maxWaitingAsks bounds the asks that wait for one target. The last in order is
 	// refused for one more.
 	maxWaitingAsks = 256
-	// poolTTL is how long the bucket of a target is kept without an ask.
-	poolTTL = 30 * time.Second
-	// maxPools bounds the targets with a bucket.
-	maxPools = 4096
+	// bucketTTL is how long the bucket of a target is kept without an ask.
+	bucketTTL = 30 * time.Second
+	// maxBuckets bounds the targets with a bucket.
+	maxBuckets = 4096
 )
 
 // Key identifies an incarnation of a target.
@@ -45,90 +45,90 @@
 
 // Granter gives the permits of the targets that one entry owns.
 type Granter struct {
-	pools map[Key]*pool
+	buckets map[Key]*sharedBucket
 }
 
-// pool is the bucket of one target with the asks that wait for it, in their order.
-type pool struct {
+// sharedBucket is the bucket of one target with the asks that wait for it, in their order.
+type sharedBucket struct {
 	bucket  Bucket
 	queue   []Ask
 	askedAt time.Time
 }
 
 // NewGranter returns a Granter without buckets.
-func NewGranter() *Granter { return &Granter{pools: make(map[Key]*pool)} }
+func NewGranter() *Granter { return &Granter{buckets: make(map[Key]*sharedBucket)} }
 
 // Ask handles an ask. The replies may be to other asks too.
 func (g *Granter) Ask(now time.Time, a Ask) []Reply {
-	p := g.pools[a.Key]
-	if p == nil {
-		if len(g.pools) >= maxPools {
+	b := g.buckets[a.Key]
+	if b == nil {
+		if len(g.buckets) >= maxBuckets {
 			g.prune(now)
 		}
-		if len(g.pools) >= maxPools {
-			return []Reply{{Ask: a, RetryAfter: poolTTL}}
+		if len(g.buckets) >= maxBuckets {
+			return []Reply{{Ask: a, RetryAfter: bucketTTL}}
 		}
-		p = &pool{}
-		g.pools[a.Key] = p
+		b = &sharedBucket{}
+		g.buckets[a.Key] = b
 	}
-	p.askedAt = now
-	p.bucket.SetRate(now, a.Rate)
-	at, _ := slices.BinarySearchFunc(p.queue, a, func(x, y Ask) int {
+	b.askedAt = now
+	b.bucket.SetRate(now, a.Rate)
+	at, _ := slices.BinarySearchFunc(b.queue, a, func(x, y Ask) int {
 		return cmp.Or(cmp.Compare(x.Priority, y.Priority), x.Deadline.Compare(y.Deadline), -1)
 	})
-	p.queue = slices.Insert(p.queue, at, a)
-	return p.serve(now)
+	b.queue = slices.Insert(b.queue, at, a)
+	return b.serve(now)
 }
 
 // Withdraw drops an ask that waits.
 func (g *Granter) Withdraw(k Key, from string, number uint64) {
-	if p := g.pools[k]; p != nil {
-		p.queue = slices.DeleteFunc(p.queue, func(a Ask) bool { return a.From == from && a.Number == number })
+	if b := g.buckets[k]; b != nil {
+		b.queue = slices.DeleteFunc(b.queue, func(a Ask) bool { return a.From == from && a.Number == number })
 	}
 }
 
 // Tick grants what has become possible and refuses what has become impossible.
 func (g *Granter) Tick(now time.Time) []Reply {
 	var replies []Reply
-	for _, p := range g.pools {
-		replies = append(replies, p.serve(now)...)
+	for _, b := range g.buckets {
+		replies = append(replies, b.serve(now)...)
 	}
 	return replies
 }
 
 // serve grants the first asks while there are tokens and refuses those that could not be
 // granted by their deadlines.
-func (p *pool) serve(now time.Time) []Reply {
+func (b *sharedBucket) serve(now time.Time) []Reply {
 	var replies []Reply
-	waiting := p.queue[:0:0]
-	for _, a := range p.queue {
+	waiting := b.queue[:0:0]
+	for _, a := range b.queue {
 		if len(waiting) == 0 && now.After(a.Deadline) {
-			replies = append(replies, Reply{Ask: a, RetryAfter: p.bucket.Wait(now, 0)})
+			replies = append(replies, Reply{Ask: a, RetryAfter: b.bucket.Wait(now, 0)})
 			continue
 		}
-		if len(waiting) == 0 && p.bucket.Take(now) {
+		if len(waiting) == 0 && b.bucket.Take(now) {
 			replies = append(replies, Reply{Ask: a, Granted: true})
 			continue
 		}
-		wait := p.bucket.Wait(now, len(waiting))
+		wait := b.bucket.Wait(now, len(waiting))
 		if now.Add(wait).After(a.Deadline) || len(waiting) >= maxWaitingAsks {
 			replies = append(replies, Reply{Ask: a, RetryAfter: wait})
 			continue
 		}
 		waiting = append(waiting, a)
 	}
-	p.queue = waiting
+	b.queue = waiting
 	return replies
 }
 
 // Next returns the time until the next Tick is needed, or false if no ask waits.
 func (g *Granter) Next(now time.Time) (time.Duration, bool) {
 	next, found := time.Duration(0), false
-	for _, p := range g.pools {
-		if len(p.queue) == 0 {
+	for _, b := range g.buckets {
+		if len(b.queue) == 0 {
 			continue
 		}
-		if wait := p.bucket.Wait(now, 0); !found || wait < next {
+		if wait := b.bucket.Wait(now, 0); !found || wait < next {
 			next, found = wait, true
 		}
 	}
@@ -138,19 +138,19 @@
 // Drop forgets the bucket of a target and refuses the asks that wait for it.
 func (g *Granter) Drop(k Key, retryAfter time.Duration) []Reply {
 	var replies []Reply
-	if p := g.pools[k]; p != nil {
-		for _, a := range p.queue {
+	if b := g.buckets[k]; b != nil {
+		for _, a := range b.queue {
 			replies = append(replies, Reply{Ask: a, RetryAfter: retryAfter})
 		}
-		delete(g.pools, k)
+		delete(g.buckets, k)
 	}
 	return replies
 }
 
 func (g *Granter) prune(now time.Time) {
-	for k, p := range g.pools {
-		if len(p.queue) == 0 && now.Sub(p.askedAt) > poolTTL {
-			delete(g.pools, k)
+	for k, b := range g.buckets {
+		if len(b.queue) == 0 && now.Sub(b.askedAt) > bucketTTL {
+			delete(g.buckets, k)
 		}
 	}
 }
--- a/internal/decide/ratelimit/ownership.go
+++ b/internal/decide/ratelimit/ownership.go
@@ -87,7 +87,7 @@
 	if wait := SettleTime - now.Sub(o.changedAt); wait > 0 {
 		return false, wait
 	}
-	if len(o.owned) >= maxPools {
+	if len(o.owned) >= maxBuckets {
 		clear(o.owned)
 	}
 	o.owned[k] = true
--- a/internal/decide/ratelimit/property_test.go
+++ b/internal/decide/ratelimit/property_test.go
@@ -21,9 +21,8 @@
 // allowed returns the requests that a rate allows in a window.
 func allowed(rate float64) int { return int(1.5*rate*window.Seconds()) + 5 }
 
-// Guards against a sum over the entries that exceeds the rate while each entry keeps
-// within a part of its own, and against a target that gets no work any more.
-func TestSumOverEntries(t *testing.T) {
+// Guards against a sum over the entries that exceeds the rate, and a target without work.
+func TestEntriesTogetherKeepTheRate(t *testing.T) {
 	for _, rate := range []float64{0.3, 1.2, 20, 400} {
 		for _, entries := range []int{1, 4, 32, 68} {
 			for _, others := range []int{0, 1} {
@@ -45,9 +44,8 @@
 	}
 }
 
-// Guards against parts that add up to more than the whole while entries start, stop, are
-// cut off and know different things of each other.
-func TestSumWhileEntriesChange(t *testing.T) {
+// Guards against parts that add up to more than the rate while the views of entries differ.
+func TestChangingEntriesTogetherKeepTheRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		entries := rapid.SampledFrom([]int{2, 4, 9}).Draw(t, "entries")
 		rate := rapid.SampledFrom([]float64{0.3, 1.2, 5, 20}).Draw(t, "rate")
@@ -68,9 +66,8 @@
 	})
 }
 
-// Guards against a target that stays bounded after its need has ended, and against one
-// that names changing rates.
-func TestRateThatChanges(t *testing.T) {
+// Guards against a target that is bounded by a rate which it has changed or ended.
+func TestChangedRateIsKept(t *testing.T) {
 	f := newSimFleet(1, 8, 0)
 	f.demand(60)
 	f.after(5*time.Second, func() { f.rate = 20 })
--- a/internal/decide/ratelimit/ratelimit.go
+++ b/internal/decide/ratelimit/ratelimit.go
@@ -12,7 +12,11 @@
 // concurrent use.
 package ratelimit
 
-import "time"
+import (
+	"time"
+
+	"agatelanding.example/agatelanding/internal/wire"
+)
 
 const (
 	// minRate and maxRate bound the rates that are obeyed.
@@ -29,8 +33,8 @@
 	// Rate is the number of requests a second, 0 if the target names none.
 	Rate float64
 	// Since is when the target first named a rate, without a break. NamedAt is when the
-	// newest answer that names one was heard of, and EndedAt when the last answer was
-	// that ended a need.
+	// newest answer that names one was received, and EndedAt when the last answer was that
+	// ended a need.
 	Since, NamedAt, EndedAt time.Time
 	// Source is how the rate was learnt.
 	Source Source
@@ -48,8 +52,8 @@
 	FromEntry   Source = "entry"
 )
 
-// Named records that an answer which was heard of at a time names a rate. It reports
-// whether that changes the rate. Of several answers the one that was heard of last
+// Named records that an answer which was received at a time names a rate. It reports
+// whether that changes the rate. Of several answers the one that was received last
 // counts.
 func (l *Limit) Named(at time.Time, rate float64, source Source) bool {
 	if !(rate > 0) || at.Before(l.NamedAt) || !at.After(l.EndedAt) {
@@ -69,7 +73,7 @@
 
 // Unnamed records that an answer which arrived at a time names no rate, and reports
 // whether that ends the need. An answer of which the request was sent before the newest
-// naming was heard of may be older than that.
+// naming was received may be older than that.
 func (l *Limit) Unnamed(sentAt, at time.Time) bool {
 	return sentAt.After(l.NamedAt) && l.Ended(at)
 }
@@ -83,6 +87,37 @@
 	return true
 }
 
+// Message returns what is known of the rate for another process, nil if the target has
+// named none.
+func (l *Limit) Message(now time.Time) *wire.RateLimit {
+	if l.NamedAt.IsZero() {
+		return nil
+	}
+	x := &wire.RateLimit{PerSecond: l.Rate, AgeMS: wire.AgeMS(now.Sub(l.NamedAt)), SinceMS: wire.AgeMS(now.Sub(l.Since))}
+	if l.Rate == 0 {
+		x.AgeMS = wire.AgeMS(now.Sub(l.EndedAt))
+	}
+	return x
+}
+
+// Receive takes what another process knows of the rate, and reports whether that changes
+// the rate.
+func (l *Limit) Receive(now time.Time, x *wire.RateLimit, source Source) bool {
+	if x == nil || !x.Valid() {
+		return false
+	}
+	at := now.Add(-wire.Age(x.AgeMS))
+	if x.PerSecond == 0 {
+		return l.Ended(at)
+	}
+	begins := l.Rate == 0
+	changed := l.Named(at, x.PerSecond, source)
+	if changed && begins {
+		l.Since = now.Add(-wire.Age(x.SinceMS))
+	}
+	return changed
+}
+
 // Bucket is a token bucket. It begins empty: what was sent before the rate became known
 // is not known to it.
 type Bucket struct {
--- a/internal/decide/ratelimit/ratelimit_suite_test.go
+++ b/internal/decide/ratelimit/ratelimit_suite_test.go
@@ -22,7 +22,7 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 var _ = Describe("The rate that a target names", func() {
-	It("is that of the answer that was heard of last", func() {
+	It("is that of the answer that was received last", func() {
 		var l ratelimit.Limit
 		Expect(l.Named(at(100), 2, ratelimit.FromAnswer)).To(BeTrue())
 		Expect(l.Named(at(50), 9, ratelimit.FromEntry)).To(BeFalse())
--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -95,7 +95,7 @@
 	}
 	s.rec.Retried(m.Code)
 	if m.Code == result.TargetsLimited {
-		s.refusedForRate(now, t, r, m)
+		s.recordRateRefusal(now, t, r, m)
 	}
 	s.retryElsewhere(now, r, m.Code)
 }
@@ -195,7 +195,7 @@
 
 // Tick handles expired deadlines and timeouts and retries the queued requests.
 func (s *Steering) Tick(now time.Time) []Action {
-	s.shareRateLimits(now)
+	s.broadcastRateLimits(now)
 	for _, r := range s.openRequests() {
 		if r.state == awaitingPermit && !now.Before(r.Deadline) {
 			s.withdrawAsk(r)
--- a/internal/decide/steering/incarnation.go
+++ b/internal/decide/steering/incarnation.go
@@ -28,9 +28,9 @@
 	RateLimit float64
 	// MalformedRateLimit is true if the target names a rate that cannot be read.
 	MalformedRateLimit bool
-	// UnlimitedSince is when the request was sent of an answer that names no rate, zero
-	// if the answer does not show that.
-	UnlimitedSince time.Time
+	// NoRateLimitSentAt is set if the answer shows that the target names no rate. It is
+	// when the request was sent.
+	NoRateLimitSentAt time.Time
 }
 
 const (
@@ -55,11 +55,10 @@
 	leaving bool
 	// pausedUntil is the end of the time for which the target asked.
 	pausedUntil time.Time
-	// limit is what is known of the rate that the target names. It is passed on to other
-	// processes while unshared is true, last at sharedAt.
-	limit    ratelimit.Limit
-	unshared bool
-	sharedAt time.Time
+	// limit is what is known of the rate that the target names. It was last passed on to
+	// other processes at broadcastAt.
+	limit       ratelimit.Limit
+	broadcastAt time.Time
 	// redirected counts the requests that the rate sent elsewhere, and refused those that
 	// were refused for it.
 	redirected, refused int64
@@ -146,7 +145,7 @@
 			earliest = until
 		}
 	}
-	wait, limited := s.rateRefusal(now, r)
+	wait, limited := s.shortestRateWait(now, r)
 	switch {
 	case limited && (earliest.IsZero() || wait < earliest.Sub(now)):
 		return result.TargetsLimited, wait
--- a/internal/decide/steering/ratelimit.go
+++ b/internal/decide/steering/ratelimit.go
@@ -15,11 +15,11 @@
 	// target process share. The target process may be admitting requests of other
 	// entries at the whole rate.
 	directShare = 0.4
-	// shareInterval is the shortest time between two messages about the rate of one
+	// broadcastInterval is the shortest time between two messages about the rate of one
 	// target, and resendInterval that between two to a target process that does not
 	// bound a rate which this entry knows.
-	shareInterval  = 100 * time.Millisecond
-	resendInterval = time.Second
+	broadcastInterval = 100 * time.Millisecond
+	resendInterval    = time.Second
 )
 
 // AskPermit asks for a permit to send a request to a target. The reply is passed to
@@ -35,12 +35,12 @@
 	Target string
 }
 
-// ShareRateLimit passes on to the other entries what this one has learnt of a rate.
-type ShareRateLimit struct{ Limit wire.RateLimit }
+// BroadcastRateLimit passes on to the other entries what this one has learnt of a rate.
+type BroadcastRateLimit struct{ Limit wire.RateLimit }
 
-func (AskPermit) isAction()      {}
-func (WithdrawAsk) isAction()    {}
-func (ShareRateLimit) isAction() {}
+func (AskPermit) isAction()          {}
+func (WithdrawAsk) isAction()        {}
+func (BroadcastRateLimit) isAction() {}
 
 // RateLimitStatus describes a target that names a rate.
 type RateLimitStatus struct {
@@ -48,9 +48,9 @@
 	PerSecond float64          `json:"per_second"`
 	SinceMS   int64            `json:"since_ms"`
 	Source    ratelimit.Source `json:"learnt_by"`
-	// Permits says who bounds the requests of this entry: the target process, or the
+	// BoundedBy is who bounds the requests of this entry: the target process, or the
 	// entries together.
-	Permits string `json:"permits"`
+	BoundedBy string `json:"bounded_by"`
 	// Redirected counts the requests of this entry that the rate sent elsewhere, and
 	// Refused those that were refused for it.
 	Redirected int64 `json:"redirected"`
@@ -73,7 +73,7 @@
 	case t.needsPermit():
 		return max(0, t.permitAfter.Sub(now))
 	}
-	reported := time.Duration(t.report.PermitWaitMS) * time.Millisecond
+	reported := time.Duration(t.report.RateWaitMS) * time.Millisecond
 	own := time.Duration(float64(t.reservations) / rate * float64(time.Second))
 	return max(0, reported+own-now.Sub(t.reportedAt))
 }
@@ -138,7 +138,7 @@
 		if r.mayWait {
 			r.refusedPermits = append(r.refusedPermits, t.ID)
 		}
-		s.limitedElsewhere(r, retryAfter)
+		s.recordPermitRefusal(r, retryAfter)
 		s.place(now, r)
 	case s.targets[t.ID] != t || !t.accepts(now):
 		s.rec.Count("permits_unused")
@@ -151,8 +151,8 @@
 	return s.takeActions()
 }
 
-// limitedElsewhere records that the rate of its target sends a request elsewhere.
-func (s *Steering) limitedElsewhere(r *request, retryAfter time.Duration) {
+// recordPermitRefusal records that the rate of its target sends a request elsewhere.
+func (s *Steering) recordPermitRefusal(r *request, retryAfter time.Duration) {
 	r.target.notices.redirected++
 	s.rec.Retried(result.TargetsLimited)
 	r.code = result.TargetsLimited
@@ -161,11 +161,11 @@
 	}
 }
 
-// refusedForRate handles a reservation that was refused because of the rate. Other
+// recordRateRefusal handles a reservation that was refused because of the rate. Other
 // requests need not learn it by a refusal too, and it is no failed attempt.
-func (s *Steering) refusedForRate(now time.Time, t *target, r *request, m *wire.Refused) {
+func (s *Steering) recordRateRefusal(now time.Time, t *target, r *request, m *wire.Refused) {
 	t.notices.redirected++
-	t.report.PermitWaitMS = m.RetryAfterMS + now.Sub(t.reportedAt).Milliseconds()
+	t.report.RateWaitMS = m.RetryAfterMS + now.Sub(t.reportedAt).Milliseconds()
 	r.attempts--
 }
 
@@ -179,12 +179,14 @@
 	case n.RateLimit > 0:
 		s.rec.Count("rate_limits_named")
 		changed = x.limit.Named(now, n.RateLimit, ratelimit.FromAnswer)
-	case !n.UnlimitedSince.IsZero():
-		changed = x.limit.Unnamed(n.UnlimitedSince, now)
+	case !n.NoRateLimitSentAt.IsZero():
+		changed = x.limit.Unnamed(n.NoRateLimitSentAt, now)
 	}
 	if changed {
-		x.unshared = true
-		s.shareRateLimits(now)
+		if !slices.Contains(s.unsentLimits, key) {
+			s.unsentLimits = append(s.unsentLimits, key)
+		}
+		s.broadcastRateLimits(now)
 		s.rateChanged(now, key)
 	}
 	return changed
@@ -199,55 +201,31 @@
 	}
 }
 
-// shareRateLimits passes on what this entry has learnt from answers, at intervals.
-func (s *Steering) shareRateLimits(now time.Time) {
-	for key, x := range s.incarnations {
-		if !x.unshared || now.Sub(x.sharedAt) < shareInterval {
+// broadcastRateLimits passes on what this entry has learnt from answers, at intervals.
+func (s *Steering) broadcastRateLimits(now time.Time) {
+	waiting := s.unsentLimits[:0]
+	for _, key := range s.unsentLimits {
+		x, ok := s.incarnations[key]
+		switch {
+		case !ok:
+			continue
+		case now.Sub(x.broadcastAt) < broadcastInterval:
+			waiting = append(waiting, key)
 			continue
 		}
-		x.unshared, x.sharedAt = false, now
-		l := x.wireLimit(now)
+		x.broadcastAt = now
+		l := x.limit.Message(now)
 		l.Target, l.StartedAtMS = key.id, key.startedAtMS
-		s.emit(ShareRateLimit{Limit: *l})
+		s.emit(BroadcastRateLimit{Limit: *l})
 		if t, ok := s.targets[key.id]; ok && t.notices == x && t.engine != nil && t.sessionOpen {
 			s.sendEngineSettings(now, t)
 		}
 	}
+	s.unsentLimits = waiting
 }
 
-// wireLimit returns what is known of the rate of an incarnation, nil if it has named
-// none.
-func (x *incarnation) wireLimit(now time.Time) *wire.RateLimit {
-	if x.limit.NamedAt.IsZero() {
-		return nil
-	}
-	l := &wire.RateLimit{PerSecond: x.limit.Rate, AgeMS: wire.AgeMS(now.Sub(x.limit.NamedAt)), SinceMS: wire.AgeMS(now.Sub(x.limit.Since))}
-	if l.PerSecond == 0 {
-		l.AgeMS = wire.AgeMS(now.Sub(x.limit.EndedAt))
-	}
-	return l
-}
-
-// hearLimit takes what another process knows of the rate of an incarnation, and reports
-// whether that changes the rate.
-func (x *incarnation) hearLimit(now time.Time, l *wire.RateLimit, source ratelimit.Source) bool {
-	if l == nil || !l.Valid() {
-		return false
-	}
-	at := now.Add(-wire.Age(l.AgeMS))
-	if l.PerSecond == 0 {
-		return x.limit.Ended(at)
-	}
-	unlimited := x.limit.Rate == 0
-	changed := x.limit.Named(at, l.PerSecond, source)
-	if changed && unlimited {
-		x.limit.Since = now.Add(-wire.Age(l.SinceMS))
-	}
-	return changed
-}
-
-// HeardRateLimits handles what another entry has learnt of the rates of targets.
-func (s *Steering) HeardRateLimits(now time.Time, list []wire.RateLimit) []Action {
+// ReceiveRateLimits handles what another entry has learnt of the rates of targets.
+func (s *Steering) ReceiveRateLimits(now time.Time, list []wire.RateLimit) []Action {
 	for i := range list {
 		key := incarnationKey{id: list[i].Target, startedAtMS: list[i].StartedAtMS}
 		x, ok := s.incarnations[key]
@@ -258,8 +236,8 @@
 			x = &incarnation{listedAt: now}
 			s.incarnations[key] = x
 		}
-		if x.hearLimit(now, &list[i], ratelimit.FromEntry) {
-			s.rec.Count("rate_limits_heard")
+		if x.limit.Receive(now, &list[i], ratelimit.FromEntry) {
+			s.rec.Count("rate_limits_received")
 			s.rateChanged(now, key)
 		}
 	}
@@ -273,8 +251,8 @@
 	if t.StartedAtMS != 0 && m.StartedAtMS != t.StartedAtMS {
 		return
 	}
-	if t.notices.hearLimit(now, m.RateLimit, ratelimit.FromProcess) {
-		s.rec.Count("rate_limits_heard")
+	if t.notices.limit.Receive(now, m.RateLimit, ratelimit.FromProcess) {
+		s.rec.Count("rate_limits_received")
 	}
 	if unbounded := m.RateLimit == nil || m.RateLimit.PerSecond == 0; unbounded && m.BoundsRate && t.notices.limit.Rate > 0 && now.Sub(t.rateSentAt) >= resendInterval {
 		t.rateSentAt = now
@@ -282,9 +260,9 @@
 	}
 }
 
-// rateRefusal returns the shortest wait for a target of the pool that only its rate keeps
+// shortestRateWait returns the shortest wait for a target of the pool that only its rate keeps
 // from taking the request, or false if there is none.
-func (s *Steering) rateRefusal(now time.Time, r *request) (time.Duration, bool) {
+func (s *Steering) shortestRateWait(now time.Time, r *request) (time.Duration, bool) {
 	shortest, found := time.Duration(0), false
 	for _, listed := range s.view.Pools[r.Pool] {
 		t, ok := s.targets[listed.ID]
@@ -298,8 +276,8 @@
 	return shortest, found
 }
 
-// countRateRefusal counts a request that is refused for the rate of its last target.
-func countRateRefusal(r *request, code result.Code) {
+// countRefusedForRate counts a request that is refused for the rate of its last target.
+func countRefusedForRate(r *request, code result.Code) {
 	if code == result.TargetsLimited && r.target != nil {
 		r.target.notices.refused++
 	}
@@ -314,11 +292,11 @@
 			continue
 		}
 		status := RateLimitStatus{
-			Target: t.ID, PerSecond: x.limit.Rate, SinceMS: now.Sub(x.limit.Since).Milliseconds(), Source: x.limit.Source, Permits: "target process",
+			Target: t.ID, PerSecond: x.limit.Rate, SinceMS: now.Sub(x.limit.Since).Milliseconds(), Source: x.limit.Source, BoundedBy: "target process",
 			Redirected: x.redirected, Refused: x.refused,
 		}
 		if t.needsPermit() {
-			status.Permits = "entries"
+			status.BoundedBy = "entries"
 		}
 		list = append(list, status)
 	}
--- a/internal/decide/steering/ratelimit_test.go
+++ b/internal/decide/steering/ratelimit_test.go
@@ -18,7 +18,7 @@
 func (e *entry) names(id string, rate float64, sentAgo time.Duration) {
 	n := steering.Notice{RateLimit: rate}
 	if rate == 0 {
-		n.UnlimitedSince = e.now.Add(-sentAgo)
+		n.NoRateLimitSentAt = e.now.Add(-sentAgo)
 	}
 	actions, _ := e.s.Notified(e.now, e.view.Targets[id], n)
 	e.do(actions)
@@ -60,7 +60,7 @@
 		Expect(e.granted[3].Target.ID).To(Equal(first))
 		Expect(e.granted[3].RateLimited).To(BeTrue())
 		Expect(e.s.RateLimits(e.now)).To(ConsistOf(steering.RateLimitStatus{
-			Target: first, PerSecond: 2, SinceMS: 700, Source: ratelimit.FromAnswer, Permits: "entries", Redirected: 1,
+			Target: first, PerSecond: 2, SinceMS: 700, Source: ratelimit.FromAnswer, BoundedBy: "entries", Redirected: 1,
 		}))
 	})
 
@@ -177,12 +177,12 @@
 	It("is known from other entries, by its incarnation", func() {
 		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
 		id := e.view.Pools["p"][0].ID
-		e.do(e.s.HeardRateLimits(e.now, []wire.RateLimit{{Target: id, StartedAtMS: 99, PerSecond: 1}}))
+		e.do(e.s.ReceiveRateLimits(e.now, []wire.RateLimit{{Target: id, StartedAtMS: 99, PerSecond: 1}}))
 		Expect(e.acquire(1)).To(BeEmpty())
-		e.do(e.s.HeardRateLimits(e.now, []wire.RateLimit{{Target: id, PerSecond: 1, AgeMS: 50, SinceMS: 9000}}))
+		e.do(e.s.ReceiveRateLimits(e.now, []wire.RateLimit{{Target: id, PerSecond: 1, AgeMS: 50, SinceMS: 9000}}))
 		Expect(e.acquire(2)).To(HaveLen(1))
 		Expect(e.s.RateLimits(e.now)[0].SinceMS).To(BeEquivalentTo(9000))
-		e.do(e.s.HeardRateLimits(e.now, []wire.RateLimit{{Target: id, AgeMS: 10}}))
+		e.do(e.s.ReceiveRateLimits(e.now, []wire.RateLimit{{Target: id, AgeMS: 10}}))
 		Expect(e.acquire(3)).To(BeEmpty())
 	})
 
@@ -190,7 +190,7 @@
 	It("adds bounded state", func() {
 		e := newEntry(&catalog.Pool{Name: "p"}, targets(1)...)
 		for i := range 20_000 {
-			e.do(e.s.HeardRateLimits(e.now, []wire.RateLimit{{Target: "x", StartedAtMS: int64(i), PerSecond: 1}}))
+			e.do(e.s.ReceiveRateLimits(e.now, []wire.RateLimit{{Target: "x", StartedAtMS: int64(i), PerSecond: 1}}))
 		}
 		Expect(e.s.RateLimits(e.now)).To(BeEmpty())
 	})
@@ -198,7 +198,7 @@
 
 var _ = Describe("An engine that names a rate", func() {
 	report := func(perSecond float64, waitMS int64) *wire.EngineReport {
-		r := &wire.EngineReport{HasAdapterLists: true, Held: []string{"m/a1"}, BoundsRate: true, PermitWaitMS: waitMS}
+		r := &wire.EngineReport{HasAdapterLists: true, Held: []string{"m/a1"}, BoundsRate: true, RateWaitMS: waitMS}
 		if perSecond > 0 {
 			r.RateLimit = &wire.RateLimit{PerSecond: perSecond}
 		}
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -88,6 +88,8 @@
 	targets map[string]*target
 	// incarnations holds the notices of the incarnations of targets.
 	incarnations map[incarnationKey]*incarnation
+	// unsentLimits holds the incarnations whose rate has to be passed on.
+	unsentLimits []incarnationKey
 	rankings     map[string]*poolRanking
 	rates        requestRates
 	requests     map[uint64]*request
@@ -215,7 +217,7 @@
 func (s *Steering) sendEngineSettings(now time.Time, t *target) {
 	row := &wire.EngineSettings{
 		Revision: uint64(s.view.Config.Version), MaxRunning: t.engine.MaxRunning, TokensPerEvent: t.engine.TokensPerEvent, MemoryMB: t.engine.MemoryMB,
-		Instance: t.ID, StartedAtMS: t.StartedAtMS, RateLimit: t.notices.wireLimit(now),
+		Instance: t.ID, StartedAtMS: t.StartedAtMS, RateLimit: t.notices.limit.Message(now),
 	}
 	for _, m := range t.engine.Models {
 		row.Models = append(row.Models, wire.EngineModel{Name: m.Name, WeightsMB: m.WeightsMB, Adapters: t.engine.Capacity(m)})
@@ -303,7 +305,7 @@
 
 func (s *Steering) refuse(r *request, code result.Code, after time.Duration) {
 	delete(s.requests, r.Number)
-	countRateRefusal(r, code)
+	countRefusedForRate(r, code)
 	s.emit(Refused{Number: r.Number, Code: code, RetryAfter: max(after, minRetryAfter)})
 }
 
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -13,7 +13,7 @@
 func (h *Handler) passOnNotice(grant steering.Grant, resp *http.Response, class ResponseClass, sentAt time.Time) {
 	n := h.Dialect.ParseNotice(resp)
 	if grant.RateLimited && n.RateLimit == 0 && !n.MalformedRateLimit && (class == Succeeded || class == Failed) {
-		n.UnlimitedSince = sentAt
+		n.NoRateLimitSentAt = sentAt
 	}
 	if n != (steering.Notice{}) {
 		h.Broker.Notified(grant.Target, n)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -389,10 +389,10 @@
 	Slow bool `msgpack:"sl,omitempty"`
 	// BoundsRate is true if the target process admits no more requests than the engine
 	// names. RateLimit is what it knows of that, nil if the engine has named none, and
-	// PermitWaitMS the time until it could admit another request.
-	BoundsRate   bool       `msgpack:"br,omitempty"`
-	RateLimit    *RateLimit `msgpack:"rl,omitempty"`
-	PermitWaitMS int64      `msgpack:"pw,omitempty"`
+	// RateWaitMS the time until the rate lets it admit another request.
+	BoundsRate bool       `msgpack:"br,omitempty"`
+	RateLimit  *RateLimit `msgpack:"rl,omitempty"`
+	RateWaitMS int64      `msgpack:"pw,omitempty"`
 }
 
 // Item is one change of an item in the platform's store, as an entry read it.
