upstream: hand a connection back before the end of the body is reported

A request sent right after another one to the same target opened a connection of its own, which targets count and the platform prices: the read loop handed the connection back after the reader had seen the end of the body.

A body whose context ends meanwhile counts as not complete, because its connection is about to be closed.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -58,8 +58,11 @@
 	// bodyDone is closed when the body of the response has been read or dropped.
 	bodyDone     chan struct{}
 	bodyDoneOnce sync.Once
-	// bodyComplete is true if the body was read to its end.
-	bodyComplete bool
+	// recycle makes the connection available for the next request and reports whether
+	// that is possible, nil if it is not. recycled is its result. Both belong to readLoop
+	// until the response is sent, then to finishBody until bodyDone is closed.
+	recycle  func() bool
+	recycled bool
 	// interim and extra count the responses that were passed over, and readTime is the
 	// part of maxReadTime that was used. Only readLoop uses them.
 	interim, extra int
@@ -71,10 +74,12 @@
 	detach func() bool
 }
 
-// finishBody records that the body of the response has been read or dropped.
+// finishBody records that the body of the response has been read to its end or dropped.
+// After a complete body the connection is available before the reader knows of the end:
+// its next request must not open another one.
 func (rt *roundTrip) finishBody(complete bool) {
 	rt.bodyDoneOnce.Do(func() {
-		rt.bodyComplete = complete
+		rt.recycled = complete && rt.recycle != nil && rt.recycle()
 		close(rt.bodyDone)
 	})
 }
@@ -206,21 +211,29 @@
 	if !rt.belongs(resp) {
 		return c.skipExtra(rt, resp)
 	}
-	timeout := keepAlive(resp)
-	reusable := !resp.Close && timeout > 0
+	if timeout := keepAlive(resp); !resp.Close && timeout > 0 {
+		rt.recycle = func() bool { return c.recycle(rt, timeout) }
+	}
 	resp.Body = &responseBody{ReadCloser: resp.Body, roundTrip: rt}
 	rt.response <- responseOrError{resp: resp}
 	<-rt.bodyDone
+	return rt.recycled
+}
+
+// recycle makes the connection available for the next request. It returns false if it
+// cannot be used any more.
+func (c *conn) recycle(rt *roundTrip, timeout time.Duration) bool {
 	select {
 	case <-rt.written:
 	default:
 		// The target would take the rest of the body for the next request.
-		reusable = false
-	}
-	if !rt.bodyComplete || !reusable {
 		return false
 	}
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false
+	}
 	c.pending, c.idleSince, c.idleTimeout = nil, time.Now(), timeout
 	c.mu.Unlock()
 	c.host.release(c)
@@ -319,8 +332,9 @@
 func (b *responseBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if err != nil {
-		b.roundTrip.detach()
-		b.roundTrip.finishBody(err == io.EOF)
+		// If the context has ended meanwhile, the connection is about to be closed.
+		detached := b.roundTrip.detach()
+		b.roundTrip.finishBody(err == io.EOF && detached)
 	}
 	return n, err
 }
--- a/internal/upstream/upstream_suite_test.go
+++ b/internal/upstream/upstream_suite_test.go
@@ -122,10 +122,9 @@
 
 	It("reuses a connection", func() {
 		t := newTarget(respondToEach(func(nc net.Conn, r *http.Request) { reply(nc, r.Header.Get("Id"), "for "+r.Header.Get("Id")) }))
-		for i := range 5 {
+		for i := range 50 {
 			id := fmt.Sprint(i)
 			Expect(do(p, t, id)).To(Equal("for " + id))
-			time.Sleep(5 * time.Millisecond)
 		}
 		Expect(t.conns.Load()).To(Equal(int64(1)))
 	})
