--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -9,11 +9,11 @@
 
 var errUntrusted = errors.New("the response cannot be trusted")
 
-// withBreak adds the fields that relate a broken answer to the prompt: whether the
-// answer had begun, the parts of the prompt and the cause.
+// withBreak adds the fields that relate a broken answer to its request: whether the
+// answer had begun, the digest, the parts of the prompt and the cause.
 func (x *callerRequest) withBreak(line *telemetry.Logger, err error) *telemetry.Logger {
 	if len(x.meta.PromptParts) > 0 {
 		line = line.With("parts", strings.Join(x.meta.PromptParts, ","))
 	}
-	return line.With("began", x.began.Load()).With("error", err)
+	return line.With("digest", x.digest()).With("began", x.began.Load()).With("error", err)
 }
--- /dev/null
+++ b/internal/relay/identity.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"hash"
+	"io"
+	"slices"
+	"strings"
+)
+
+// digestBytes is the length of the part of the hash that identifies a request. It is long
+// enough that a caller finds no request with the digest of another caller's.
+const digestBytes = 16
+
+// digest returns what identifies the request among those of all callers: equal for two
+// attempts if the target gets the same method, host, path, query, body and headers, except
+// for headers that concern one attempt or connection only. The body is not kept.
+func (x *callerRequest) digest() string {
+	h := sha256.New()
+	writeField(h, x.r.Method)
+	writeField(h, strings.ToLower(x.r.Host))
+	writeField(h, x.requestURI())
+	header := x.h.Dialect.RepeatedHeader(x.r.Header)
+	names := make([]string, 0, len(header))
+	for name := range header {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		writeField(h, name)
+		writeField(h, strings.Join(header[name], "\x00"))
+	}
+	_, _ = h.Write(x.body)
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
+// writeField writes a field with its length, so that two lists of fields differ in what is
+// written if they differ at all.
+func writeField(h hash.Hash, s string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(s)))
+	_, _ = h.Write(length[:])
+	_, _ = io.WriteString(h, s)
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -74,6 +74,9 @@
 	ParseRequest(h http.Header) Metadata
 	// UpstreamHeader returns the headers of the request to a target.
 	UpstreamHeader(h http.Header, s UpstreamFields) http.Header
+	// RepeatedHeader returns the headers of a caller's request that are the same in each
+	// attempt at it.
+	RepeatedHeader(h http.Header) http.Header
 	// CallerHeader returns the headers of a target's response that the caller
 	// gets.
 	CallerHeader(h http.Header) http.Header
