--- /dev/null
+++ b/entry/edge/crashing_request_suite_test.go
@@ -0,0 +1,152 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/entry/edge"
+	"agatelanding.example/agatelanding/platform/standin"
+)
+
+const (
+	// crashingBody is the body of the request that crashes replicas.
+	crashingBody = "crash"
+	// requestQuarantineCode is in the body of a refusal of such a request.
+	requestQuarantineCode = "2021 request_quarantined"
+)
+
+func isCrashing(run standin.Run) bool { return strings.HasPrefix(run.Body, crashingBody) }
+
+// newServiceFleet starts two entries before one engine and four replicas of the plain
+// service that crash under a request with crashingBody and come back under new IDs.
+func newServiceFleet() *crashFleet {
+	f := &crashFleet{fleet: newFleet(1, 0)}
+	for i := range 4 {
+		r := standin.NewReplica(fmt.Sprintf("s-%d", i), "", 0)
+		r.WorkTime = 30 * time.Millisecond
+		s, err := standin.Serve("127.0.0.1:0", r)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(s.Close)
+		register := func() { f.store.Register(r, "ledger", s.Address, fmt.Sprint("z", i), "ready") }
+		newID := func() string {
+			f.store.Deregister(r.ID)
+			return fmt.Sprintf("s-%d-%d", i, len(r.Runs()))
+		}
+		register()
+		s.RestartAfter(700*time.Millisecond, newID, register)
+		s.CrashUnder(isCrashing, 5*time.Millisecond)
+		f.services, f.servers = append(f.services, r), append(f.servers, s)
+	}
+	f.start()
+	f.start()
+	return f
+}
+
+// restartEntries ends all entries at once and starts them again with the same settings.
+func (f *fleet) restartEntries() {
+	for _, e := range f.entries {
+		e.Close()
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	for i, s := range f.settings {
+		e := edge.New(s)
+		Eventually(e.Provision).Within(2 * time.Second).Should(Succeed())
+		e.Start()
+		DeferCleanup(e.Close)
+		f.entries[i] = e
+	}
+	for i := range f.entries {
+		Eventually(func() int { return f.readiness(i) }).Within(3 * time.Second).Should(Equal(http.StatusOK))
+	}
+}
+
+// callEvery sends a request at each interval for a time, in turn to all entries, and
+// returns the responses.
+func (f *crashFleet) callEvery(interval, duration time.Duration, method, path string, bodyOf func(i int) string) []prompted {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var list []prompted
+	for i := range int(duration / interval) {
+		group.Go(func() {
+			defer GinkgoRecover()
+			p := prompted{sent: time.Now()}
+			p.response = f.call(context.Background(), i%len(f.entries), method, path, nil, bodyOf(i))
+			p.took = time.Since(p.sent)
+			mu.Lock()
+			defer mu.Unlock()
+			list = append(list, p)
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	return list
+}
+
+func crashing(int) string { return crashingBody }
+
+// crashingRunsAfter counts the runs of the crashing request that began later than a time.
+func (f *crashFleet) crashingRunsAfter(at time.Time) (n int) {
+	for _, r := range append(slices.Clone(f.services), f.engines...) {
+		for _, run := range r.Runs() {
+			if isCrashing(run) && run.Started.After(at) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+var _ = Describe("A request that crashes the replicas which run it", func() {
+	// Guards against entries that send the same request to replica after replica.
+	It("reaches three replicas at most once it is known, and costs sound requests nothing", func() {
+		const trouble = 7 * time.Second
+		f := newServiceFleet()
+		sound := make(chan []prompted, 1)
+		go func() {
+			defer GinkgoRecover()
+			sound <- f.callEvery(40*time.Millisecond, trouble, "POST", "/lookup/1", func(i int) string { return fmt.Sprint("sound", i%5) })
+		}()
+		list := f.callEvery(200*time.Millisecond, trouble, "POST", "/lookup/1", crashing)
+		crashes := f.crashes()
+		Expect(len(crashes)).To(BeNumerically(">=", 3))
+		known := crashes[2].Add(contact)
+		Expect(f.crashingRunsAfter(known)).To(BeNumerically("<=", 3), "%d crashes", len(crashes))
+		for _, p := range list {
+			runs := runsOf(p.id, f.services)
+			if slices.Contains([]int{408, 421, 429, 503}, p.status) {
+				Expect(runs).To(BeEmpty(), "%d %s", p.status, p.body)
+			}
+			if p.sent.After(known) && len(runs) == 0 {
+				Expect(p.body).To(ContainSubstring(requestQuarantineCode))
+				Expect(p.took).To(BeNumerically("<", 100*time.Millisecond))
+			}
+		}
+		for _, p := range <-sound {
+			Expect(p.body).NotTo(ContainSubstring(requestQuarantineCode))
+			if p.sent.After(known) {
+				Expect(p.status).To(Equal(http.StatusOK), p.body)
+			}
+		}
+	})
+
+	// Guards against entries that forget such a request when all of them lose power.
+	It("is refused also after all entries have restarted at once", func() {
+		f := newServiceFleet()
+		f.callEvery(200*time.Millisecond, 3*time.Second, "POST", "/release/1", crashing)
+		crashes := f.crashes()
+		Expect(len(crashes)).To(BeNumerically(">=", 3))
+		for range 3 {
+			f.restartEntries()
+			f.callEvery(200*time.Millisecond, time.Second, "POST", "/release/1", crashing)
+		}
+		Expect(f.crashingRunsAfter(crashes[2].Add(contact))).To(BeNumerically("<=", 3), "%d crashes", len(f.crashes()))
+	})
+})
