--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -15,6 +15,7 @@
 	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/ratelimit"
+	"agatelanding.example/agatelanding/internal/decide/recall"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/runtime"
@@ -87,10 +88,10 @@
 
 // Start spawns the actor below root. internalPort is the port at which target
 // processes accept sessions.
-func Start(root *actor.RootContext, s *steering.Steering, permits Permits, local session.Options, internalPort string) *Broker {
+func Start(root *actor.RootContext, s *steering.Steering, permits Permits, facts Facts, local session.Options, internalPort string) *Broker {
 	props := actor.PropsFromProducer(func() actor.Actor {
 		return &brokerActor{
-			steering: s, permits: permits, local: local, internalPort: internalPort, sessions: make(map[string]*processSession), addresses: make(map[string]string),
+			steering: s, permits: permits, facts: facts, startedAt: time.Now(), unacked: make(map[uint64]unacked), recalls: make(map[uint64]*openRecall), local: local, internalPort: internalPort, sessions: make(map[string]*processSession), addresses: make(map[string]string),
 			replies: make(map[uint64]chan any), tickTimer: runtime.NewTickTimer(&tick{}), log: telemetry.For("broker"),
 		}
 	}, actor.WithSupervisor(runtime.RestartChildren()))
@@ -174,9 +175,17 @@
 	// addresses holds the session address of each target ID.
 	addresses map[string]string
 	// replies holds the reply channel of each request that waits for a target.
-	replies   map[uint64]chan any
-	tickTimer *runtime.TickTimer
-	log       *telemetry.Logger
+	replies map[uint64]chan any
+	// holders selects among the open sessions, nil if they have changed. unacked and
+	// recalls hold what waits for replies of holders.
+	facts      Facts
+	startedAt  time.Time
+	holders    *recall.Holders
+	unacked    map[uint64]unacked
+	recalls    map[uint64]*openRecall
+	lastRecall uint64
+	tickTimer  *runtime.TickTimer
+	log        *telemetry.Logger
 }
 
 // Receive implements actor.Actor.
@@ -220,7 +229,21 @@
 		b.sessionUp(ctx, now, m)
 	case *session.Closed:
 		b.sessionDown(ctx, now, m)
+	case *remember:
+		b.remember(ctx, now, m)
+	case *recallFact:
+		b.recall(ctx, now, m)
+	case *recallDue:
+		b.endRecall(m.id)
 	case *session.MessageReceived:
+		switch reply := m.Message.(type) {
+		case *wire.Remembered:
+			b.remembered(reply.ID)
+			return
+		case *wire.Recalled:
+			b.recalled(now, reply)
+			return
+		}
 		if ps, ok := b.sessions[m.Target]; ok {
 			for targetID := range ps.targetIDs {
 				b.perform(ctx, now, b.steering.Message(now, targetID, m.Message))
@@ -258,6 +281,7 @@
 	}
 	ps.peer = m.Peer
 	b.log.With("target", m.Target).Info("target process reached")
+	b.holderReached(ctx, now, m.Target, ps)
 	for targetID := range ps.targetIDs {
 		b.perform(ctx, now, b.steering.SessionUp(now, targetID))
 	}
@@ -268,7 +292,7 @@
 	if !ok {
 		return
 	}
-	ps.peer = nil
+	ps.peer, b.holders = nil, nil
 	b.log.With("target", m.Target).Warn("target process lost")
 	for targetID := range ps.targetIDs {
 		b.perform(ctx, now, b.steering.SessionLost(now, targetID))
@@ -349,5 +373,6 @@
 	if len(ps.targetIDs) == 0 {
 		ctx.Stop(ps.pid)
 		delete(b.sessions, address)
+		b.holders = nil
 	}
 }
--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -18,6 +18,7 @@
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
 	"agatelanding.example/agatelanding/internal/decide/ratelimit"
+	"agatelanding.example/agatelanding/internal/decide/recall"
 	"agatelanding.example/agatelanding/internal/relay"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -51,6 +52,8 @@
 	// Replaced reports whether the published state has another incarnation at the address
 	// of a target.
 	Replaced func(*catalog.Target) bool
+	// Remember keeps a fact at target processes. The default keeps none.
+	Remember func(recall.Fact)
 	// Targets returns the targets that the published state lists in a pool. The default is
 	// none.
 	Targets func(pool string) []*catalog.Target
@@ -268,6 +271,7 @@
 	if len(verdicts) == 0 {
 		return
 	}
+	g.remember(verdicts)
 	for _, v := range verdicts {
 		if isDigest(v.Part) {
 			g.adoptOnRequest(v)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -29,6 +29,7 @@
 	"agatelanding.example/agatelanding/entry/session"
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/ratelimit"
+	"agatelanding.example/agatelanding/internal/decide/recall"
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/relay"
@@ -152,6 +153,7 @@
 		Entry: e.settings.Name, OwnsTrial: containment.TrialOwner(e.settings.PeerListen, e.mesh.ConnectedAddresses, e.mesh.EntryCount),
 		Leaving: e.leaving.Has, Replaced: e.isReplaced, Targets: e.listedTargets,
 		AskPermit: func(number uint64, a ratelimit.Ask, reply func(bool, time.Duration)) { e.permits.Ask(number, a, reply) },
+		Remember:  func(f recall.Fact) { e.broker.Remember(f, nil) },
 		Broadcast: e.mesh.BroadcastEvidence, Metrics: e.metrics, Log: telemetry.For("quarantine"),
 	})
 	e.mesh.CurrentEvidence, e.mesh.ReceiveEvidence = e.guard.Evidence, e.guard.Receive
@@ -182,7 +184,7 @@
 	}, e.metrics)
 	local := session.Options{Hello: e.hello, PingInterval: broker.PingInterval}
 	// Every target process accepts sessions on the first internal port of its VM.
-	e.broker = broker.Start(root, s, e.permits, local, fmt.Sprint(e.settings.InternalPorts[0]))
+	e.broker = broker.Start(root, s, e.permits, e.guard, local, fmt.Sprint(e.settings.InternalPorts[0]))
 }
 
 // fail reports the failure of the broker through Failed. Only the first failure
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -118,6 +118,9 @@
 // EvidenceTTL returns how long crash records of a kind count.
 func (k Kind) EvidenceTTL() time.Duration { return rulesOf[k].evidenceTTL }
 
+// ForgetTime returns how long after the last request for it a verdict of a kind counts.
+func (k Kind) ForgetTime() time.Duration { return rulesOf[k].forgetTime }
+
 // Config configures a Quarantine.
 type Config struct {
 	Kind Kind
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -61,6 +61,14 @@
 		return KindItems, nil
 	case *ItemsQuery:
 		return KindItemsQuery, nil
+	case *Remember:
+		return KindRemember, nil
+	case *Remembered:
+		return KindRemembered, nil
+	case *Recall:
+		return KindRecall, nil
+	case *Recalled:
+		return KindRecalled, nil
 	}
 	return 0, result.New(result.MalformedMessage, fmt.Sprintf("%T is not a message type", message))
 }
@@ -119,6 +127,14 @@
 		return new(Items)
 	case KindItemsQuery:
 		return new(ItemsQuery)
+	case KindRemember:
+		return new(Remember)
+	case KindRemembered:
+		return new(Remembered)
+	case KindRecall:
+		return new(Recall)
+	case KindRecalled:
+		return new(Recalled)
 	}
 	return nil
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -64,6 +64,10 @@
 	KindEngineReport
 	KindItems
 	KindItemsQuery
+	KindRemember
+	KindRemembered
+	KindRecall
+	KindRecalled
 )
 
 // RequestID identifies a request among all requests of all entries.
@@ -93,6 +97,9 @@
 	Revision      uint64 `msgpack:"v"`
 	FailureDomain string `msgpack:"f"`
 	State         State  `msgpack:"s"`
+	// Remembers is true if the process takes Remember and Recall. A former build does not
+	// know these messages and would close the connection.
+	Remembers bool `msgpack:"m,omitempty"`
 }
 
 // LoadReport is the load of a target, that is, how busy it is, at the time of the
--- a/target/agent/agent.go
+++ b/target/agent/agent.go
@@ -90,7 +90,7 @@
 func (a *Agent) hello() wire.Hello {
 	return wire.Hello{
 		Process: a.address, Role: wire.RoleTarget, Incarnation: a.started.UnixNano(),
-		FailureDomain: a.settings.FailureDomain, State: wire.StateServing,
+		FailureDomain: a.settings.FailureDomain, State: wire.StateServing, Remembers: true,
 	}
 }
 
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -8,6 +8,7 @@
 
 	"agatelanding.example/agatelanding/internal/decide/engineagent"
 	"agatelanding.example/agatelanding/internal/decide/ratelimit"
+	"agatelanding.example/agatelanding/internal/decide/recall"
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -83,6 +84,8 @@
 type core struct {
 	stateMachine *engineagent.Agent
 	engine       *platform.Engine
+	// memory holds what entries keep here.
+	memory *recall.Memory
 	// writers holds the actor that writes to the entry of each session.
 	writers   map[engineagent.SessionID]*actor.PID
 	tickTimer *runtime.TickTimer
@@ -97,7 +100,7 @@
 func coreProps(stateMachine *engineagent.Agent, engine *platform.Engine) *actor.Props {
 	return actor.PropsFromProducer(func() actor.Actor {
 		return &core{
-			stateMachine: stateMachine, engine: engine, writers: make(map[engineagent.SessionID]*actor.PID),
+			stateMachine: stateMachine, engine: engine, memory: recall.NewMemory(), writers: make(map[engineagent.SessionID]*actor.PID),
 			tickTimer: runtime.NewTickTimer(&tick{}), log: telemetry.For("core"), engineAnswers: true,
 		}
 	})
@@ -172,6 +175,10 @@
 		return actions
 	case *wire.Ping:
 		c.send(ctx, id, &wire.Pong{Sequence: m.Sequence})
+	case *wire.Remember:
+		c.remember(ctx, now, id, m)
+	case *wire.Recall:
+		c.recall(ctx, now, id, m)
 	default:
 		c.log.Warn("unexpected message of an entry; closing the session")
 		if writer, ok := c.writers[id]; ok {
