--- /dev/null
+++ b/entry/edge/software_version_suite_test.go
@@ -0,0 +1,164 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/platform/standin"
+)
+
+// versionFleet is a fleet whose engines have software versions.
+type versionFleet struct {
+	*crashFleet
+}
+
+// newVersionFleet starts two entries before engines with the given software versions. Only
+// those with the first version are registered.
+func newVersionFleet(versions ...any) *versionFleet {
+	f := &versionFleet{&crashFleet{fleet: newFleet(0, 0)}}
+	for i, v := range versions {
+		r := standin.NewReplica(fmt.Sprintf("e-%d", i), "m", 2)
+		r.SoftwareVersion, r.Events, r.EventTime = v, 60, 20*time.Millisecond
+		s, err := standin.Serve(f.engineIP(i)+":0", r)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(s.Close)
+		f.engines, f.servers = append(f.engines, r), append(f.servers, s)
+		f.targetProcesses = append(f.targetProcesses, f.startTargetProcess(i, s.Address))
+		if v == versions[0] {
+			f.register(i)
+		}
+	}
+	f.start()
+	f.start()
+	return f
+}
+
+func (f *versionFleet) register(i int) {
+	f.store.Register(f.engines[i], "llm", f.servers[i].Address, fmt.Sprint("z", i%3), "ready")
+}
+
+// registerAll registers the other engines and waits until the entries know them.
+func (f *versionFleet) registerAll() {
+	for i := range f.engines {
+		f.register(i)
+	}
+	time.Sleep(400 * time.Millisecond)
+}
+
+// versionsOf returns the software versions of the engines that ran any of the requests.
+func (f *versionFleet) versionsOf(ids ...string) map[any]bool {
+	versions := make(map[any]bool)
+	for _, e := range f.engines {
+		for _, id := range ids {
+			if len(runsOf(id, []*standin.Replica{e})) > 0 {
+				versions[e.SoftwareVersion] = true
+			}
+		}
+	}
+	return versions
+}
+
+// begunStream is a stream of which a caller has the first events.
+type begunStream struct {
+	id   string
+	body *bufio.Reader
+	resp *http.Response
+}
+
+// begin begins a stream at entry i and reads its first event.
+func (f *versionFleet) begin(i int) *begunStream {
+	s := &begunStream{id: fmt.Sprintf("req-%d", lastRequestNumber.Add(1))}
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings[i].Listen+"/query/x", strings.NewReader("prompt"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	standin.SetRequest(req.Header, s.id, 6*time.Second)
+	req.Header.Set("Model", "m")
+	req.Header.Set("Token-Usage", "100,20")
+	s.resp, err = http.DefaultTransport.RoundTrip(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.resp.StatusCode).To(Equal(http.StatusOK))
+	DeferCleanup(s.resp.Body.Close)
+	s.body = bufio.NewReader(s.resp.Body)
+	line, err := s.body.ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+	Expect(line).To(Equal("id: 1\n"))
+	return s
+}
+
+// takeUp takes a stream up at entry i after its first event.
+func (f *versionFleet) takeUp(i int, resumes string) prompted {
+	p := prompted{sent: time.Now()}
+	p.response = f.call(context.Background(), i, "POST", "/query/x", map[string]string{
+		"Model": "m", "Token-Usage": "100,20", "Last-Event-Id": "1", "Resumes": resumes,
+	}, "prompt")
+	p.took = time.Since(p.sent)
+	return p
+}
+
+var _ = Describe("A stream beside two software versions", func() {
+	// Guards against an entry that continues a broken stream at another version.
+	It("goes on at the version that began it when its engine crashes, or breaks off", func() {
+		f := newVersionFleet("v1", "v2", "v2", "v2")
+		s := f.begin(0)
+		f.registerAll()
+		f.servers[0].Crash()
+		for line, err := s.body.ReadString('\n'); err == nil; line, err = s.body.ReadString('\n') {
+			_ = line
+		}
+		Expect(f.versionsOf(s.id)).To(HaveLen(1))
+	})
+
+	// Guards against take-ups at another version after the entries that knew it are gone.
+	It("is taken up at its version after all entries have restarted at once", func() {
+		f := newVersionFleet("v1", "v2", "v2", "v2")
+		var begun []string
+		for i := range 4 {
+			begun = append(begun, f.begin(i%2).id)
+		}
+		f.registerAll()
+		f.restartEntries()
+		for i, id := range begun {
+			p := f.takeUp(i%2, id)
+			Expect(p.status).To(Equal(http.StatusOK), p.body)
+			Expect(f.versionsOf(id, p.id)).To(HaveLen(1))
+		}
+	})
+
+	// Guards against a client that is held until its deadline, and against a conclusion from
+	// the version that is left.
+	It("is refused at once if its version has left, also after all entries have restarted", func() {
+		f := newVersionFleet("v1", "v2", "v2")
+		known := f.begin(0).id
+		f.registerAll()
+		f.store.Deregister("e-0")
+		time.Sleep(400 * time.Millisecond)
+		check := func(resumes string) {
+			p := f.takeUp(1, resumes)
+			Expect(p.status).To(Equal(http.StatusServiceUnavailable), p.body)
+			Expect(runsOf(p.id, f.engines)).To(BeEmpty())
+			Expect(p.took).To(BeNumerically("<", 500*time.Millisecond))
+		}
+		check(known)
+		f.restartEntries()
+		check(known)
+		check("nobody-knows")
+	})
+
+	// Guards against refusals where there never was a second version.
+	It("is taken up beside one version only, also if nobody knows its attempt", func() {
+		f := newVersionFleet("v1", "v1")
+		id := f.begin(0).id
+		f.restartEntries()
+		for _, resumes := range []string{id, "nobody-knows", ""} {
+			p := f.takeUp(0, resumes)
+			Expect(p.status).To(Equal(http.StatusOK), "%q: %s", resumes, p.body)
+		}
+	})
+})
