--- a/internal/catalog/model.go
+++ b/internal/catalog/model.go
@@ -155,6 +155,10 @@
 	// StartedAtMS is the start of the incarnation in Unix milliseconds, 0 if the
 	// target does not report it.
 	StartedAtMS int64
+	// SoftwareVersion is the version of the target's software, which has no order and is
+	// not that of a configuration or an adapter. Empty is a version, too. What targets of
+	// two versions write does not fit into one stream.
+	SoftwareVersion string
 }
 
 // AdapterKey identifies an adapter in all its versions.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -235,7 +235,7 @@
 	case cause != nil:
 		endedBy = "deadline"
 	}
-	x.withBreak(x.requestLog(), err).With("ended_by", endedBy).With("events", x.streamStats.events).Info("the stream broke")
+	x.withSoftwareVersion(x.withBreak(x.requestLog(), err)).With("ended_by", endedBy).With("events", x.streamStats.events).Info("the stream broke")
 }
 
 // logBroken writes a line for a response that is no whole answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -342,6 +342,21 @@
 		With("ran", x.history.possibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds())
 }
 
+// withSoftwareVersion adds the software version of the target to a line on a stream and, if
+// the request takes a stream up, the attempt that brought its first event.
+func (x *callerRequest) withSoftwareVersion(line *telemetry.Logger) *telemetry.Logger {
+	if x.route.Kind != catalog.Stream {
+		return line
+	}
+	if x.grant.Target != nil {
+		line = line.With("software_version", x.grant.Target.SoftwareVersion)
+	}
+	if x.meta.Resumes != "" || x.meta.LastEventID != "" {
+		line = line.With("resumes", x.meta.Resumes).With("after_event", x.meta.LastEventID)
+	}
+	return line
+}
+
 // logEnd writes the line that summarizes a request after its response or refusal.
 func (x *callerRequest) logEnd(code result.Code, status int) {
 	line := x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("code", int(code)).With("reason", code).With("status", status).
@@ -350,6 +365,9 @@
 	if x.route != nil {
 		line = line.With("route", x.route.Name).With("pool", x.poolName).With("config", x.configVersion).With("number", x.requestNumber)
 	}
+	if x.route != nil {
+		line = x.withSoftwareVersion(line)
+	}
 	if x.meta.Adapter != "" {
 		line = line.With("adapter", x.meta.Adapter).With("version", x.adapterVersion).With("prompt", x.meta.PromptTokens)
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -29,8 +29,11 @@
 	// and length. The last one belongs to the request itself, other requests may share
 	// the rest.
 	PromptParts []string
-	// LastEventID is the ID of the last event of a stream that the caller has.
+	// LastEventID is the ID of the last event of a stream that the caller has, and Resumes
+	// the ID of the caller's attempt that brought the first one, if the request takes a
+	// stream up.
 	LastEventID string
+	Resumes     string
 }
 
 // UpstreamFields holds what the entry sets in the headers of a request to a
