--- a/entry/broker/recall.go
+++ b/entry/broker/recall.go
@@ -76,7 +76,7 @@
 }
 
 // Remember sends a fact to its holders. acked, unless nil, is called once the first one has
-// replied that it keeps it; never if there is no holder.
+// replied that it keeps it, or at once if there is no holder.
 func (b *Broker) Remember(f recall.Fact, acked func()) {
 	b.root.Send(b.pid, &remember{fact: f, acked: acked})
 }
@@ -119,7 +119,11 @@
 		id = b.lastRecall
 		b.unacked[id] = unacked{acked: m.acked, sentAt: now}
 	}
-	for _, address := range b.holderSelection().Of(m.fact.Key, factCopies) {
+	holders := b.holderSelection().Of(m.fact.Key, factCopies)
+	if len(holders) == 0 {
+		b.remembered(id)
+	}
+	for _, address := range holders {
 		ctx.Send(b.sessions[address].pid, &wire.Remember{ID: id, Facts: []wire.Fact{wire.FactMessage(m.fact, now)}})
 	}
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -27,6 +27,7 @@
 	"agatelanding.example/agatelanding/entry/peers"
 	"agatelanding.example/agatelanding/entry/permits"
 	"agatelanding.example/agatelanding/entry/session"
+	"agatelanding.example/agatelanding/entry/streams"
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/ratelimit"
 	"agatelanding.example/agatelanding/internal/decide/recall"
@@ -80,6 +81,7 @@
 	mesh           *peers.Mesh
 	stateWatcher   *stateWatcher
 	guard          *containment.Guard
+	streams        *streams.Registry
 	permits        *permits.Exchange
 	leaving        containment.LeavingTargets
 	retryBudget    *retry.SharedBudget
@@ -157,15 +159,18 @@
 		Broadcast: e.mesh.BroadcastEvidence, Metrics: e.metrics, Log: telemetry.For("quarantine"),
 	})
 	e.mesh.CurrentEvidence, e.mesh.ReceiveEvidence = e.guard.Evidence, e.guard.Receive
+	e.streams = streams.New(e.metrics)
 	e.permits = &permits.Exchange{
 		Address: e.settings.PeerListen, Mesh: e.mesh, Metrics: e.metrics,
 		ReceiveRateLimits: func(limits []wire.RateLimit) { e.broker.ReceiveRateLimits(limits) },
 	}
 	e.permits.Start()
 	e.startBroker()
+	e.streams.Holders = e.broker
 	e.mesh.ReceiveLimits = e.permits.Receive
 	e.mesh.CurrentLimits = func() []wire.RateLimit { return e.permits.Limits(e.isListed) }
 	e.stateWatcher.publish, e.stateWatcher.queryPeers = e.publish, e.mesh.QueryPeers
+	e.stateWatcher.addHistory = e.streams.AddHistory
 	e.stateWatcher.broadcast, e.stateWatcher.entries = e.mesh.Broadcast, e.mesh.EntryCount
 	go e.stateWatcher.run(ctx)
 	go e.stateWatcher.followStore(ctx)
@@ -184,7 +189,7 @@
 	}, e.metrics)
 	local := session.Options{Hello: e.hello, PingInterval: broker.PingInterval}
 	// Every target process accepts sessions on the first internal port of its VM.
-	e.broker = broker.Start(root, s, e.permits, e.guard, local, fmt.Sprint(e.settings.InternalPorts[0]))
+	e.broker = broker.Start(root, s, e.permits, knowledge{e.guard, e.streams}, local, fmt.Sprint(e.settings.InternalPorts[0]))
 }
 
 // fail reports the failure of the broker through Failed. Only the first failure
@@ -226,6 +231,7 @@
 func (e *Edge) publish(v *catalog.View) {
 	// The broker gets the view before any request on a route that is new in it.
 	e.broker.SetView(v)
+	e.streams.SetView(v)
 	previous := e.view.Swap(v)
 	if v.Config != nil && (previous == nil || previous.Config == nil) {
 		close(e.firstConfig)
@@ -238,6 +244,21 @@
 	e.retryBudget.SetEntries(e.mesh.EntryCount())
 }
 
+// knowledge is what this entry keeps at target processes.
+type knowledge struct {
+	guard   *containment.Guard
+	streams *streams.Registry
+}
+
+// Facts implements broker.Facts.
+func (k knowledge) Facts() []recall.Fact { return append(k.guard.Facts(), k.streams.Facts()...) }
+
+// ReceiveFacts implements broker.Facts.
+func (k knowledge) ReceiveFacts(facts []recall.Fact) {
+	k.guard.ReceiveFacts(facts)
+	k.streams.ReceiveFacts(facts)
+}
+
 // noticeRecorder is a Broker that also records the targets that say that they leave.
 type noticeRecorder struct {
 	*broker.Broker
@@ -393,7 +414,7 @@
 func (e *Edge) handler() http.Handler {
 	h := &relay.Handler{
 		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: noticeRecorder{e.broker, &e.leaving}, Upstream: upstream.NewPool(e.metrics),
-		RetryBudget: e.retryBudget, Containment: e.guard, Buffers: relay.NewBufferPool(maxBufferedBytes), Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, Stopping: e.refusesRequests.Load,
+		RetryBudget: e.retryBudget, Containment: e.guard, StreamVersions: e.streams, Buffers: relay.NewBufferPool(maxBufferedBytes), Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, Stopping: e.refusesRequests.Load,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.openRequests.Add(1)
--- a/entry/edge/evidence_suite_test.go
+++ b/entry/edge/evidence_suite_test.go
@@ -55,7 +55,7 @@
 		defer resp.Body.Close()
 		page, err := io.ReadAll(resp.Body)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(page)).To(MatchRegexp(`"quarantined_parts":\[{"part":"5c1e","crashes":3,"since_ms":\d+,"entry":"entry-0","trials":0,"refused":0}\],"crash_records":3`))
+		Expect(string(page)).To(MatchRegexp(`"quarantined_parts":\[{"part":"5c1e","crashes":3,"since_ms":\d+,"entry":"entry-0","trials":0,"refused":0}\],"quarantined_requests":null,"crash_records":3`))
 		_, late := f.dialPeer(0)
 		Eventually(late).Within(time.Second).Should(Receive(concluded))
 	})
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -11,6 +11,7 @@
 
 	"agatelanding.example/agatelanding/entry/peers"
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/softwareversion"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -27,6 +28,11 @@
 	// the store, each of which has a price, because every heartbeat of a target
 	// ends a watch.
 	watchIntervalDivisor = 4
+	// registrationsPerTarget is more than a target registers in softwareversion.Needed, and
+	// minHistory and maxHistory bound the revisions that are read of the history.
+	registrationsPerTarget = 25
+	minHistory             = 64
+	maxHistory             = 4000
 	// minBackoff and maxBackoff bound the delay after a failed call to the
 	// store.
 	minBackoff = 100 * time.Millisecond
@@ -71,6 +77,9 @@
 	// of known entries.
 	publish    func(*catalog.View)
 	queryPeers func(count int, after catalog.Position) int
+	// addHistory takes the targets in the history of the store, which is complete for a
+	// span of the past.
+	addHistory func(targets []*catalog.Target, span time.Duration)
 	broadcast  func(peers.State)
 	entries    func() int
 
@@ -386,6 +395,7 @@
 	backoff := minBackoff
 	lost := false
 	position := catalog.Position{}
+	historyRead := false
 	for ctx.Err() == nil {
 		began := time.Now()
 		u, err := w.read(ctx, &position)
@@ -421,10 +431,39 @@
 		u.confirmedAt = began.Sub(w.started)
 		w.confirmedAt.Store(int64(u.confirmedAt))
 		w.updates <- u
+		if u.fullList && !historyRead {
+			historyRead = true
+			w.readHistory(ctx, u)
+		}
 		position = w.awaitNextRead(ctx, position)
 	}
 }
 
+// readHistory reads the last changes of targets before the first list, for what the targets
+// were that have left since.
+func (w *stateWatcher) readHistory(ctx context.Context, u update) {
+	listed := uint64(0)
+	for _, item := range u.items {
+		if platform.IsTarget(item.Key) {
+			listed++
+		}
+	}
+	wanted := listed*registrationsPerTarget + minHistory
+	read := min(wanted, maxHistory)
+	items, err := w.store.TargetHistory(ctx, u.complete, read)
+	if err != nil {
+		w.log.With("revisions", read).With("reason", err).Info("the history of the store is not to be had")
+		return
+	}
+	var targets []*catalog.Target
+	for _, item := range items {
+		if decoded, err := platform.Decode(item); err == nil && decoded.Target != nil {
+			targets = append(targets, decoded.Target)
+		}
+	}
+	w.addHistory(targets, softwareversion.Needed*time.Duration(read)/time.Duration(wanted))
+}
+
 // awaitNextRead waits until it is this entry's turn to read the store. It returns the
 // position to continue from, which other entries may have advanced.
 func (w *stateWatcher) awaitNextRead(ctx context.Context, position catalog.Position) catalog.Position {
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -304,6 +304,9 @@
 }
 
 func (s *Steering) refuse(r *request, code result.Code, after time.Duration) {
+	if r.SoftwareVersion != nil && code == result.NoTarget {
+		code = result.StreamVersionGone
+	}
 	delete(s.requests, r.Number)
 	countRefusedForRate(r, code)
 	s.emit(Refused{Number: r.Number, Code: code, RetryAfter: max(after, minRetryAfter)})
@@ -326,7 +329,8 @@
 // isEligible reports whether the request may go to the target once that accepts
 // requests.
 func (s *Steering) isEligible(t *target, r *request) bool {
-	return !t.isReplaced() && !slices.Contains(r.ExcludedTargets, t.ID) && (r.OnlyTarget == "" || r.OnlyTarget == t.ID)
+	return !t.isReplaced() && !slices.Contains(r.ExcludedTargets, t.ID) && (r.OnlyTarget == "" || r.OnlyTarget == t.ID) &&
+		(r.SoftwareVersion == nil || *r.SoftwareVersion == t.SoftwareVersion)
 }
 
 // best returns the candidate with the lowest cost, or nil, and the shortest delay of
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -49,6 +49,8 @@
 	AvoidedTargets []string
 	// OnlyTarget is the ID of the only target that may get the request, empty for any.
 	OnlyTarget string
+	// SoftwareVersion is the software version that the target must have, nil for any.
+	SoftwareVersion *string
 }
 
 // Grant assigns a target to a request.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -80,6 +80,10 @@
 
 // send sends the request to the target of an attempt and relays its response.
 func (x *callerRequest) send(ctx context.Context, grant steering.Grant, requestNumber uint64, silence *replacement) (done, mayHaveRun bool) {
+	if !x.sentTo(grant.Target) {
+		x.failAttempt(requestNumber, steering.Abandoned, result.StreamVersionGone)
+		return false, false
+	}
 	silence.await(x.resumeAfter())
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, x.resumeAfter()))
 	silence.arrived()
@@ -316,6 +320,7 @@
 // events still sends its header.
 func (x *callerRequest) endStream(resp *http.Response, notEvents []byte) {
 	if !x.history.streamStarted {
+		x.settleVersion()
 		x.startStream(resp)
 	}
 	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -342,6 +347,9 @@
 	if id != "" && id == x.lastEventID && x.history.streamStarted {
 		return true
 	}
+	if !x.history.streamStarted {
+		x.settleVersion()
+	}
 	now := time.Now()
 	if !x.history.streamStarted {
 		x.startStream(resp)
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -102,6 +102,9 @@
 // open sends the request and waits for the begin of the response. It returns the outcome
 // of a send that failed, else 0, and whether the target may have run the request.
 func (x *callerRequest) open(o *openedResponse, grant steering.Grant, resumeAfter string) (outcome steering.Outcome, mayHaveRun bool) {
+	if !x.sentTo(grant.Target) {
+		return steering.Abandoned, false
+	}
 	sentAt := time.Now()
 	resp, failure := x.h.Upstream.Do(o.ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,8 @@
 	Upstream    *upstream.Pool
 	RetryBudget *retry.SharedBudget
 	Containment Containment
+	// StreamVersions keeps the software versions of streams.
+	StreamVersions StreamVersions
 	// Buffers bounds the memory of the responses that are read whole.
 	Buffers *BufferPool
 	Metrics *telemetry.Metrics
@@ -88,6 +90,8 @@
 	sentAt time.Time
 	// identity is what the request has in common with others.
 	identity Identity
+	// versions records the software version of a stream, nil for other requests.
+	versions *versionRecord
 	// quarantined is what was quarantined of the request, nil if nothing was.
 	quarantined atomic.Pointer[Cause]
 	// waited is the total time spent waiting for targets.
@@ -175,6 +179,10 @@
 		x.giveUp()
 		return
 	}
+	if err := x.resolveVersion(ctx); err != nil {
+		x.writeRefusal(err)
+		return
+	}
 	x.h.RetryBudget.CountRequest(time.Now(), x.poolName)
 	var next *grantedTarget
 	for {
@@ -216,7 +224,7 @@
 	return steering.Request{
 		Pool: x.poolName, Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens,
 		Priority: x.route.Priority, FirstEventDue: x.arrived.Add(x.route.LatencyTarget), Deadline: now.Add(maxTargetWait(x.route, x.remaining())), ExcludedTargets: tried,
-		AvoidedTargets: x.h.Containment.Isolate(x.identity),
+		AvoidedTargets: x.h.Containment.Isolate(x.identity), SoftwareVersion: x.requiredVersion(),
 	}
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -10,6 +10,7 @@
 
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
+	"agatelanding.example/agatelanding/internal/decide/softwareversion"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 )
 
@@ -154,5 +155,23 @@
 	Sent(r Identity, targetID string) (done func())
 }
 
+// StreamAttempt is an attempt of a caller at a stream.
+type StreamAttempt struct {
+	Host, Path string
+	// ID is that of the attempt, empty if it is not known.
+	ID string
+}
+
+// StreamVersions keeps which software version began each stream.
+type StreamVersions interface {
+	// Record records that an attempt is served by a version of a pool, unless there is a
+	// record with a higher order. confirmed is closed once it is known outside of this
+	// entry, never if nobody can be told.
+	Record(a StreamAttempt, pool, version string, order uint64) (confirmed <-chan struct{})
+	// Resolve returns which versions of a pool may serve a request that takes a stream up
+	// whose first event came from an attempt.
+	Resolve(ctx context.Context, a StreamAttempt, pool string) (softwareversion.Decision, string)
+}
+
 // ViewFunc returns the published state in force, or nil before the first.
 type ViewFunc func() *catalog.View
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -42,6 +42,9 @@
 	TargetsLimited     Code = 2020
 	RequestQuarantined Code = 2021
 	RequestSuspected   Code = 2022
+	// Codes of streams that stay at the software version which began them.
+	StreamVersionUnknown Code = 2023
+	StreamVersionGone    Code = 2024
 
 	OutcomeUnknown Code = 3001
 	KeyUnknown     Code = 3002
@@ -166,6 +169,8 @@
 	{TargetsLimited, "targets_limited", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The targets that could take the request name the requests a second that they take, and there is no room within the deadline."},
 	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request has crashed the targets that ran it, so it is sent to none. With the status 502 a target may have run it this time."},
 	{RequestSuspected, "request_suspected", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request was under way at targets that crashed and may be why. Until that is known, it is sent to one target at a time."},
+	{StreamVersionUnknown, "stream_version_unknown", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request takes up a stream, targets have several software versions, and nobody knows which one began it."},
+	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "No target that takes requests has the software version that began the stream. With the status 502 a target may have run the request."},
 
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, CallerRetryChecked, false, "The request may have been executed. Check before sending it again under a new key."},
 	{KeyUnknown, "key_unknown", http.StatusConflict, Unknown, false, CallerRetryChecked, false, "The target that runs requests with this idempotency key cannot determine whether a request with this key was executed before. This request was not executed."},
