--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -27,6 +27,10 @@
 	// stays pinned after the loss of its entry's session. The entry attaches
 	// the request again when a new session opens.
 	attachTimeout = 10 * time.Second
+	// arrivalTime is longer than an admitted request takes from its entry to the engine.
+	arrivalTime = 500 * time.Millisecond
+	// maxAttemptBytes bounds what is kept of the ID of an attempt.
+	maxAttemptBytes = 128
 	// maxCached is the maximum number of adapters that the engine is assumed to
 	// load again without the weight store.
 	maxCached = 128
@@ -150,7 +154,7 @@
 	r := &reservation{
 		id: m.ID, session: session, adapter: Adapter{Model: m.Model, Name: m.Adapter}, minVersion: minVersion,
 		prompt: m.PromptTokens, rank: m.Priority, reservedAt: now, firstEventDue: now.Add(time.Duration(m.FirstEventBudgetMS) * time.Millisecond), deadline: now.Add(time.Duration(m.BudgetMS) * time.Millisecond),
-		redirect: m.Redirect,
+		redirect: m.Redirect, attempt: m.CallerAttempt[:min(len(m.CallerAttempt), maxAttemptBytes)],
 	}
 	if code, after := a.checkAdmissible(now, r, m.Instance); code != result.OK {
 		a.refuse(r, code, after)
@@ -269,6 +273,29 @@
 	return a.takeActions()
 }
 
+// releaseEnded releases the requests of lost sessions that the engine does not run any more,
+// as a poll shows that began at a time: their entries have ended or left, and the engine
+// dropped them with their connections.
+func (a *Agent) releaseEnded(now, pollStartedAt time.Time) {
+	if a.status.Waiting > 0 {
+		// The engine does not list the requests that wait.
+		return
+	}
+	running := make(map[string]bool, len(a.status.BatchRequests))
+	for _, x := range a.status.BatchRequests {
+		running[x.ID] = true
+	}
+	for _, r := range a.sortedReservations() {
+		if r.sessionLostAt.IsZero() || pollStartedAt.Sub(r.sessionLostAt) < arrivalTime || pollStartedAt.Sub(r.admittedAt) < arrivalTime {
+			continue
+		}
+		if a.status.Running == 0 || r.attempt != "" && !running[r.attempt] {
+			a.rec.Count("ended_requests_released")
+			a.removeReservation(now, r)
+		}
+	}
+}
+
 // sortedReservations returns the reservations in a fixed order.
 func (a *Agent) sortedReservations() []*reservation {
 	list := make([]*reservation, 0, len(a.reservations))
--- a/internal/decide/engineagent/orders.go
+++ b/internal/decide/engineagent/orders.go
@@ -56,6 +56,7 @@
 	a.stepTimer.addSample(pollStartedAt, a.status, status)
 	a.status, a.hasStatus, a.needsPoll, a.failedPolls = status, true, false, 0
 	a.slots.Reset(now, occupied(status))
+	a.releaseEnded(now, pollStartedAt)
 	a.advance(now)
 	return a.takeActions()
 }
--- a/internal/decide/engineagent/types.go
+++ b/internal/decide/engineagent/types.go
@@ -214,6 +214,9 @@
 	deadline      time.Time
 	// redirect is true if the request is refused once its first event would be late.
 	redirect bool
+	// attempt is the ID under which the engine lists the request, empty if the entry did
+	// not send it.
+	attempt string
 	// sessionLostAt is when the session of an admitted request was lost, zero
 	// while it has a session.
 	sessionLostAt time.Time
--- a/internal/decide/steering/steering.go
+++ b/internal/decide/steering/steering.go
@@ -437,6 +437,7 @@
 		ID: s.attemptID(r), Pool: r.Pool, Model: r.Model, Adapter: r.Adapter, Version: s.announcedVersion(r),
 		BudgetMS: max(0, r.Deadline.Sub(now).Milliseconds()), PromptTokens: r.PromptTokens, Priority: r.Priority,
 		Repeatable: true, Instance: t.ID, FirstEventBudgetMS: max(0, r.FirstEventDue.Sub(now).Milliseconds()), Redirect: redirect,
+		CallerAttempt: r.AttemptID,
 	}})
 }
 
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -29,10 +29,12 @@
 
 // Request describes a request that needs a target.
 type Request struct {
-	Number  uint64
-	Pool    string
-	Model   string
-	Adapter string
+	Number uint64
+	// AttemptID is the ID under which the target gets the request.
+	AttemptID string
+	Pool      string
+	Model     string
+	Adapter   string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
 	// Priority is the priority; 0 is the most urgent.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -222,7 +222,7 @@
 // tried.
 func (x *callerRequest) targetRequest(now time.Time, tried []string) steering.Request {
 	return steering.Request{
-		Pool: x.poolName, Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens,
+		AttemptID: x.meta.AttemptID, Pool: x.poolName, Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens,
 		Priority: x.route.Priority, FirstEventDue: x.arrived.Add(x.route.LatencyTarget), Deadline: now.Add(maxTargetWait(x.route, x.remaining())), ExcludedTargets: tried,
 		AvoidedTargets: x.h.Containment.Isolate(x.identity), SoftwareVersion: x.requiredVersion(),
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -171,6 +171,9 @@
 	// Redirect is true if another engine may serve the request on time: the target
 	// process refuses it once its first event would be late here.
 	Redirect bool `msgpack:"rd,omitempty"`
+	// CallerAttempt is the ID of the caller's attempt, under which the engine lists the
+	// request.
+	CallerAttempt string `msgpack:"ca,omitempty"`
 }
 
 // Reserved accepts a reservation.
