--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -145,6 +145,7 @@
 	f.port, _ = strconv.Atoi(port)
 	for i := range engineCount {
 		r := standin.NewReplica(fmt.Sprintf("e-%d", i), "m", adapterSlots)
+		r.SoftwareVersion = fmt.Sprint("v", i%2)
 		r.Events, r.EventTime = streamEvents, 15*time.Millisecond
 		f.engines = append(f.engines, r)
 		ip := fmt.Sprintf("127.2.%d.%d", network, i+1)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,8 +61,14 @@
 	err    error
 	// crashing is true if the prompt has the crashing part.
 	crashing bool
-	sent     time.Time
-	took     time.Duration
+	// resumes is the ID of the request whose stream this one takes up after event, empty if
+	// it takes up none.
+	resumes string
+	event   int
+	sent    time.Time
+	took    time.Duration
+	// adapter and part are those of the prompt.
+	adapter, part string
 }
 
 // soak is one run: a fleet, its callers and the faults.
@@ -78,6 +84,9 @@
 	partRng *rand.Rand
 	// limitRng draws targets that name a rate, which were added after those of partRng.
 	limitRng *rand.Rand
+	// lossRng draws losses of power of all entries, which were added after those of
+	// limitRng.
+	lossRng *rand.Rand
 	// lastTerm is when a process last got SIGTERM.
 	lastTerm time.Time
 	client   *http.Client
@@ -127,7 +136,8 @@
 func run(t *testing.T, binDir string, seed int64, network int, faultTime time.Duration) {
 	s := &soak{
 		fleet: newFleet(t, binDir, network), rng: rand.New(rand.NewSource(seed)), laterRng: rand.New(rand.NewSource(^seed)), partRng: rand.New(rand.NewSource(seed + 1<<32)), limitRng: rand.New(rand.NewSource(seed + 1<<33)),
-		client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}},
+		lossRng: rand.New(rand.NewSource(seed + 1<<34)),
+		client:  &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}},
 	}
 	for _, p := range s.procs() {
 		p.start(t)
@@ -235,6 +245,11 @@
 			all := append(append([]*standin.Replica(nil), s.engines...), s.services...)
 			nameLimit(s.limitRng, all[s.limitRng.Intn(len(all))], healAfter)
 		}
+		if s.lossRng.Intn(16) == 0 {
+			for _, e := range s.fleet.entries {
+				e.signal(syscall.SIGKILL)
+			}
+		}
 		time.Sleep(time.Duration(50+s.rng.Intn(400)) * time.Millisecond)
 	}
 	pending.Wait()
@@ -311,7 +326,8 @@
 func (s *soak) callUntil(ctx context.Context, rng *rand.Rand) {
 	paths := []string{"/query/x", "/query/x", "/brief/x", "/release/x", "/lookup/x"}
 	for ctx.Err() == nil {
-		s.call(s.frontAddresses[rng.Intn(len(s.frontAddresses))], paths[rng.Intn(len(paths))], fmt.Sprintf("a%d", rng.Intn(12)))
+		o := s.call(s.frontAddresses[rng.Intn(len(s.frontAddresses))], paths[rng.Intn(len(paths))], fmt.Sprintf("a%d", rng.Intn(12)))
+		s.takeUp(s.frontAddresses[s.lastNumber.Load()%int64(len(s.frontAddresses))], o)
 		time.Sleep(callerPause)
 	}
 }
@@ -324,8 +340,16 @@
 // callWithParts sends one request, whose prompt has a part of all requests, the given
 // part and one of its own, and records its outcome.
 func (s *soak) callWithParts(front, path, adapter, part string) outcome {
+	return s.send(front, path, adapter, part, outcome{})
+}
+
+// send is callWithParts for a request that may take up the stream of another one, as given.
+func (s *soak) send(front, path, adapter, part string, given outcome) outcome {
 	number := s.lastNumber.Add(1)
-	o := outcome{id: fmt.Sprintf("r%d", number), kind: strings.Split(path, "/")[1], crashing: part == crashingPart, sent: time.Now()}
+	o := outcome{
+		id: fmt.Sprintf("r%d", number), kind: strings.Split(path, "/")[1], crashing: part == crashingPart, sent: time.Now(),
+		resumes: given.resumes, event: given.event, adapter: adapter, part: part,
+	}
 	method, body := http.MethodPost, io.Reader(strings.NewReader("body"))
 	if o.kind == "lookup" || strings.HasPrefix(o.kind, "v") {
 		method, body = http.MethodGet, nil
@@ -341,6 +365,9 @@
 	standin.SetRequest(req.Header, o.id, callerTimeout)
 	if o.kind == "query" || o.kind == "brief" {
 		standin.SetPrompt(req.Header, adapter, 100, 60)
+		if o.resumes != "" {
+			standin.SetTakeUp(req.Header, o.resumes, o.event)
+		}
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("f0:40,%s:40,%x:20", part, number))
 	}
 	resp, err := s.client.Do(req)
@@ -378,6 +405,7 @@
 		}
 		s.checkOutcome(o, runs[o.id])
 	}
+	s.checkVersions(runs)
 	for id, list := range runs {
 		if !seen[id] {
 			s.t.Errorf("request %q was executed but no caller sent it: %s %s at %s", id, list[0].Method, list[0].URI, list[0].Replica)
@@ -403,12 +431,15 @@
 	if !o.crashing && strings.Contains(o.body, "prompt_quarantined") {
 		s.t.Errorf("%s %s was refused for a part that crashes nothing", o.kind, o.id)
 	}
+	if strings.Contains(o.body, "request_quarantined") {
+		s.t.Errorf("%s %s was refused as a request that crashes targets", o.kind, o.id)
+	}
 	if o.status != 200 || o.err != nil {
 		return
 	}
 	want := standin.Answer(o.id)
 	if o.kind == "query" || o.kind == "brief" {
-		want = standin.Stream(o.id, streamEvents)
+		want = eventsAfter(o.id, o.event)
 	}
 	if o.body != want {
 		s.t.Errorf("%s %s received an unexpected body: %.300q", o.kind, o.id, o.body)
