--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -30,8 +30,9 @@
 	// maxLoggedParts bounds the parts in a log line.
 	maxLoggedParts = 16
 	// maxConfirmTime is how long after a connection broke a new incarnation at the address
-	// shows that the one before has crashed.
-	maxConfirmTime = 10 * time.Second
+	// shows that the one before crashed then: one that accepts connections again at the
+	// last dial registers at its start.
+	maxConfirmTime = 2 * time.Second
 )
 
 // examineAfter is when, after a connection broke, the target is dialled; between the last
@@ -86,10 +87,16 @@
 
 // examine finds out whether an incarnation has crashed, and records it.
 func (g *Guard) examine(target *catalog.Target, incarnation quarantine.Incarnation, b *breakage) {
-	crashed, reason := g.confirm(target)
-	now := g.cfg.Now()
+	crashed, reason := g.dial(target)
+	// Connections that break from now on are examined anew.
 	g.mu.Lock()
 	delete(g.broken, incarnation)
+	g.mu.Unlock()
+	if !crashed && reason == "" {
+		crashed, reason = g.awaitReplaced(target)
+	}
+	now := g.cfg.Now()
+	g.mu.Lock()
 	if !crashed {
 		g.mu.Unlock()
 		g.cfg.Log.With("target", target.ID).With("suspects", len(b.requests)).With("reason", reason).Info("no crash, though a connection broke")
@@ -114,9 +121,9 @@
 	g.broadcast(news)
 }
 
-// confirm reports whether a target of which a connection broke has crashed, and why it is
-// taken that it has not.
-func (g *Guard) confirm(target *catalog.Target) (crashed bool, reason string) {
+// dial reports whether a target of which a connection broke refuses new ones, and why it is
+// taken that it has not crashed, empty if it accepts them.
+func (g *Guard) dial(target *catalog.Target) (crashed bool, reason string) {
 	brokeAt := time.Now()
 	for _, after := range examineAfter {
 		time.Sleep(time.Until(brokeAt.Add(after)))
@@ -130,10 +137,13 @@
 			return false, err.Error()
 		}
 	}
-	if g.cfg.Replaced == nil {
-		return false, "the target accepts connections"
-	}
-	for time.Since(brokeAt) < maxConfirmTime {
+	return false, ""
+}
+
+// awaitReplaced reports whether another incarnation is listed at the address of a target that
+// accepts connections.
+func (g *Guard) awaitReplaced(target *catalog.Target) (crashed bool, reason string) {
+	for end := time.Now().Add(maxConfirmTime); g.cfg.Replaced != nil && time.Now().Before(end); {
 		if g.cfg.Replaced(target) {
 			return !g.leaving(target), "the target leaves"
 		}
--- a/entry/containment/requests_suite_test.go
+++ b/entry/containment/requests_suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -102,6 +103,27 @@
 		Entry("but not if it was about to leave", true, true, 0),
 	)
 
+	// Guards against a crash that is noticed late because a connection broke just before it
+	// for another reason.
+	It("is found at a target that crashes while an earlier break there is looked into", func() {
+		var refuses atomic.Bool
+		g := containment.New(containment.Config{
+			Entry: "e", Replaced: func(*catalog.Target) bool { return false }, Metrics: telemetry.NewMetrics(), Log: telemetry.For("quarantine"),
+			Dial: func(string, time.Duration) error {
+				if refuses.Load() {
+					return syscall.ECONNREFUSED
+				}
+				return nil
+			},
+		})
+		g.Broken(target(1), plain("reset"), false, time.Now())
+		time.Sleep(400 * time.Millisecond)
+		refuses.Store(true)
+		g.Broken(target(1), plain("bad"), false, time.Now())
+		Eventually(func() int { return records(g) }).Within(300 * time.Millisecond).Should(Equal(1))
+		Expect(g.Evidence().Crashes).To(ConsistOf(HaveField("Suspects", HaveLen(1))))
+	})
+
 	It("avoids the targets where another suspect is under way", func() {
 		m := newMesh(1)
 		g := m.guards[0]
--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -30,7 +30,8 @@
 // Request describes a request that needs a target.
 type Request struct {
 	Number uint64
-	// AttemptID is the ID under which the target gets the request.
+	// AttemptID is the ID under which the target gets the request, empty if it is too long
+	// to be passed on.
 	AttemptID string
 	Pool      string
 	Model     string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,8 @@
 	// quarantineRetryAfter is the Retry-After of a quarantined request, before it is
 	// bounded by the deadline.
 	quarantineRetryAfter = 30 * time.Second
+	// maxListedAttemptBytes is the length of the IDs that target processes are told.
+	maxListedAttemptBytes = 128
 	// defaultTimeout bounds a request whose route sets no timeout.
 	defaultTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a caller that does not read: an event, or a part
@@ -221,8 +223,12 @@
 // targetRequest returns the request to the broker for a target that is not among those
 // tried.
 func (x *callerRequest) targetRequest(now time.Time, tried []string) steering.Request {
+	attemptID := x.meta.AttemptID
+	if len(attemptID) > maxListedAttemptBytes {
+		attemptID = ""
+	}
 	return steering.Request{
-		AttemptID: x.meta.AttemptID, Pool: x.poolName, Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens,
+		AttemptID: attemptID, Pool: x.poolName, Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens,
 		Priority: x.route.Priority, FirstEventDue: x.arrived.Add(x.route.LatencyTarget), Deadline: now.Add(maxTargetWait(x.route, x.remaining())), ExcludedTargets: tried,
 		AvoidedTargets: x.h.Containment.Isolate(x.identity), SoftwareVersion: x.requiredVersion(),
 	}
