--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -260,6 +260,9 @@
 		g.adopt(changed)
 		g.ticking = now.Before(g.evidenceUntil)
 		ends := !g.ticking
+		if ends {
+			g.refresh()
+		}
 		g.mu.Unlock()
 		g.broadcast(peers.Evidence{Verdicts: changed})
 		if ends {
