--- a/entry/permits/permits.go
+++ b/entry/permits/permits.go
@@ -87,6 +87,10 @@
 	e.updateMembers(now)
 	e.lastNumber++
 	a.Number, a.From = e.lastNumber, ""
+	if a.Deadline.Before(now) {
+		// An ask that may not wait is made a moment after its deadline was set.
+		a.Deadline = now
+	}
 	owner := e.sharing.Owner(a.Key)
 	e.askOf[requestNumber] = a.Number
 	e.pending[a.Number] = &pendingAsk{requestNumber: requestNumber, key: a.Key, owner: owner, reply: reply, timer: time.AfterFunc(a.Deadline.Sub(now)+replyTimeout, func() {
--- a/entry/permits/permits_suite_test.go
+++ b/entry/permits/permits_suite_test.go
@@ -154,6 +154,18 @@
 		Expect(time.Since(began)).To(BeNumerically(">", 350*time.Millisecond))
 	})
 
+	// Guards against requests that ask themselves for a permit again and again, are refused
+	// although there is one, and keep the entry busy until their deadline.
+	It("grants its own ask that may not wait if there is a permit", func() {
+		e, _ := newExchange()
+		k := keyOwnedBy("a")
+		time.Sleep(settled)
+		Expect(<-ask(e, 1, k, time.Second)).To(BeTrue())
+		time.Sleep(100 * time.Millisecond)
+		Expect(<-ask(e, 2, k, 0)).To(BeTrue())
+		Expect(<-ask(e, 3, k, 0)).To(BeFalse(), "there is one permit")
+	})
+
 	It("refuses what waits when another entry becomes the owner", func() {
 		e, m := newExchange()
 		m.connected = []string{"a", "b"}
