--- a/entry/edge/software_version_suite_test.go
+++ b/entry/edge/software_version_suite_test.go
@@ -151,6 +151,26 @@
 		check("nobody-knows")
 	})
 
+	// Guards against a store's history that is asked for as a whole or not at all, and against
+	// a conclusion from a short one.
+	DescribeTable("beside one version only is taken up, if nobody knows its attempt", func(kept, status int) {
+		f := newVersionFleet("v1", "v1")
+		for range 60 {
+			f.register(0)
+			f.register(1)
+		}
+		f.store.KeepHistory(kept)
+		for i := range f.settings {
+			f.settings[i].RegistrationInterval = time.Second
+		}
+		f.restartEntries()
+		Expect(f.takeUp(0, "nobody-knows").status).To(Equal(status))
+	},
+		Entry("after a history of more than it is asked for", 110, http.StatusOK),
+		Entry("after a part of what it is asked for", 34, http.StatusOK),
+		Entry("not after a history of some seconds", 12, http.StatusServiceUnavailable),
+	)
+
 	// Guards against refusals where there never was a second version.
 	It("is taken up beside one version only, also if nobody knows its attempt", func() {
 		f := newVersionFleet("v1", "v1")
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -28,11 +28,13 @@
 	// the store, each of which has a price, because every heartbeat of a target
 	// ends a watch.
 	watchIntervalDivisor = 4
-	// registrationsPerTarget is more than a target registers in softwareversion.Needed, and
-	// minHistory and maxHistory bound the revisions that are read of the history.
-	registrationsPerTarget = 25
+	// registrationsPerTarget is about what a target registers in the time that the store
+	// keeps, minHistory and maxHistory bound the revisions that are read of the history, and
+	// historyTries is how often fewer are asked for.
+	registrationsPerTarget = 20
 	minHistory             = 64
 	maxHistory             = 4000
+	historyTries           = 8
 	// minBackoff and maxBackoff bound the delay after a failed call to the
 	// store.
 	minBackoff = 100 * time.Millisecond
@@ -77,6 +79,9 @@
 	// of known entries.
 	publish    func(*catalog.View)
 	queryPeers func(count int, after catalog.Position) int
+	// heartbeat is about the time between two registrations of a target, 0 if it is not
+	// known.
+	heartbeat time.Duration
 	// addHistory takes the targets in the history of the store, which is complete for a
 	// span of the past.
 	addHistory func(targets []*catalog.Target, span time.Duration)
@@ -440,28 +445,45 @@
 }
 
 // readHistory reads the last changes of targets before the first list, for what the targets
-// were that have left since.
+// were that have left since. The store may keep less than what is asked for first.
 func (w *stateWatcher) readHistory(ctx context.Context, u update) {
-	listed := uint64(0)
+	listed := 0
 	for _, item := range u.items {
 		if platform.IsTarget(item.Key) {
 			listed++
 		}
 	}
-	wanted := listed*registrationsPerTarget + minHistory
-	read := min(wanted, maxHistory)
-	items, err := w.store.TargetHistory(ctx, u.complete, read)
+	revisions := uint64(min(listed*registrationsPerTarget+minHistory, maxHistory))
+	var items []platform.StoreItem
+	err := error(platform.ErrCompacted)
+	for try := 0; try < historyTries && errors.Is(err, platform.ErrCompacted); try++ {
+		if try > 0 {
+			revisions -= revisions / 4
+		}
+		items, err = w.store.TargetHistory(ctx, u.complete, revisions)
+	}
 	if err != nil {
-		w.log.With("revisions", read).With("reason", err).Info("the history of the store is not to be had")
+		w.log.With("revisions", revisions).With("reason", err).Info("the history of the store is not to be had")
 		return
 	}
 	var targets []*catalog.Target
+	registrations := make(map[string]int)
+	most := 0
 	for _, item := range items {
 		if decoded, err := platform.Decode(item); err == nil && decoded.Target != nil {
 			targets = append(targets, decoded.Target)
+			registrations[item.Key]++
+			most = max(most, registrations[item.Key])
 		}
 	}
-	w.addHistory(targets, softwareversion.Needed*time.Duration(read)/time.Duration(wanted))
+	// Targets register at an interval, so that their registrations tell the time.
+	span := time.Duration(max(0, most-1)) * w.heartbeat
+	if revisions >= u.complete.Revision {
+		// That is all that ever was.
+		span = softwareversion.Needed
+	}
+	w.log.With("revisions", revisions).With("registrations", len(targets)).With("span_ms", span.Milliseconds()).Info("the history of the store was read")
+	w.addHistory(targets, span)
 }
 
 // awaitNextRead waits until it is this entry's turn to read the store. It returns the
