--- a/entry/edge/software_version_suite_test.go
+++ b/entry/edge/software_version_suite_test.go
@@ -167,7 +167,7 @@
 		Expect(f.takeUp(0, "nobody-knows").status).To(Equal(status))
 	},
 		Entry("after a history of more than it is asked for", 110, http.StatusOK),
-		Entry("after a part of what it is asked for", 34, http.StatusOK),
+		Entry("after a part of what it is asked for", 36, http.StatusOK),
 		Entry("not after a history of some seconds", 12, http.StatusServiceUnavailable),
 	)
 
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -30,11 +30,11 @@
 	watchIntervalDivisor = 4
 	// registrationsPerTarget is about what a target registers in the time that the store
 	// keeps, minHistory and maxHistory bound the revisions that are read of the history, and
-	// historyTries is how often fewer are asked for.
+	// historyTries is how often it is read to find out how many are kept.
 	registrationsPerTarget = 20
 	minHistory             = 64
 	maxHistory             = 4000
-	historyTries           = 8
+	historyTries           = 6
 	// minBackoff and maxBackoff bound the delay after a failed call to the
 	// store.
 	minBackoff = 100 * time.Millisecond
@@ -453,18 +453,22 @@
 			listed++
 		}
 	}
-	revisions := uint64(min(listed*registrationsPerTarget+minHistory, maxHistory))
+	asked := uint64(min(listed*registrationsPerTarget+minHistory, maxHistory))
+	// The store keeps revisions or more, and less than tooMany.
+	revisions, tooMany := uint64(0), asked+1
 	var items []platform.StoreItem
-	err := error(platform.ErrCompacted)
-	for try := 0; try < historyTries && errors.Is(err, platform.ErrCompacted); try++ {
-		if try > 0 {
-			revisions -= revisions / 4
+	for try := 0; try < historyTries && asked > revisions; try++ {
+		found, err := w.store.TargetHistory(ctx, u.complete, asked)
+		switch {
+		case err == nil:
+			items, revisions = found, asked
+		case errors.Is(err, platform.ErrCompacted):
+			tooMany = asked
+		default:
+			w.log.With("revisions", asked).With("reason", err).Info("the history of the store is not to be had")
+			return
 		}
-		items, err = w.store.TargetHistory(ctx, u.complete, revisions)
-	}
-	if err != nil {
-		w.log.With("revisions", revisions).With("reason", err).Info("the history of the store is not to be had")
-		return
+		asked = (revisions + tooMany) / 2
 	}
 	var targets []*catalog.Target
 	registrations := make(map[string]int)
--- a/internal/decide/softwareversion/softwareversion.go
+++ b/internal/decide/softwareversion/softwareversion.go
@@ -16,10 +16,8 @@
 	// seenTTL is how long after a version was last listed a stream of it may be taken up.
 	seenTTL = 90 * time.Second
 	// Needed is the span of the past in which all listed versions must be known for a
-	// conclusion from there being one only. A stream that is taken up was served within it:
-	// a target is listed until it drains, which takes seconds, and callers come back within
-	// seconds.
-	Needed = 12 * time.Second
+	// conclusion from there being one only. A stream that is taken up was served within it.
+	Needed = 15 * time.Second
 	// maxSeen bounds the versions of all pools.
 	maxSeen = 1024
 )
