--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -229,7 +229,7 @@
 		b.sessionUp(ctx, now, m)
 	case *session.Closed:
 		b.sessionDown(ctx, now, m)
-	case *remember:
+	case *rememberFact:
 		b.remember(ctx, now, m)
 	case *recallFact:
 		b.recall(ctx, now, m)
--- a/entry/broker/recall.go
+++ b/entry/broker/recall.go
@@ -37,8 +37,8 @@
 	ReceiveFacts([]recall.Fact)
 }
 
-// remember sends a fact to its holders.
-type remember struct {
+// rememberFact sends a fact to its holders.
+type rememberFact struct {
 	fact  recall.Fact
 	acked func()
 }
@@ -78,7 +78,7 @@
 // Remember sends a fact to its holders. acked, unless nil, is called once the first one has
 // replied that it keeps it, or at once if there is no holder.
 func (b *Broker) Remember(f recall.Fact, acked func()) {
-	b.root.Send(b.pid, &remember{fact: f, acked: acked})
+	b.root.Send(b.pid, &rememberFact{fact: f, acked: acked})
 }
 
 // Recall asks the holders for a fact and waits for their replies, for a short time. An
@@ -108,7 +108,7 @@
 	return b.holders
 }
 
-func (b *brokerActor) remember(ctx actor.Context, now time.Time, m *remember) {
+func (b *brokerActor) remember(ctx actor.Context, now time.Time, m *rememberFact) {
 	id := uint64(0)
 	if m.acked != nil {
 		if len(b.unacked) >= maxUnanswered {
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -29,15 +29,13 @@
 	maxBrokenRequests = 96
 	// maxLoggedParts bounds the parts in a log line.
 	maxLoggedParts = 16
-	// maxConfirmTime is how long after a connection broke a new incarnation at the address
-	// shows that the one before crashed then: one that accepts connections again at the
-	// last dial registers at its start.
+	// maxConfirmTime is how long after the last dial a new incarnation at the address shows
+	// that the one before has crashed. An incarnation registers at its start.
 	maxConfirmTime = 2 * time.Second
 )
 
-// examineAfter is when, after a connection broke, the target is dialled; between the last
-// dial and maxConfirmTime only the published state is looked at. A target that ends may
-// still accept a connection at the first dial.
+// examineAfter is when, after a connection broke, the target is dialled. A target that ends
+// may still accept a connection at the first dial.
 var examineAfter = []time.Duration{gatherTime, 300 * time.Millisecond}
 
 // breakage is an incarnation of which a connection broke before the end of an answer.
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -170,7 +170,7 @@
 	e.mesh.ReceiveLimits = e.permits.Receive
 	e.mesh.CurrentLimits = func() []wire.RateLimit { return e.permits.Limits(e.isListed) }
 	e.stateWatcher.publish, e.stateWatcher.queryPeers = e.publish, e.mesh.QueryPeers
-	e.stateWatcher.addHistory, e.stateWatcher.heartbeat = e.streams.AddHistory, e.settings.RegistrationInterval
+	e.stateWatcher.addHistory, e.stateWatcher.registrationInterval = e.streams.AddHistory, e.settings.RegistrationInterval
 	e.stateWatcher.broadcast, e.stateWatcher.entries = e.mesh.Broadcast, e.mesh.EntryCount
 	go e.stateWatcher.run(ctx)
 	go e.stateWatcher.followStore(ctx)
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -79,9 +79,9 @@
 	// of known entries.
 	publish    func(*catalog.View)
 	queryPeers func(count int, after catalog.Position) int
-	// heartbeat is about the time between two registrations of a target, 0 if it is not
+	// registrationInterval is about the time between two registrations of a target, 0 if it is not
 	// known.
-	heartbeat time.Duration
+	registrationInterval time.Duration
 	// addHistory takes the targets in the history of the store, which is complete for a
 	// span of the past.
 	addHistory func(targets []*catalog.Target, span time.Duration)
@@ -481,7 +481,7 @@
 		}
 	}
 	// Targets register at an interval, so that their registrations tell the time.
-	span := time.Duration(max(0, most-1)) * w.heartbeat
+	span := time.Duration(max(0, most-1)) * w.registrationInterval
 	if revisions >= u.complete.Revision {
 		// That is all that ever was.
 		span = softwareversion.Needed
