--- a/entry/edge/endless_suite_test.go
+++ b/entry/edge/endless_suite_test.go
@@ -76,7 +76,8 @@
 		heapLimit = 110 << 20
 		maxHeap   = 160 << 20
 		// Callers wait for deadline, and nobody may wait for longer than half of it. It
-		// is long enough for a busy machine with the race detector.
+		// is long enough for a busy machine with the race detector. It is also the time
+		// that callers have to send a head: they share this process with the targets.
 		deadline = 30 * time.Second
 		maxTime  = deadline / 2
 	)
@@ -87,7 +88,7 @@
 		f := newFleet(0, 0)
 		address, open, requests := serveRaw(write)
 		f.store.RegisterAddress("raw", address, 1000)
-		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
+		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}, "limits": map[string]any{"header_timeout_ms": deadline.Milliseconds()}},
 			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1, "timeout_ms": deadline.Milliseconds()}),
 			route("flow", "/flow/", "stream", "raw", map[string]any{"max_attempts": 1, "resumable": false, "timeout_ms": deadline.Milliseconds()}))
 		f.start()
@@ -102,6 +103,7 @@
 			finished <- callAll(concurrent, func(int) response {
 				a := f.call(context.Background(), 0, "POST", path, map[string]string{"Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}, "")
 				if a.err != nil {
+					GinkgoWriter.Println(a.id, a.err)
 					a.status = 0
 				}
 				return a
@@ -119,7 +121,7 @@
 				}
 				Expect(statuses[want]).To(BeNumerically(">", 0))
 				Expect(statuses[want]).To(BeEquivalentTo(requests.Load()))
-				Expect(statuses[want] + notSent).To(Equal(concurrent))
+				Expect(statuses[want]+notSent).To(Equal(concurrent), "statuses: %v", statuses)
 				Expect(time.Since(began)).To(BeNumerically("<", maxTime))
 				Eventually(open.Load).Within(time.Second).Should(BeZero())
 				return
