--- a/entry/edge/crashing_request_suite_test.go
+++ b/entry/edge/crashing_request_suite_test.go
@@ -149,4 +149,21 @@
 		}
 		Expect(f.crashingRunsAfter(crashes[2].Add(contact))).To(BeNumerically("<=", 3), "%d crashes", len(f.crashes()))
 	})
+
+	// Guards against crashes that count for nothing because all entries lose power before
+	// there is a verdict.
+	It("is found although all entries restart after each second crash", func() {
+		f := newServiceFleet()
+		for range 14 {
+			a := f.call(context.Background(), 0, "POST", "/lookup/1", nil, crashingBody)
+			Expect(a.status).NotTo(Equal(http.StatusOK))
+			// The crash has been looked into by then.
+			time.Sleep(500 * time.Millisecond)
+			f.restartEntries()
+			Expect(f.lookup().status).To(Equal(http.StatusOK))
+		}
+		crashes := f.crashes()
+		Expect(len(crashes)).To(BeNumerically(">=", 3))
+		Expect(f.crashingRunsAfter(crashes[2].Add(contact))).To(BeNumerically("<=", 3), "%d crashes", len(crashes))
+	})
 })
