--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -101,6 +101,9 @@
 	seen map[quarantine.Incarnation]time.Time
 	// refusals counts the requests refused here by their quarantined part.
 	refusals map[quarantine.Part]int64
+	// kept holds the crashes and begins that target processes keep, for those which are
+	// reached later.
+	kept *recall.Memory
 }
 
 // watcher calls onBlocked at most once. The mutex of the Guard protects its fields.
@@ -130,7 +133,7 @@
 	g := &Guard{
 		cfg: cfg, broken: make(map[quarantine.Incarnation]*breakage), watchers: make(map[quarantine.Part]map[*watcher]bool),
 		open: make(map[*watcher]bool), suspectsAt: make(map[string]map[quarantine.Part]int),
-		seen: make(map[quarantine.Incarnation]time.Time), refusals: make(map[quarantine.Part]int64),
+		seen: make(map[quarantine.Incarnation]time.Time), refusals: make(map[quarantine.Part]int64), kept: recall.NewMemory(),
 	}
 	config := quarantine.Config{Entry: cfg.Entry}
 	if cfg.OwnsTrial != nil {
@@ -258,9 +261,11 @@
 	g.broadcast(news)
 }
 
-// broadcast sends evidence, if there is any. The caller does not hold mu.
+// broadcast sends evidence to other entries, if there is any, and has target processes keep
+// it. The caller does not hold mu.
 func (g *Guard) broadcast(e peers.Evidence) {
 	if len(e.Crashes)+len(e.Begins)+len(e.Verdicts) > 0 {
+		g.keep(e)
 		g.cfg.Broadcast(e)
 	}
 }
--- a/entry/containment/requests_suite_test.go
+++ b/entry/containment/requests_suite_test.go
@@ -1,7 +1,9 @@
 package containment_test
 
 import (
+	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -11,6 +13,7 @@
 
 	"agatelanding.example/agatelanding/entry/containment"
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/recall"
 	"agatelanding.example/agatelanding/internal/relay"
 	"agatelanding.example/agatelanding/internal/telemetry"
 )
@@ -137,3 +140,104 @@
 		Expect(g.Isolate(plain("b"))).To(BeEmpty())
 	})
 })
+
+var _ = Describe("The evidence that target processes keep", func() {
+	// start returns the Guard of an entry that has started with nothing, and a function that
+	// returns what target processes keep of it.
+	start := func() (*containment.Guard, func(recall.Kind) []recall.Fact) {
+		var mu sync.Mutex
+		memory := recall.NewMemory()
+		return containment.New(containment.Config{
+				Entry: "e", Metrics: telemetry.NewMetrics(), Log: telemetry.For("quarantine"),
+				Dial: func(string, time.Duration) error { return syscall.ECONNREFUSED },
+				Remember: func(f recall.Fact) {
+					mu.Lock()
+					defer mu.Unlock()
+					memory.Put(time.Now(), f)
+				},
+			}), func(k recall.Kind) []recall.Fact {
+				mu.Lock()
+				defer mu.Unlock()
+				return memory.List(time.Now(), k)
+			}
+	}
+	crash := func(g *containment.Guard, i int, digests ...string) {
+		before := records(g)
+		for _, d := range digests {
+			g.Broken(target(i), plain(d), false, time.Now())
+		}
+		Eventually(func() int { return records(g) }).Within(time.Second).Should(Equal(before + 1))
+	}
+
+	// Guards against a verdict on a sound request because its crashes become known before its
+	// answers, from other target processes.
+	It("quarantines no request that was answered between its crashes", func() {
+		g, kept := start()
+		for i := range 3 {
+			crash(g, i, "sound")
+			time.Sleep(300 * time.Millisecond)
+			g.Answered(plain("sound"))
+		}
+		crashes, begins := kept(recall.Crash), kept(recall.Begin)
+		Expect(crashes).To(HaveLen(3))
+		g, _ = start()
+		g.ReceiveFacts(crashes)
+		time.Sleep(200 * time.Millisecond)
+		g.ReceiveFacts(begins)
+		Consistently(func() bool { return refused(g, "sound") }).WithTimeout(time.Second).Should(BeFalse())
+		Expect(records(g)).To(Equal(3))
+	})
+
+	// Guards against crashes that all entries forget at once.
+	It("tells a crashing request from sound ones after all entries have lost power", func() {
+		g, kept := start()
+		crash(g, 1, "bad", "sound")
+		crash(g, 2, "bad", "sound")
+		// Times of begins are taken to be late by the transit of a message.
+		time.Sleep(300 * time.Millisecond)
+		g.Answered(plain("sound"))
+		Eventually(func() int { return len(kept(recall.Begin)) }).Should(Equal(1))
+		crashes, begins := kept(recall.Crash), kept(recall.Begin)
+
+		g, _ = start()
+		g.ReceiveFacts(crashes)
+		crash(g, 3, "bad", "sound")
+		time.Sleep(200 * time.Millisecond)
+		g.ReceiveFacts(begins)
+		Eventually(func() bool { return refused(g, "bad") }).Within(2 * time.Second).Should(BeTrue())
+		Consistently(func() bool { return refused(g, "sound") }).WithTimeout(500 * time.Millisecond).Should(BeFalse())
+		Expect(g.Facts()).To(ContainElements(HaveField("Kind", recall.Crash), HaveField("Kind", recall.Begin), HaveField("Kind", recall.Verdict)))
+	})
+
+	It("holds every request under way at a crash, in facts within their bounds", func() {
+		g, kept := start()
+		var digests []string
+		for i := range 80 {
+			digests = append(digests, fmt.Sprintf("%022d", i))
+		}
+		crash(g, 1, digests...)
+		Eventually(func() int { return len(kept(recall.Crash)) }).Should(BeNumerically(">", 1))
+		again, _ := start()
+		again.ReceiveFacts(kept(recall.Crash))
+		Eventually(func() int { return suspects(again) }).Within(time.Second).Should(Equal(80))
+	})
+
+	DescribeTable("is ignored if it is malformed", func(f recall.Fact) {
+		g, _ := start()
+		f.At, f.TTL = time.Now(), time.Minute
+		g.ReceiveFacts([]recall.Fact{f})
+		Consistently(func() int { return records(g) }).WithTimeout(700 * time.Millisecond).Should(BeZero())
+	},
+		Entry("no crash", recall.Fact{Kind: recall.Crash, Key: "k", Value: []byte("x")}),
+		Entry("a crash of no target", recall.Fact{Kind: recall.Crash, Key: "k", Value: []byte("\x80")}),
+		Entry("a suspect without parts", recall.Fact{Kind: recall.Crash, Key: "k", Value: []byte("\x82\xa1t\xa1x\xa1s\x91\x80")}),
+	)
+})
+
+// suspects returns the number of requests in the crash records of a Guard.
+func suspects(g *containment.Guard) (n int) {
+	for _, c := range g.Evidence().Crashes {
+		n += len(c.Suspects)
+	}
+	return n
+}
--- a/internal/decide/recall/memory.go
+++ b/internal/decide/recall/memory.go
@@ -24,6 +24,11 @@
 	Stream
 	// SoftwareVersion is a software version that a pool had, by pool and version.
 	SoftwareVersion
+	// Crash is what an entry saw of the crash of a target, by a hash of it.
+	Crash
+	// Begin is when a target last began to answer a part of prompts, or answered a whole
+	// request, that was under way at a crash.
+	Begin
 )
 
 // Fact is something that an entry knows.
@@ -43,20 +48,25 @@
 
 // bounds limit what is kept of a kind. The oldest facts make room.
 type bounds struct {
-	facts int
-	ttl   time.Duration
+	facts      int
+	ttl        time.Duration
+	valueBytes int
 }
 
 var boundsOf = map[Kind]bounds{
-	Verdict:         {facts: 2048, ttl: 24 * time.Hour},
-	Stream:          {facts: 16384, ttl: 2 * time.Minute},
-	SoftwareVersion: {facts: 1024, ttl: 10 * time.Minute},
+	Verdict:         {facts: 2048, ttl: 24 * time.Hour, valueBytes: MaxValueBytes},
+	Stream:          {facts: 16384, ttl: 2 * time.Minute, valueBytes: MaxValueBytes},
+	SoftwareVersion: {facts: 1024, ttl: 10 * time.Minute, valueBytes: MaxValueBytes},
+	Crash:           {facts: 1024, ttl: 30 * time.Minute, valueBytes: MaxCrashBytes},
+	Begin:           {facts: 4096, ttl: 30 * time.Minute, valueBytes: MaxValueBytes},
 }
 
 const (
-	// MaxKeyBytes and MaxValueBytes bound a fact. A longer one is not kept.
+	// MaxKeyBytes and MaxValueBytes bound a fact, MaxCrashBytes the value of a Crash. A
+	// longer one is not kept.
 	MaxKeyBytes   = 128
 	MaxValueBytes = 256
+	MaxCrashBytes = 1024
 )
 
 // Memory holds the facts that entries have sent.
@@ -83,7 +93,7 @@
 // and not older than the one with its key.
 func (m *Memory) Put(now time.Time, f Fact) bool {
 	b, known := boundsOf[f.Kind]
-	if !known || f.Key == "" || len(f.Key) > MaxKeyBytes || len(f.Value) > MaxValueBytes {
+	if !known || f.Key == "" || len(f.Key) > MaxKeyBytes || len(f.Value) > b.valueBytes {
 		return false
 	}
 	if f.At.After(now) {
