--- a/entry/containment/isolation.go
+++ b/entry/containment/isolation.go
@@ -21,15 +21,24 @@
 	if !g.requests.Suspected(digest) {
 		return nil
 	}
-	for target, suspects := range g.suspectsAt {
-		if len(suspects) > 1 || suspects[digest] == 0 {
+	for target := range g.suspectsAt {
+		if g.hasOtherSuspect(target, digest) {
 			avoided = append(avoided, target)
 		}
 	}
 	return avoided
 }
 
-// Turn returns how a request that may have crashed targets may be sent now.
+// hasOtherSuspect reports whether another suspected request of this entry is under way at a
+// target. The caller holds mu.
+func (g *Guard) hasOtherSuspect(targetID string, digest quarantine.Part) bool {
+	suspects := g.suspectsAt[targetID]
+	return len(suspects) > 1 || len(suspects) == 1 && suspects[digest] == 0
+}
+
+// Turn returns how a request that may have crashed targets may be sent now. It waits while
+// a suspect with an earlier turn is still under way at its target: a crash there would count
+// against both.
 func (g *Guard) Turn(r relay.Identity, pool string) quarantine.Turn {
 	if g.suspectedRequests.Load() == 0 {
 		return quarantine.Turn{}
@@ -43,7 +52,11 @@
 	digest := digestParts(r)[0]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.requests.Turn(g.cfg.Now(), digest, pool, listed)
+	turn := g.requests.Turn(g.cfg.Now(), digest, pool, listed)
+	if g.hasOtherSuspect(turn.Target, digest) {
+		turn.Target, turn.Wait = "", true
+	}
+	return turn
 }
 
 // Permit asks the entries for a permit to send a request that may have crashed targets.
--- a/entry/containment/requests_suite_test.go
+++ b/entry/containment/requests_suite_test.go
@@ -127,6 +127,26 @@
 		Expect(g.Evidence().Crashes).To(ConsistOf(HaveField("Suspects", HaveLen(1))))
 	})
 
+	// Guards against a crash that counts against two suspects, because the earlier one runs for
+	// longer than its turn.
+	It("waits while another suspect is under way at the target of its turn", func() {
+		g := containment.New(containment.Config{
+			Entry: "e", Dial: func(string, time.Duration) error { return syscall.ECONNREFUSED }, Metrics: telemetry.NewMetrics(), Log: telemetry.For("quarantine"),
+			Targets: func(string) []*catalog.Target { return []*catalog.Target{target(8), target(9)} },
+		})
+		for i := range 2 {
+			g.Broken(target(i), plain("a"), false, time.Now())
+			g.Broken(target(i), plain("b"), false, time.Now())
+			Eventually(func() int { return records(g) }).Within(time.Second).Should(Equal(i + 1))
+		}
+		turn := g.Turn(plain("a"), "")
+		Expect(turn.Target).NotTo(BeEmpty())
+		done := g.Sent(plain("b"), turn.Target)
+		Expect(g.Turn(plain("a"), "")).To(And(HaveField("Target", BeEmpty()), HaveField("Wait", BeTrue())))
+		done()
+		Expect(g.Turn(plain("a"), "")).To(HaveField("Wait", BeFalse()))
+	})
+
 	It("avoids the targets where another suspect is under way", func() {
 		m := newMesh(1)
 		g := m.guards[0]
--- a/internal/decide/quarantine/requests_fleet_test.go
+++ b/internal/decide/quarantine/requests_fleet_test.go
@@ -162,6 +162,9 @@
 		}
 	}
 	turn := q.Turn(f.now(), r.digest, pool, listed)
+	for _, x := range f.replicas {
+		turn.Wait = turn.Wait || turn.Target != "" && x.incarnation.Target == turn.Target && f.isolated(q, x, r)
+	}
 	trialAt, tried := f.trialAt[r.digest]
 	if turn.Wait || turn.NeedsPermit && tried && (f.elapsed-trialAt).Seconds() < 1/quarantine.TrialRate {
 		if r.waited += 25 * time.Millisecond; r.waited < time.Second {
@@ -176,9 +179,7 @@
 			continue
 		}
 		cost := float64(len(x.running)) + 3*f.random.Float64()
-		if q.Suspected(r.digest) && slices.ContainsFunc(x.running, func(o *run) bool {
-			return o.entry == r.entry && o.digest != r.digest && q.Suspected(o.digest)
-		}) {
+		if f.isolated(q, x, r) {
 			cost += 1000
 		}
 		if best == nil || cost < bestCost {
@@ -200,6 +201,14 @@
 	}
 }
 
+// isolated reports whether another suspect of the entry of a suspect is under way at a
+// replica.
+func (f *requestFleet) isolated(q *quarantine.Quarantine, x *replica, r *run) bool {
+	return q.Suspected(r.digest) && slices.ContainsFunc(x.running, func(o *run) bool {
+		return o.entry == r.entry && o.digest != r.digest && q.Suspected(o.digest)
+	})
+}
+
 // crash ends a replica. Each entry records its own requests after a time, the others
 // somewhat later; the requests are sent again.
 func (f *requestFleet) crash(x *replica) {
