--- a/entry/edge/crashing_request_suite_test.go
+++ b/entry/edge/crashing_request_suite_test.go
@@ -166,4 +166,36 @@
 		Expect(len(crashes)).To(BeNumerically(">=", 3))
 		Expect(f.crashingRunsAfter(crashes[2].Add(contact))).To(BeNumerically("<=", 3), "%d crashes", len(crashes))
 	})
+
+	// Guards against a verdict on parts of the prompt that sound requests share, and against
+	// none because the last part is the request's own or an event had arrived.
+	DescribeTable("is quarantined as a whole if it has a prompt with shared parts", func(crashAfter time.Duration) {
+		const trouble = 7 * time.Second
+		f := newCrashFleet(4, 10*time.Millisecond)
+		for _, s := range f.servers {
+			s.CrashUnder(isCrashing, crashAfter)
+		}
+		sound := f.promptEvery(80*time.Millisecond, trouble, soundParts)
+		for sent := 0; sent < int(trouble/(300*time.Millisecond)); sent++ {
+			go func() {
+				defer GinkgoRecover()
+				f.call(context.Background(), sent%2, "POST", "/query/x", map[string]string{
+					"Model": "m", "Token-Usage": "500,20", "Prompt-Prefix": sharedPart + ":100," + callerPart(0) + ":100,0e:10",
+				}, crashingBody)
+			}()
+			time.Sleep(300 * time.Millisecond)
+		}
+		list := sound()
+		crashes := f.crashes()
+		Expect(len(crashes)).To(BeNumerically(">=", 3))
+		known := crashes[2].Add(contact)
+		Expect(f.crashingRunsAfter(known)).To(BeNumerically("<=", 3), "%d crashes", len(crashes))
+		for _, p := range list {
+			Expect(p.body).NotTo(ContainSubstring(quarantineCode))
+			Expect(p.body).NotTo(ContainSubstring(requestQuarantineCode))
+		}
+	},
+		Entry("before its first event", time.Duration(0)),
+		Entry("after its first event", 50*time.Millisecond),
+	)
 })
--- a/entry/edge/software_version_suite_test.go
+++ b/entry/edge/software_version_suite_test.go
@@ -181,4 +181,46 @@
 			Expect(p.status).To(Equal(http.StatusOK), "%q: %s", resumes, p.body)
 		}
 	})
+
+	// Guards against a version that is taken from the ID of the target.
+	It("is refused if its target has another version under the same ID", func() {
+		f := newVersionFleet("v1", "v2")
+		s := f.begin(0)
+		f.registerAll()
+		_ = s.resp.Body.Close()
+		f.engines[0].SoftwareVersion = "v2"
+		f.register(0)
+		time.Sleep(400 * time.Millisecond)
+		for i := range 2 {
+			p := f.takeUp(i, s.id)
+			Expect(p.status).To(Equal(http.StatusServiceUnavailable), p.body)
+			Expect(p.took).To(BeNumerically("<", 500*time.Millisecond))
+			Expect(runsOf(p.id, f.engines)).To(BeEmpty())
+		}
+	})
+
+	// Guards against a stream that goes elsewhere, or is held, because the targets of its
+	// version take few requests.
+	DescribeTable("stays at its version while the targets of that version take no requests", func(change func(f *versionFleet)) {
+		f := newVersionFleet("v1", "v2", "v2")
+		s := f.begin(0)
+		f.registerAll()
+		change(f)
+		// Answers tell the entries of it.
+		for range 4 {
+			f.query("a1")
+		}
+		for i := range 4 {
+			p := f.takeUp(i%2, s.id)
+			Expect(f.versionsOf(s.id, p.id)).To(HaveLen(1), p.body)
+			if p.status != http.StatusOK {
+				Expect(p.status).To(Equal(http.StatusServiceUnavailable), p.body)
+				Expect(p.header.Get("Retry-After")).NotTo(BeEmpty(), p.body)
+			}
+			Expect(p.took).To(BeNumerically("<", 3*time.Second), p.body)
+		}
+	},
+		Entry("because of a named rate", func(f *versionFleet) { f.engines[0].NameLimit("0.05") }),
+		Entry("because of a time that they ask for", func(f *versionFleet) { f.engines[0].AskForTime(5*time.Second, "5") }),
+	)
 })
--- a/internal/relay/identity_suite_test.go
+++ b/internal/relay/identity_suite_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -47,3 +49,16 @@
 		}),
 	)
 })
+
+// BenchmarkDigest shows what the digest of a request costs by the size of its body.
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []int{1 << 10, 4 << 20} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			x := &callerRequest{h: &Handler{Dialect: headers{}}, r: httptest.NewRequest(http.MethodPost, "http://h.example/lookup/1", nil), body: make([]byte, size)}
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				x.digest()
+			}
+		})
+	}
+}
