--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -39,7 +39,8 @@
 // since. Three hits suffice, and one more for each three other crashes of the pool near
 // them, if no other request explains them.
 func mostSuspectRequest(records []*Crash, answeredAt func(Part) time.Time) (candidate, bool) {
-	hits := requestHits(records, answeredAt)
+	under := crashesUnder(records, answeredAt)
+	hits := requestHits(records, under)
 	var list []candidate
 	for p, of := range hits {
 		if len(of) >= minHits {
@@ -48,15 +49,16 @@
 	}
 	slices.SortFunc(list, compareCandidates)
 	for _, c := range list {
-		if c.crashes >= neededHits(records, hits, c.part) && !explainedByOther(hits, c.part) {
+		if c.crashes >= neededHits(records, hits, c.part) && !explainedByOther(under, hits, c.part) {
 			return c, true
 		}
 	}
 	return candidate{}, false
 }
 
-// requestHits returns the hits of each request in order of time.
-func requestHits(records []*Crash, answeredAt func(Part) time.Time) map[Part][]*Crash {
+// crashesUnder returns the crashes of targets that had each request under way and have not
+// answered it whole since, in order of time.
+func crashesUnder(records []*Crash, answeredAt func(Part) time.Time) map[Part][]*Crash {
 	under := make(map[Part][]*Crash)
 	for _, r := range records {
 		for p := range r.parts() {
@@ -65,6 +67,11 @@
 			}
 		}
 	}
+	return under
+}
+
+// requestHits returns the hits of each request in order of time.
+func requestHits(records []*Crash, under map[Part][]*Crash) map[Part][]*Crash {
 	// Another request may be why a target crashed at the same time.
 	apart := withoutCoincidences(under, records)
 	unrelated := slices.DeleteFunc(slices.Clone(records), func(r *Crash) bool { return mayBeDue(r, apart, minHitsApart) })
@@ -100,12 +107,16 @@
 }
 
 // explainedByOther reports whether another request may be the cause of all hits of a request
-// but one, which may have another reason.
-func explainedByOther(hits map[Part][]*Crash, p Part) bool {
+// but one, which may have another reason. Of crashes that coincide, the hits of the two may
+// be different ones, so that every crash under the other request counts.
+func explainedByOther(under, hits map[Part][]*Crash, p Part) bool {
 	for other, of := range hits {
+		if len(of) < minHitsApart {
+			continue
+		}
 		shared := 0
-		for _, r := range of {
-			if r.holds(p) {
+		for _, r := range hits[p] {
+			if slices.Contains(under[other], r) {
 				shared++
 			}
 		}
@@ -147,7 +158,7 @@
 		}
 	}
 	answeredAt := func(p Part) time.Time { return q.evidence.begins.get(p).at }
-	hits := requestHits(q.unexplained(), answeredAt)
+	hits := requestHits(q.unexplained(), crashesUnder(q.unexplained(), answeredAt))
 	crashes := 0
 	for _, r := range q.unexplained() {
 		if r.At.After(answeredAt(digest)) && r.holds(digest) {
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -78,6 +78,11 @@
 				requestStep(0, "z1", "sound"), requestStep(20, "z1", "a"), requestStep(5000, "z2", "sound"), requestStep(5030, "z2", "b"),
 				requestStep(9000, "z1", "sound"), requestStep(9040, "z1", "c"),
 			}),
+		Entry("a sound request that shared crashes which coincide with others of the crashing one",
+			[]step{
+				requestStep(0, "z2", "sound"), requestStep(500, "z1", "bad"), requestStep(525, "z1", "bad", "sound"), requestStep(575, "z1", "bad"),
+				requestStep(600, "z1", "bad", "sound"), requestStep(650, "z1", "bad"), requestStep(675, "z1", "bad", "sound"),
+			}, "bad"),
 		Entry("two requests at once",
 			[]step{
 				requestStep(0, "z1", "bad1"), requestStep(10, "z2", "bad2"), requestStep(700, "z3", "bad1"), requestStep(710, "z4", "bad2"),
