--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -20,6 +20,10 @@
 	evaluateAt time.Time
 	// forgottenAt is when forget last ran.
 	forgottenAt time.Time
+	// under and hits are the crashes under each request and its hits, as of hitsAt. It is
+	// zero if the records have changed since.
+	under, hits map[Part][]*Crash
+	hitsAt      time.Time
 }
 
 // New returns a Quarantine without evidence and verdicts.
@@ -168,6 +172,7 @@
 
 // refresh brings what is derived from the records up to date.
 func (q *Quarantine) refresh() {
+	q.under, q.hits, q.hitsAt = nil, nil, time.Time{}
 	clear(q.suspected)
 	for _, r := range q.unexplained() {
 		for _, s := range r.Suspects {
--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -27,6 +27,9 @@
 	contestedTime = 10 * time.Second
 	// turnTime is how long a turn lasts.
 	turnTime = 400 * time.Millisecond
+	// hitsInterval is the shortest time between two looks at all records for turns. Requests
+	// that wait for a turn ask again and again.
+	hitsInterval = 25 * time.Millisecond
 )
 
 // TrialRate is the rate, in requests a second, at which all entries together send a request
@@ -157,15 +160,8 @@
 			lastCrash = r.At
 		}
 	}
-	answeredAt := func(p Part) time.Time { return q.evidence.begins.get(p).at }
-	hits := requestHits(q.unexplained(), crashesUnder(q.unexplained(), answeredAt))
-	crashes := 0
-	for _, r := range q.unexplained() {
-		if r.At.After(answeredAt(digest)) && r.holds(digest) {
-			crashes++
-		}
-	}
-	turn := Turn{NeedsPermit: crashes >= minHits}
+	under, hits := q.currentHits(now)
+	turn := Turn{NeedsPermit: len(under[digest]) >= minHits}
 	var contested []Part
 	for p, of := range hits {
 		if last := of[len(of)-1]; len(of) >= contestedHits && last.Pool == pool && now.Sub(last.At) < contestedTime {
@@ -188,6 +184,17 @@
 	return turn
 }
 
+// currentHits returns the crashes under each request and its hits, as they were at most
+// hitsInterval ago.
+func (q *Quarantine) currentHits(now time.Time) (under, hits map[Part][]*Crash) {
+	if q.hitsAt.IsZero() || now.Sub(q.hitsAt) >= hitsInterval {
+		records := q.unexplained()
+		q.hitsAt, q.under = now, crashesUnder(records, func(p Part) time.Time { return q.evidence.begins.get(p).at })
+		q.hits = requestHits(records, q.under)
+	}
+	return q.under, q.hits
+}
+
 // isBeside reports whether another target of the same failure domain crashed at the same
 // time, when the request had been sent already.
 func (c *Crash) isBeside(r *Crash, p Part) bool {
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -90,6 +90,22 @@
 			}, "bad1", "bad2"),
 	)
 
+	// Guards against requests that wait for a turn and keep an entry busy.
+	It("looks at all records once for many requests that wait", func() {
+		q := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests})
+		for i := range 128 {
+			c := quarantine.Crash{Incarnation: quarantine.Incarnation{Target: fmt.Sprint("t", i)}, At: at(time.Duration(i) * 700 * time.Millisecond), Pool: "p", FailureDomain: fmt.Sprint("z", i%4)}
+			for j := range 96 {
+				c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: []part{part(fmt.Sprint("@", (i*7+j*j)%200)), ownPart}, SentAt: c.At.Add(-time.Second)})
+			}
+			q.RecordCrash(c.At, c)
+		}
+		now := at(90 * time.Second)
+		Expect(q.Suspected("@5")).To(BeTrue())
+		// One look at all records allocates some 2,000 times.
+		Expect(testing.AllocsPerRun(100, func() { q.Turn(now, "@5", "p", nil) })).To(BeNumerically("<", 500))
+	})
+
 	// Guards against a verdict that is forgotten, and against one trial after the other.
 	It("refuses the request for a day, but for one trial", func() {
 		q := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests})
