--- a/entry/containment/memory.go
+++ b/entry/containment/memory.go
@@ -40,7 +40,8 @@
 	Suspects      []keptSuspect `msgpack:"s,omitempty"`
 }
 
-// keptSuspect was sent a time before the crash.
+// keptSuspect was sent a time before the crash, 0 if it was sent after the first connection
+// broke.
 type keptSuspect struct {
 	Parts  []quarantine.Part `msgpack:"p"`
 	SentMS int64             `msgpack:"a"`
@@ -77,7 +78,7 @@
 			if size += keptSuspectBytes; size > recall.MaxCrashBytes {
 				break
 			}
-			kept.Suspects = append(kept.Suspects, keptSuspect{Parts: rest[0].Parts, SentMS: c.At.Sub(rest[0].SentAt).Milliseconds()})
+			kept.Suspects = append(kept.Suspects, keptSuspect{Parts: rest[0].Parts, SentMS: max(0, c.At.Sub(rest[0].SentAt).Milliseconds())})
 		}
 		// A struct of these types can always be encoded.
 		value, _ := msgpack.Marshal(&kept)
--- a/entry/containment/requests_suite_test.go
+++ b/entry/containment/requests_suite_test.go
@@ -242,6 +242,18 @@
 		Eventually(func() int { return suspects(again) }).Within(time.Second).Should(Equal(80))
 	})
 
+	// Guards against a crash that is dropped because a request was sent after the first
+	// connection broke and before the crash was known.
+	It("holds requests that were sent just after the first connection broke", func() {
+		g, kept := start()
+		g.Broken(target(1), plain("first"), false, time.Now())
+		g.Broken(target(1), plain("later"), false, time.Now().Add(20*time.Millisecond))
+		Eventually(func() int { return len(kept(recall.Crash)) }).Within(time.Second).Should(Equal(1))
+		again, _ := start()
+		again.ReceiveFacts(kept(recall.Crash))
+		Eventually(func() int { return suspects(again) }).Within(time.Second).Should(Equal(2))
+	})
+
 	DescribeTable("is ignored if it is malformed", func(f recall.Fact) {
 		g, _ := start()
 		f.At, f.TTL = time.Now(), time.Minute
