--- a/entry/containment/memory.go
+++ b/entry/containment/memory.go
@@ -16,7 +16,8 @@
 	// keptCrashesDelay is how long crashes that target processes have kept wait: begins
 	// that void them may arrive later, from other target processes.
 	keptCrashesDelay = 500 * time.Millisecond
-	// Upper bounds of encoded sizes without the strings of a suspect.
+	// keptCrashBytes and keptSuspectBytes are upper bounds of the encoded sizes of a crash
+	// without its suspects and of a suspect without its parts.
 	keptCrashBytes   = 256
 	keptSuspectBytes = 16
 )
@@ -106,8 +107,8 @@
 	return c, true
 }
 
-// keep keeps the crashes and begins that this entry has seen at target processes. The
-// verdicts among the evidence are kept by remember.
+// keep sends the crashes and begins that this entry has seen to target processes, which keep
+// them. remember does so for verdicts.
 func (g *Guard) keep(e peers.Evidence) {
 	if g.cfg.Remember == nil {
 		return
@@ -125,7 +126,7 @@
 	}
 }
 
-// keepHere keeps facts for target processes that are reached later.
+// keepHere keeps facts at this entry, for target processes that are reached later.
 func (g *Guard) keepHere(facts []recall.Fact) {
 	now := g.cfg.Now()
 	g.mu.Lock()
