--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,6 +20,10 @@
 	// maxNeededHits bounds the hits that are asked for however many other crashes there
 	// are: three sends after the third crash are allowed.
 	maxNeededHits = 6
+	// lateTime is how long after the third crash under a request a send is late, and
+	// maxLateCrashes the number of late sends that may crash a target.
+	lateTime       = 2500 * time.Millisecond
+	maxLateCrashes = 3
 
 	// contestedHits is the number of hits from which requests take turns: at a target only
 	// one of them is under way at a time, so that the next crash or answer tells them apart.
@@ -40,11 +45,15 @@
 // mostSuspectRequest returns the request that is to be quarantined next. A hit of a
 // request is a crash of a target that had it under way and has not answered it whole
 // since. Three hits suffice, and one more for each three other crashes of the pool near
-// them, if no other request explains them.
+// them, if no other request explains them. A request that has been sent late as often as it
+// may be is quarantined in any case, and without a trial.
 func mostSuspectRequest(records []*Crash, answeredAt func(Part) time.Time) (candidate, bool) {
 	under := crashesUnder(records, answeredAt)
 	hits := requestHits(records, under)
 	var list []candidate
+	if c, ok := mostLateRequest(under); ok {
+		return c, true
+	}
 	for p, of := range hits {
 		if len(of) >= minHits {
 			list = append(list, candidate{part: p, crashes: len(of), suspects: len(of)})
@@ -97,6 +106,32 @@
 	return hits
 }
 
+// mostLateRequest returns the request with the most late crashes, if it may have no more.
+func mostLateRequest(under map[Part][]*Crash) (c candidate, found bool) {
+	most := maxLateCrashes - 1
+	for _, p := range slices.Sorted(maps.Keys(under)) {
+		if n := lateCrashes(under[p], p); n > most {
+			most, c, found = n, candidate{part: p, crashes: len(under[p]), final: true}, true
+		}
+	}
+	return c, found
+}
+
+// lateCrashes returns the number of crashes under a request that was sent long after the
+// third one.
+func lateCrashes(under []*Crash, p Part) (n int) {
+	if len(under) < minHits {
+		return 0
+	}
+	late := under[minHits-1].At.Add(lateTime)
+	for _, r := range under[minHits:] {
+		if slices.ContainsFunc(r.Suspects, func(s Suspect) bool { return s.Parts[0] == p && s.SentAt.After(late) }) {
+			n++
+		}
+	}
+	return n
+}
+
 // neededHits returns the number of hits for a verdict on a request.
 func neededHits(records []*Crash, hits map[Part][]*Crash, p Part) int {
 	own := hits[p]
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -90,6 +90,25 @@
 			}, "bad1", "bad2"),
 	)
 
+	// Guards against a crashing request that is sent again and again because other crashes
+	// hide it.
+	It("refuses a request for good that was sent late three times", func() {
+		q := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests})
+		steps := []step{requestStep(0, "z1", "bad"), requestStep(10, "z1", "bad"), requestStep(100, "z2", "bad"), requestStep(110, "z2", "bad")}
+		for late := range 3 {
+			for other := range 4 {
+				steps = append(steps, requestStep(time.Duration(2000+3000*late+300*other), "z3", fmt.Sprint("other", late, other)))
+			}
+			Expect(playRequests(q, steps)).To(BeEmpty())
+			steps = []step{requestStep(time.Duration(5000+3000*late), "z4", "bad")}
+		}
+		Expect(playRequests(q, steps)).To(ConsistOf("bad"))
+		for minutes := range 60 {
+			_, blocked := q.Check(at(time.Duration(minutes+1)*time.Minute), []part{"bad", ownPart})
+			Expect(blocked).To(BeTrue(), "after %d minutes", minutes)
+		}
+	})
+
 	// Guards against requests that wait for a turn and keep an entry busy.
 	It("looks at all records once for many requests that wait", func() {
 		q := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests})
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -14,6 +14,8 @@
 	crashes, suspects int
 	// position is its last position in a prompt.
 	position int
+	// final is true if it may never be sent again, not even for a trial.
+	final bool
 }
 
 // compareCandidates orders the part that explains the most crashes first. Among
--- a/internal/decide/quarantine/verdicts.go
+++ b/internal/decide/quarantine/verdicts.go
@@ -32,6 +32,9 @@
 		q.verdicts[v.Part] = v
 	}
 	v.Crashes, v.LastAskedAt = c.crashes, now
+	if c.final {
+		v.Trials = q.rules.maxTrials
+	}
 	q.advance(now, v, true)
 	return v.Verdict
 }
