--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -109,6 +109,26 @@
 		}
 	})
 
+	// Guards against entries that quarantine a request anew by the crashes before its trial.
+	It("is released at all entries by a trial that was answered", func() {
+		owner := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests, Entry: "owner"})
+		other := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests, Entry: "other", OwnsTrial: func(quarantine.Part) bool { return false }})
+		steps := []step{requestStep(0, "z1", "sound"), requestStep(1500, "z2", "sound"), requestStep(3000, "z3", "sound")}
+		Expect(playRequests(owner, steps)).To(ConsistOf("sound"))
+		Expect(playRequests(other, steps)).To(ConsistOf("sound"))
+		trial := at(12 * time.Minute)
+		_, blocked := owner.Check(trial, []part{"sound", ownPart})
+		Expect(blocked).To(BeFalse())
+		_, changed := owner.RecordBegan(trial.Add(time.Second), trial.Add(time.Second), []part{"sound", ownPart})
+		other.Merge(trial.Add(1100*time.Millisecond), changed)
+		for s := range 10 {
+			now := trial.Add(time.Duration(s+2) * time.Second)
+			other.Tick(now)
+			_, blocked := other.Check(now, []part{"sound", ownPart})
+			Expect(blocked).To(BeFalse(), "%d s after the trial", s+1)
+		}
+	})
+
 	// Guards against requests that wait for a turn and keep an entry busy.
 	It("looks at all records once for many requests that wait", func() {
 		q := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests})
--- a/internal/decide/quarantine/verdicts.go
+++ b/internal/decide/quarantine/verdicts.go
@@ -90,6 +90,10 @@
 		n.Trials = min(max(n.Trials, 0), q.rules.maxTrials)
 		if q.adopt(n) {
 			changed = append(changed, n)
+			if !n.Quarantined {
+				// It was released because it was answered then.
+				q.begun(now, n.Since, n.Part)
+			}
 		}
 	}
 	if len(changed) > 0 {
