--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -25,6 +25,16 @@
 	lateTime       = 2500 * time.Millisecond
 	maxLateCrashes = 3
 
+	// waveTime is the time in which crashes may be one wave: targets that lose power
+	// together end within it, and a popular request may have been under way at each.
+	waveTime = time.Second
+	// earlyTrialDelay is the time from a verdict on one wave alone to a trial. Targets are
+	// back after some seconds.
+	earlyTrialDelay = 5 * time.Second
+	// noEarlyTrial and noTrials are the numbers of trials left out for a verdict on more
+	// than one wave and for one after the last late send that is allowed.
+	noEarlyTrial, noTrials = 1, 2
+
 	// contestedHits is the number of hits from which requests take turns: at a target only
 	// one of them is under way at a time, so that the next crash or answer tells them apart.
 	contestedHits = 2
@@ -45,8 +55,9 @@
 // mostSuspectRequest returns the request that is to be quarantined next. A hit of a
 // request is a crash of a target that had it under way and has not answered it whole
 // since. Three hits suffice, and one more for each three other crashes of the pool near
-// them, if no other request explains them. A request that has been sent late as often as it
-// may be is quarantined in any case, and without a trial.
+// them, if no other request explains them. If all hits are in one wave, a trial follows
+// soon: a loss of power of all targets looks the same. A request that has been sent late as
+// often as it may be is quarantined in any case, and without a trial.
 func mostSuspectRequest(records []*Crash, answeredAt func(Part) time.Time) (candidate, bool) {
 	under := crashesUnder(records, answeredAt)
 	hits := requestHits(records, under)
@@ -56,7 +67,11 @@
 	}
 	for p, of := range hits {
 		if len(of) >= minHits {
-			list = append(list, candidate{part: p, crashes: len(of), suspects: len(of)})
+			c := candidate{part: p, crashes: len(of), suspects: len(of)}
+			if of[len(of)-1].At.Sub(of[0].At) >= waveTime {
+				c.trialsLeftOut = noEarlyTrial
+			}
+			list = append(list, c)
 		}
 	}
 	slices.SortFunc(list, compareCandidates)
@@ -106,12 +121,20 @@
 	return hits
 }
 
+// requestTrialDelay returns the time from a verdict on a request to its trial.
+func requestTrialDelay(trials int) time.Duration {
+	if trials < noEarlyTrial {
+		return earlyTrialDelay
+	}
+	return quarantineTime
+}
+
 // mostLateRequest returns the request with the most late crashes, if it may have no more.
 func mostLateRequest(under map[Part][]*Crash) (c candidate, found bool) {
 	most := maxLateCrashes - 1
 	for _, p := range slices.Sorted(maps.Keys(under)) {
 		if n := lateCrashes(under[p], p); n > most {
-			most, c, found = n, candidate{part: p, crashes: len(under[p]), final: true}, true
+			most, c, found = n, candidate{part: p, crashes: len(under[p]), trialsLeftOut: noTrials}, true
 		}
 	}
 	return c, found
--- a/internal/decide/quarantine/requests_fleet_test.go
+++ b/internal/decide/quarantine/requests_fleet_test.go
@@ -34,6 +34,7 @@
 	pool, domain string
 	incarnation  quarantine.Incarnation
 	downUntil    time.Duration
+	losesPowerAt time.Duration
 	running      []*run
 }
 
@@ -59,15 +60,19 @@
 	crashesOf map[part][]time.Duration
 	lateSends map[part]int
 	refused   map[part]int
+	// lastRefused is when a request was last refused.
+	lastRefused map[part]time.Duration
 }
 
 func newRequestFleet(seed int64, entries, pools, replicas, domains int) *requestFleet {
 	f := &requestFleet{
 		random: rand.New(rand.NewSource(seed)), waiting: make(map[time.Duration][]*run),
-		crashesOf: make(map[part][]time.Duration), trialAt: make(map[part]time.Duration), lateSends: make(map[part]int), refused: make(map[part]int),
+		crashesOf: make(map[part][]time.Duration), trialAt: make(map[part]time.Duration), lateSends: make(map[part]int), refused: make(map[part]int), lastRefused: make(map[part]time.Duration),
 	}
-	for range entries {
-		f.entries = append(f.entries, quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests}))
+	for i := range entries {
+		f.entries = append(f.entries, quarantine.New(quarantine.Config{
+			Kind: quarantine.WholeRequests, Entry: fmt.Sprint(i), OwnsTrial: func(p part) bool { return int(p[len(p)-1])%entries == i },
+		}))
 	}
 	for p := range pools {
 		for i := range replicas {
@@ -94,6 +99,8 @@
 	// one crash every three seconds.
 	losses       int
 	otherCrashes bool
+	// allLostAt is when all replicas lose power, within lossSpread; 0 for never.
+	allLostAt, lossSpread time.Duration
 }
 
 func (f *requestFleet) chance(perSecond float64) bool {
@@ -120,6 +127,12 @@
 				f.later(&run{digest: part(fmt.Sprintf("@%dbad%d", i%2, i)), entry: f.random.Intn(len(f.entries)), work: l.crashAfter, crashes: true, triesLeft: callerTries}, 0)
 			}
 		}
+		if f.elapsed == l.allLostAt {
+			quietUntil = f.elapsed + max(apart, l.lossSpread)
+			for _, x := range f.replicas {
+				x.losesPowerAt = f.elapsed + time.Duration(f.random.Int63n(int64(l.lossSpread)))
+			}
+		}
 		if f.elapsed < quietUntil {
 			continue
 		}
@@ -153,6 +166,7 @@
 	q := f.entries[r.entry]
 	if _, blocked := q.Check(f.now(), []part{r.digest, ownPart}); blocked {
 		f.refused[r.digest]++
+		f.lastRefused[r.digest] = f.elapsed
 		return
 	}
 	var listed []quarantine.Incarnation
@@ -261,9 +275,9 @@
 			return false
 		}
 		q := f.entries[d.entry]
-		q.MergeBegins(f.now(), d.begins)
+		f.spread(d.entry, q.MergeBegins(f.now(), d.begins))
 		if d.crash != nil {
-			q.RecordCrash(f.now(), *d.crash)
+			f.spread(d.entry, q.RecordCrash(f.now(), *d.crash))
 			f.tell(d.entry, q.TakeBegins(f.now()))
 		}
 		return true
@@ -272,6 +286,12 @@
 		if x.downUntil > 0 && f.elapsed >= x.downUntil {
 			f.bringUp(x)
 		}
+		if x.losesPowerAt > 0 && f.elapsed >= x.losesPowerAt {
+			x.losesPowerAt = 0
+			if x.downUntil == 0 {
+				f.crash(x)
+			}
+		}
 		for _, r := range slices.Clone(x.running) {
 			if f.elapsed == r.endsAt-r.work+quarantine.SurvivalTime && !r.crashes && x.downUntil == 0 {
 				f.answered(r)
@@ -294,19 +314,15 @@
 	delete(f.waiting, f.elapsed)
 	if f.elapsed%(100*time.Millisecond) == 0 {
 		for i, q := range f.entries {
-			verdicts := q.Tick(f.now())
-			for j, other := range f.entries {
-				if j != i {
-					other.Merge(f.now(), verdicts)
-				}
-			}
+			f.spread(i, q.Tick(f.now()))
 		}
 	}
 }
 
 // answered records that a target answered a request, or ran it long enough.
 func (f *requestFleet) answered(r *run) {
-	suspected, _ := f.entries[r.entry].RecordBegan(f.now(), f.now(), []part{r.digest, ownPart})
+	suspected, changed := f.entries[r.entry].RecordBegan(f.now(), f.now(), []part{r.digest, ownPart})
+	f.spread(r.entry, changed)
 	var begins []quarantine.Begin
 	for _, p := range suspected {
 		begins = append(begins, quarantine.Begin{Part: p, At: f.now()})
@@ -314,6 +330,15 @@
 	f.tell(r.entry, begins)
 }
 
+// spread passes verdicts of an entry to the others.
+func (f *requestFleet) spread(from int, verdicts []quarantine.Verdict) {
+	for j, other := range f.entries {
+		if j != from && len(verdicts) > 0 {
+			other.Merge(f.now(), verdicts)
+		}
+	}
+}
+
 // tell passes begins of an entry to the others.
 func (f *requestFleet) tell(from int, begins []quarantine.Begin) {
 	if len(begins) == 0 {
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -191,3 +191,23 @@
 		}
 	})
 }
+
+// Guards against verdicts on sound requests, under way when all targets lost power, that
+// outlast the loss.
+func TestRandomLossesOfAllTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "entries")
+		f := newRequestFleet(rapid.Int64().Draw(t, "seed"), entries, 2, rapid.SampledFrom([]int{4, 6, 12}).Draw(t, "replicas"), rapid.IntRange(1, 4).Draw(t, "domains"))
+		l := requestLoad{
+			rate: rapid.IntRange(60, 120).Draw(t, "rate"), popular: rapid.IntRange(1, 3).Draw(t, "popular"),
+			longest:   rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}).Draw(t, "work"),
+			allLostAt: time.Duration(rapid.IntRange(1, 5).Draw(t, "all lost at")) * time.Second, lossSpread: rapid.SampledFrom([]time.Duration{simStep, 300 * time.Millisecond, 900 * time.Millisecond}).Draw(t, "spread"),
+		}
+		f.play(25*time.Second, l)
+		for d, at := range f.lastRefused {
+			if at > l.allLostAt+l.lossSpread+15*time.Second {
+				t.Fatalf("%s was refused %d times, last %v after all targets had lost power", d, f.refused[d], at-l.allLostAt)
+			}
+		}
+	})
+}
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -14,8 +14,8 @@
 	crashes, suspects int
 	// position is its last position in a prompt.
 	position int
-	// final is true if it may never be sent again, not even for a trial.
-	final bool
+	// trialsLeftOut is the number of trials that are not made.
+	trialsLeftOut int
 }
 
 // compareCandidates orders the part that explains the most crashes first. Among
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -68,7 +68,7 @@
 	Crashes int
 	// Entry is the entry that concluded it.
 	Entry string
-	// Trials is the number of trials so far.
+	// Trials is the number of trials so far, and of those that are left out.
 	Trials int
 	// LastAskedAt is when a request last asked for the part, as far as known. If
 	// it is zero in a received verdict, the time of arrival counts.
@@ -96,6 +96,9 @@
 	// maxTrialSends the number of requests that this entry sends for them. Sends
 	// without an outcome may have crashed a target.
 	maxTrials, maxTrialSends int
+	// trialDelay is the time from a generation of a verdict to its trial, by the number of
+	// trials before.
+	trialDelay func(trials int) time.Duration
 	// forgetTime is the time without a request after which a verdict is deleted.
 	forgetTime time.Duration
 	// find returns what is to be quarantined next.
@@ -105,13 +108,15 @@
 var rulesOf = map[Kind]rules{
 	SharedParts: {
 		evidenceTTL: time.Minute, maxRecords: 64, maxSuspects: 32, maxQuarantined: 256, maxTrials: 2, maxTrialSends: 3, forgetTime: time.Hour,
-		find: mostSuspectPart,
+		trialDelay: func(trials int) time.Duration { return quarantineTime << trials },
+		find:       mostSuspectPart,
 	},
 	// The sends of a request that has crashed three targets are bounded over a whole day,
 	// and its repeats may be far apart.
 	WholeRequests: {
-		evidenceTTL: 30 * time.Minute, maxRecords: 128, maxSuspects: 96, maxQuarantined: 1024, maxTrials: 1, maxTrialSends: 1, forgetTime: 24 * time.Hour,
-		find: mostSuspectRequest,
+		evidenceTTL: 30 * time.Minute, maxRecords: 128, maxSuspects: 96, maxQuarantined: 1024, maxTrials: 2, maxTrialSends: 2, forgetTime: 24 * time.Hour,
+		trialDelay: requestTrialDelay,
+		find:       mostSuspectRequest,
 	},
 }
 
@@ -169,8 +174,8 @@
 	// second, and a loss of power hits engines without it, too.
 	minMassCrash = 3
 
-	// quarantineTime is the time from a verdict to the first trial. It doubles
-	// with each trial that fails.
+	// quarantineTime is the time from a verdict to the first trial. For parts of prompts it
+	// doubles with each trial that fails.
 	quarantineTime = 10 * time.Minute
 	// trialTimeout is the time after which a trial without an outcome is repeated.
 	trialTimeout = 30 * time.Second
--- a/internal/decide/quarantine/verdicts.go
+++ b/internal/decide/quarantine/verdicts.go
@@ -19,7 +19,7 @@
 // crashes engines.
 func (v *verdict) trialDue(now time.Time, r rules) bool {
 	return v.Trials < r.maxTrials && v.trialSends < r.maxTrialSends &&
-		now.Sub(v.Since) >= quarantineTime<<v.Trials &&
+		now.Sub(v.Since) >= r.trialDelay(v.Trials) &&
 		(v.trialAt.IsZero() || now.Sub(v.trialAt) >= trialTimeout)
 }
 
@@ -32,9 +32,7 @@
 		q.verdicts[v.Part] = v
 	}
 	v.Crashes, v.LastAskedAt = c.crashes, now
-	if c.final {
-		v.Trials = q.rules.maxTrials
-	}
+	v.Trials = max(v.Trials, c.trialsLeftOut)
 	q.advance(now, v, true)
 	return v.Verdict
 }
