--- a/internal/decide/quarantine/requests_fleet_test.go
+++ b/internal/decide/quarantine/requests_fleet_test.go
@@ -330,11 +330,12 @@
 	f.tell(r.entry, begins)
 }
 
-// spread passes verdicts of an entry to the others.
+// spread passes verdicts that an entry has concluded to the others.
 func (f *requestFleet) spread(from int, verdicts []quarantine.Verdict) {
+	verdicts = slices.DeleteFunc(verdicts, func(v quarantine.Verdict) bool { return v.Entry != fmt.Sprint(from) })
 	for j, other := range f.entries {
 		if j != from && len(verdicts) > 0 {
-			other.Merge(f.now(), verdicts)
+			f.spread(j, other.Merge(f.now(), slices.Clone(verdicts)))
 		}
 	}
 }
