--- a/entry/edge/crashing_request_suite_test.go
+++ b/entry/edge/crashing_request_suite_test.go
@@ -90,6 +90,18 @@
 	return list
 }
 
+// callInTurn sends requests at the same time, in turn to all entries.
+func callInTurn(count int, call func(entry int) response, entries int) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			defer GinkgoRecover()
+			call(i % entries)
+		})
+	}
+	return &group
+}
+
 func crashing(int) string { return crashingBody }
 
 // crashingRunsAfter counts the runs of the crashing request that began later than a time.
@@ -198,4 +210,26 @@
 		Entry("before its first event", time.Duration(0)),
 		Entry("after its first event", 50*time.Millisecond),
 	)
+
+	// Guards against a popular sound request that stays refused once all its replicas, which
+	// lost power together, are back.
+	It("does not keep a sound request out that was under way when all replicas lost power", func() {
+		f := newServiceFleet()
+		for _, r := range f.services {
+			r.WorkTime = 300 * time.Millisecond
+		}
+		popular := func(entry int) response {
+			return f.call(context.Background(), entry, "POST", "/lookup/1", nil, "popular")
+		}
+		group := callInTurn(40, popular, len(f.entries))
+		time.Sleep(150 * time.Millisecond)
+		for _, s := range f.servers {
+			s.Crash()
+		}
+		group.Wait()
+		Eventually(func() string { return popular(0).body }).Within(3*time.Second).Should(ContainSubstring(requestQuarantineCode), "the crashes are taken as those of the request")
+		for i := range f.entries {
+			Eventually(func() int { popular(1 - i); return popular(i).status }).WithPolling(50 * time.Millisecond).Within(15 * time.Second).Should(Equal(http.StatusOK))
+		}
+	})
 })
