--- a/entry/containment/isolation.go
+++ b/entry/containment/isolation.go
@@ -40,7 +40,7 @@
 // a suspect with an earlier turn is still under way at its target: a crash there would count
 // against both.
 func (g *Guard) Turn(r relay.Identity, pool string) quarantine.Turn {
-	if g.suspectedRequests.Load() == 0 {
+	if g.suspectedRequests.Load()+g.quarantinedRequests.Load() == 0 {
 		return quarantine.Turn{}
 	}
 	var listed []quarantine.Incarnation
--- a/entry/edge/crashing_request_suite_test.go
+++ b/entry/edge/crashing_request_suite_test.go
@@ -211,6 +211,16 @@
 		Entry("after its first event", 50*time.Millisecond),
 	)
 
+	// Guards against a trial of a quarantined request that is sent to one target after the
+	// other.
+	It("is sent to one replica for a trial", func() {
+		f := newServiceFleet()
+		began := time.Now()
+		f.callEvery(100*time.Millisecond, 9*time.Second, "POST", "/lookup/1", crashing)
+		Expect(len(f.crashes())).To(BeNumerically(">=", 3))
+		Expect(f.crashingRunsAfter(began.Add(contact))).To(BeNumerically("<=", 1))
+	})
+
 	// Guards against a popular sound request that stays refused once all its replicas, which
 	// lost power together, are back.
 	It("does not keep a sound request out that was under way when all replicas lost power", func() {
--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -202,11 +202,16 @@
 	Wait bool
 	// NeedsPermit is true if all entries together may send it at TrialRate only.
 	NeedsPermit bool
+	// Once is true if it is the trial of a quarantine, which is sent to one target.
+	Once bool
 }
 
 // Turn returns the turn of a request; listed are the targets of its pool. All entries hold
 // the same evidence and so agree on the turns, but for the time that evidence takes.
 func (q *Quarantine) Turn(now time.Time, digest Part, pool string, listed []Incarnation) Turn {
+	if q.quarantined(digest) {
+		return Turn{Once: true}
+	}
 	if !q.Suspected(digest) {
 		return Turn{}
 	}
--- a/internal/relay/containment.go
+++ b/internal/relay/containment.go
@@ -41,6 +41,9 @@
 		return "", &steering.Refused{Code: result.RequestSuspected, RetryAfter: retryAfter}
 	}
 	turn := x.h.Containment.Turn(x.identity, x.poolName)
+	if turn.Once && x.history.possibleRuns > 0 {
+		return "", &steering.Refused{Code: result.RequestQuarantined}
+	}
 	if turn.NeedsPermit {
 		granted, retryAfter := x.h.Containment.Permit(x.identity, deadline)
 		if !granted || ctx.Err() != nil {
