--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -90,6 +90,22 @@
 			}, "bad1", "bad2"),
 	)
 
+	// Guards against a trial that is made again because nothing is known of its outcome.
+	It("makes no more trials than are left, also without an outcome", func() {
+		trials := func(steps []step) (n int) {
+			q := quarantine.New(quarantine.Config{Kind: quarantine.WholeRequests})
+			Expect(playRequests(q, steps)).To(ConsistOf("bad"))
+			for minute := range 60 {
+				if _, blocked := q.Check(at(time.Duration(minute+1)*time.Minute), []part{"bad", ownPart}); !blocked {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(trials([]step{requestStep(0, "z1", "bad"), requestStep(700, "z2", "bad"), requestStep(1400, "z3", "bad")})).To(Equal(1))
+		Expect(trials([]step{requestStep(0, "z1", "bad"), requestStep(50, "z2", "bad"), requestStep(100, "z3", "bad")})).To(Equal(2))
+	})
+
 	// Guards against a crashing request that is sent again and again because other crashes
 	// hide it.
 	It("refuses a request for good that was sent late three times", func() {
--- a/internal/decide/quarantine/verdicts.go
+++ b/internal/decide/quarantine/verdicts.go
@@ -10,7 +10,8 @@
 // verdict is a Verdict with the state of the trial that this entry makes.
 type verdict struct {
 	Verdict
-	// trialAt is when the trial was sent whose outcome is awaited.
+	// trialAt is when the trial was sent whose outcome is awaited. trialSends counts the
+	// trials like Trials, and those without an outcome.
 	trialAt    time.Time
 	trialSends int
 }
@@ -33,6 +34,7 @@
 	}
 	v.Crashes, v.LastAskedAt = c.crashes, now
 	v.Trials = max(v.Trials, c.trialsLeftOut)
+	v.trialSends = max(v.trialSends, v.Trials)
 	q.advance(now, v, true)
 	return v.Verdict
 }
@@ -123,7 +125,7 @@
 		v = &verdict{}
 		q.verdicts[n.Part] = v
 	}
-	v.Verdict, v.trialAt = n, time.Time{}
+	v.Verdict, v.trialAt, v.trialSends = n, time.Time{}, max(v.trialSends, n.Trials)
 	return true
 }
 
