--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -114,7 +114,7 @@
 	// The sends of a request that has crashed three targets are bounded over a whole day,
 	// and its repeats may be far apart.
 	WholeRequests: {
-		evidenceTTL: 30 * time.Minute, maxRecords: 128, maxSuspects: 96, maxQuarantined: 1024, maxTrials: 2, maxTrialSends: 2, forgetTime: 24 * time.Hour,
+		evidenceTTL: 24 * time.Hour, maxRecords: 128, maxSuspects: 96, maxQuarantined: 1024, maxTrials: 2, maxTrialSends: 2, forgetTime: 24 * time.Hour,
 		trialDelay: requestTrialDelay,
 		find:       mostSuspectRequest,
 	},
--- a/internal/decide/recall/memory.go
+++ b/internal/decide/recall/memory.go
@@ -60,8 +60,8 @@
 	Verdict:         {facts: 2048, ttl: 24 * time.Hour, valueBytes: MaxValueBytes},
 	Stream:          {facts: 16384, ttl: 2 * time.Minute, valueBytes: MaxValueBytes},
 	SoftwareVersion: {facts: 1024, ttl: 10 * time.Minute, valueBytes: MaxValueBytes},
-	Crash:           {facts: 1024, ttl: 30 * time.Minute, valueBytes: MaxCrashBytes},
-	Begin:           {facts: 4096, ttl: 30 * time.Minute, valueBytes: MaxValueBytes},
+	Crash:           {facts: 1024, ttl: 24 * time.Hour, valueBytes: MaxCrashBytes},
+	Begin:           {facts: 4096, ttl: 24 * time.Hour, valueBytes: MaxValueBytes},
 	SlackUse:        {facts: 2048, ttl: time.Minute, valueBytes: MaxValueBytes},
 }
 
