--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -11,6 +11,12 @@
 	// coincidence is the time within which two crashes in one failure domain may have one
 	// cause outside the requests, such as a loss of power.
 	coincidence = 50 * time.Millisecond
+	// ageTolerance is the difference up to which the times that a request had been under way
+	// at two hits are alike. A crashing request crashes each target after the same work.
+	ageTolerance = 300 * time.Millisecond
+	// extraHits is the number of hits that are needed beyond those of like age, because
+	// queues at targets make the times of a crashing request differ.
+	extraHits = 2
 	// minHitsApart is the number of crashes apart from others by which a request may be why
 	// a target crashed.
 	minHitsApart = 2
@@ -54,8 +60,8 @@
 
 // mostSuspectRequest returns the request that is to be quarantined next. A hit of a
 // request is a crash of a target that had it under way and has not answered it whole
-// since. Three hits suffice, and one more for each three other crashes of the pool near
-// them, if no other request explains them. If all hits are in one wave, a trial follows
+// since. Three hits of like age suffice, or five of any age, and one more for each three other
+// crashes of the pool near them, if no other request explains them. If all hits are in one wave, a trial follows
 // soon: a loss of power of all targets looks the same. A request that has been sent late as
 // often as it may be is quarantined in any case, and without a trial.
 func mostSuspectRequest(records []*Crash, answeredAt func(Part) time.Time) (candidate, bool) {
@@ -76,7 +82,8 @@
 	}
 	slices.SortFunc(list, compareCandidates)
 	for _, c := range list {
-		if c.crashes >= neededHits(records, hits, c.part) && !explainedByOther(under, hits, c.part) {
+		needed := neededHits(records, hits, c.part)
+		if (hitsOfLikeAge(hits[c.part], c.part) >= needed || c.crashes >= needed+extraHits) && !explainedByOther(under, hits, c.part) {
 			return c, true
 		}
 	}
@@ -167,6 +174,25 @@
 	return min(minHits+others/othersPerHit, maxNeededHits)
 }
 
+// hitsOfLikeAge returns the largest number of hits of a request at which it had been under
+// way for about the same time.
+func hitsOfLikeAge(hits []*Crash, p Part) (most int) {
+	ages := make([]time.Duration, 0, len(hits))
+	for _, r := range hits {
+		for _, s := range r.Suspects {
+			if s.Parts[0] == p {
+				ages = append(ages, r.At.Sub(s.SentAt))
+			}
+		}
+	}
+	slices.Sort(ages)
+	for i, a := range ages {
+		end, _ := slices.BinarySearch(ages, a+ageTolerance)
+		most = max(most, end-i)
+	}
+	return most
+}
+
 // explainedByOther reports whether another request may be the cause of all hits of a request
 // but one, which may have another reason. Of crashes that coincide, the hits of the two may
 // be different ones, so that every crash under the other request counts.
--- a/internal/decide/quarantine/requests_fleet_test.go
+++ b/internal/decide/quarantine/requests_fleet_test.go
@@ -21,6 +21,7 @@
 type run struct {
 	digest        part
 	entry         int
+	sentAt        time.Duration
 	endsAt        time.Duration
 	work          time.Duration
 	crashes       bool
@@ -54,6 +55,7 @@
 	entries    []*quarantine.Quarantine
 	deliveries []delivery
 	waiting    map[time.Duration][]*run
+	queueing   time.Duration
 	starts     int
 	// trialAt is when a request was last sent with a permit.
 	trialAt   map[part]time.Duration
@@ -95,6 +97,8 @@
 	// work; each comes four times a second from the fourth second on.
 	crashing   int
 	crashAfter time.Duration
+	// queueing is the longest time for which a request waits at a replica before its work.
+	queueing time.Duration
 	// losses is the number of losses of power of a failure domain, and otherCrashes adds
 	// one crash every three seconds.
 	losses       int
@@ -112,6 +116,7 @@
 func (f *requestFleet) play(day time.Duration, l requestLoad) {
 	const apart = 1500 * time.Millisecond
 	quietUntil := time.Duration(0)
+	f.queueing = l.queueing
 	for f.elapsed < day {
 		f.step()
 		pool := f.random.Intn(2)
@@ -208,7 +213,10 @@
 	}
 	r.attempts++
 	r.avoidReplicas = append(r.avoidReplicas, slices.Index(f.replicas, best))
-	r.endsAt = f.elapsed + r.work
+	r.sentAt, r.endsAt = f.elapsed, f.elapsed+r.work
+	if f.queueing > 0 {
+		r.endsAt += time.Duration(f.random.Int63n(int64(f.queueing))).Truncate(simStep)
+	}
 	best.running = append(best.running, r)
 	if third := f.crashesOf[r.digest]; r.crashes && len(third) >= 3 && f.elapsed > third[2]+3*time.Second {
 		f.lateSends[r.digest]++
@@ -230,7 +238,7 @@
 		c := quarantine.Crash{Incarnation: x.incarnation, At: f.now(), Pool: x.pool, FailureDomain: x.domain}
 		for _, r := range x.running {
 			if r.entry == i {
-				c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: []part{r.digest, ownPart}, SentAt: at(r.endsAt - r.work)})
+				c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: []part{r.digest, ownPart}, SentAt: at(r.sentAt)})
 			}
 		}
 		if len(c.Suspects) == 0 {
@@ -293,7 +301,7 @@
 			}
 		}
 		for _, r := range slices.Clone(x.running) {
-			if f.elapsed == r.endsAt-r.work+quarantine.SurvivalTime && !r.crashes && x.downUntil == 0 {
+			if f.elapsed == r.sentAt+quarantine.SurvivalTime && !r.crashes && x.downUntil == 0 {
 				f.answered(r)
 			}
 			if r.endsAt > f.elapsed || x.downUntil > 0 {
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,7 +14,8 @@
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
 )
 
-// requestStep is a crash of a target with requests under way, or the end of an answer.
+// requestStep is a crash of a target with requests under way, or the end of an answer. A
+// digest may be followed by "/" and the milliseconds since it was sent, 40 by default.
 func requestStep(ms time.Duration, domain string, digests ...string) step {
 	return step{ms: ms, crash: append([]string{domain}, digests...)}
 }
@@ -31,7 +33,12 @@
 		serial++
 		c := quarantine.Crash{Incarnation: quarantine.Incarnation{Target: fmt.Sprint("r", serial)}, At: now, Pool: "ledger", FailureDomain: s.crash[0]}
 		for _, d := range s.crash[1:] {
-			c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: []part{part(d), ownPart}, SentAt: now.Add(-40 * time.Millisecond)})
+			age := 40 * time.Millisecond
+			if digest, ms, ok := strings.Cut(d, "/"); ok {
+				n, _ := strconv.Atoi(ms)
+				d, age = digest, time.Duration(n)*time.Millisecond
+			}
+			c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: []part{part(d), ownPart}, SentAt: now.Add(-age)})
 		}
 		q.RecordCrash(now, c)
 	}
@@ -87,6 +94,13 @@
 				requestStep(0, "z2", "sound"), requestStep(500, "z1", "bad"), requestStep(525, "z1", "bad", "sound"), requestStep(575, "z1", "bad"),
 				requestStep(600, "z1", "bad", "sound"), requestStep(650, "z1", "bad"), requestStep(675, "z1", "bad", "sound"),
 			}, "bad"),
+		Entry("a sound request of long work under way at crashes for other reasons",
+			[]step{requestStep(0, "z1", "sound/745"), requestStep(3000, "z2", "sound/1385"), requestStep(6000, "z3", "sound/150"), requestStep(9000, "z4", "sound/2400")}),
+		Entry("a crashing request that waited at targets for different times",
+			[]step{
+				requestStep(0, "z1", "bad/20"), requestStep(3000, "z2", "bad/900"), requestStep(6000, "z3", "bad/1700"),
+				requestStep(9000, "z4", "bad/450"), requestStep(12000, "z1", "bad/1300"),
+			}, "bad"),
 		Entry("two requests at once",
 			[]step{
 				requestStep(0, "z1", "bad1"), requestStep(10, "z2", "bad2"), requestStep(700, "z3", "bad1"), requestStep(710, "z4", "bad2"),
@@ -191,25 +205,48 @@
 // against a crashing request that is found too late.
 func TestRandomRequestCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "entries")
-		f := newRequestFleet(rapid.Int64().Draw(t, "seed"), entries, 2, rapid.SampledFrom([]int{4, 6, 12}).Draw(t, "replicas"), rapid.IntRange(1, 4).Draw(t, "domains"))
-		f.play(25*time.Second, requestLoad{
-			crashing: rapid.IntRange(0, 2).Draw(t, "crashing requests"), rate: rapid.IntRange(20, 120).Draw(t, "rate"), popular: rapid.IntRange(1, 50).Draw(t, "popular"),
-			longest:    rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}).Draw(t, "work"),
-			crashAfter: rapid.SampledFrom([]time.Duration{simStep, 100 * time.Millisecond, time.Second}).Draw(t, "crash after"),
-			losses:     rapid.IntRange(0, 3).Draw(t, "losses of power"), otherCrashes: rapid.Bool().Draw(t, "other crashes"),
-		})
-		for d, n := range f.refused {
-			if !strings.Contains(string(d), "bad") {
-				t.Fatalf("sound: %s was refused %d times", d, n)
-			}
+		f, l := randomRequestFleet(t)
+		f.play(25*time.Second, l)
+		checkRequests(t, f)
+	})
+}
+
+// Guards against verdicts that rest on how long requests had been under way, where they wait
+// at targets before they run.
+func TestRandomRequestCrashesBehindQueues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, l := randomRequestFleet(t)
+		l.queueing = rapid.SampledFrom([]time.Duration{100 * time.Millisecond, 300 * time.Millisecond, time.Second}).Draw(t, "queueing")
+		f.play(25*time.Second, l)
+		checkRequests(t, f)
+	})
+}
+
+// randomRequestFleet draws a fleet and its load.
+func randomRequestFleet(t *rapid.T) (*requestFleet, requestLoad) {
+	entries := rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "entries")
+	f := newRequestFleet(rapid.Int64().Draw(t, "seed"), entries, 2, rapid.SampledFrom([]int{4, 6, 12}).Draw(t, "replicas"), rapid.IntRange(1, 4).Draw(t, "domains"))
+	return f, requestLoad{
+		crashing: rapid.IntRange(0, 2).Draw(t, "crashing requests"), rate: rapid.IntRange(20, 120).Draw(t, "rate"), popular: rapid.IntRange(1, 50).Draw(t, "popular"),
+		longest:    rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}).Draw(t, "work"),
+		crashAfter: rapid.SampledFrom([]time.Duration{simStep, 100 * time.Millisecond, time.Second}).Draw(t, "crash after"),
+		losses:     rapid.IntRange(0, 3).Draw(t, "losses of power"), otherCrashes: rapid.Bool().Draw(t, "other crashes"),
+	}
+}
+
+// checkRequests fails if a sound request was refused, or a crashing one was sent too often
+// after its third crash.
+func checkRequests(t *rapid.T, f *requestFleet) {
+	for d, n := range f.refused {
+		if !strings.Contains(string(d), "bad") {
+			t.Fatalf("sound: %s was refused %d times", d, n)
 		}
-		for d, n := range f.lateSends {
-			if n > 3 {
-				t.Fatalf("late: %d sends of %s later than 3 s after its third crash (%v)", n, d, f.crashesOf[d])
-			}
+	}
+	for d, n := range f.lateSends {
+		if n > 3 {
+			t.Fatalf("late: %d sends of %s later than 3 s after its third crash (%v)", n, d, f.crashesOf[d])
 		}
-	})
+	}
 }
 
 // Guards against verdicts on sound requests, under way when all targets lost power, that
