--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -165,13 +165,16 @@
 // neededHits returns the number of hits for a verdict on a request.
 func neededHits(records []*Crash, hits map[Part][]*Crash, p Part) int {
 	own := hits[p]
-	others := 0
+	var others []*Crash
 	for _, r := range records {
-		if r.Pool == own[0].Pool && !r.holds(p) && !mayBeDue(r, hits, minHits) && slices.ContainsFunc(own, func(h *Crash) bool { return r.At.Sub(h.At).Abs() < noiseRange }) {
-			others++
+		if r.Pool == own[0].Pool && !r.holds(p) && !mayBeDue(r, hits, minHits) &&
+			slices.ContainsFunc(own, func(h *Crash) bool { return r.At.Sub(h.At).Abs() < noiseRange }) &&
+			// A loss of power is one reason, however many targets it ends.
+			!slices.ContainsFunc(others, r.coincides) {
+			others = append(others, r)
 		}
 	}
-	return min(minHits+others/othersPerHit, maxNeededHits)
+	return min(minHits+len(others)/othersPerHit, maxNeededHits)
 }
 
 // hitsOfLikeAge returns the largest number of hits of a request at which it had been under
@@ -284,9 +287,14 @@
 	return q.under, q.hits
 }
 
+// coincides reports whether two crashes may have one cause outside the requests.
+func (c *Crash) coincides(r *Crash) bool {
+	return c.FailureDomain != "" && r.FailureDomain == c.FailureDomain && r.At.Sub(c.At).Abs() < coincidence
+}
+
 // isBeside reports whether another target of the same failure domain crashed at the same
 // time, when the request had been sent already.
 func (c *Crash) isBeside(r *Crash, p Part) bool {
-	return r != c && c.FailureDomain != "" && r.FailureDomain == c.FailureDomain && r.At.Sub(c.At).Abs() < coincidence &&
+	return r != c && c.coincides(r) &&
 		slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Parts[0] == p && s.SentAt.Before(r.At) })
 }
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -101,6 +101,12 @@
 				requestStep(0, "z1", "bad/20"), requestStep(3000, "z2", "bad/900"), requestStep(6000, "z3", "bad/1700"),
 				requestStep(9000, "z4", "bad/450"), requestStep(12000, "z1", "bad/1300"),
 			}, "bad"),
+		Entry("a crashing request beside a loss of power of another failure domain",
+			[]step{
+				requestStep(0, "z1", "bad"), requestStep(700, "z2", "bad"),
+				requestStep(1000, "z4"), requestStep(1001, "z4"), requestStep(1002, "z4"), requestStep(1003, "z4"), requestStep(1010, "z4"), requestStep(1020, "z4"),
+				requestStep(1400, "z3", "bad"),
+			}, "bad"),
 		Entry("two requests at once",
 			[]step{
 				requestStep(0, "z1", "bad1"), requestStep(10, "z2", "bad2"), requestStep(700, "z3", "bad1"), requestStep(710, "z4", "bad2"),
