--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -114,6 +114,10 @@
 		at = now
 	}
 	if at.After(x.at) && now.Sub(at) < q.rules.evidenceTTL {
+		if crashedAt, ok := q.suspected[p]; ok && at.After(crashedAt) && !x.at.After(crashedAt) && q.evaluateAt.IsZero() {
+			// The part explains no crash any more, so that another one may be the cause.
+			q.evaluateAt = now.Add(settleTime)
+		}
 		x.at = at
 		q.setBegin(now, p, x)
 	}
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -101,6 +101,8 @@
 				requestStep(0, "z1", "bad/20"), requestStep(3000, "z2", "bad/900"), requestStep(6000, "z3", "bad/1700"),
 				requestStep(9000, "z4", "bad/450"), requestStep(12000, "z1", "bad/1300"),
 			}, "bad"),
+		Entry("a sound request that shared two of the crashes and was answered after the third",
+			[]step{requestStep(0, "z1", "bad", "sound"), requestStep(700, "z2", "bad", "sound"), requestStep(1400, "z3", "bad", "other"), begun(3000, "sound")}, "bad"),
 		Entry("a crashing request beside a loss of power of another failure domain",
 			[]step{
 				requestStep(0, "z1", "bad"), requestStep(700, "z2", "bad"),
