--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -14,6 +14,8 @@
 	// ageTolerance is the difference up to which the times that a request had been under way
 	// at two hits are alike. A crashing request crashes each target after the same work.
 	ageTolerance = 300 * time.Millisecond
+	// ageNoise is the difference between the times of two hits that has no meaning.
+	ageNoise = 50 * time.Millisecond
 	// extraHits is the number of hits that are needed beyond those of like age, because
 	// queues at targets make the times of a crashing request differ.
 	extraHits = 2
@@ -180,6 +182,40 @@
 // hitsOfLikeAge returns the largest number of hits of a request at which it had been under
 // way for about the same time.
 func hitsOfLikeAge(hits []*Crash, p Part) (most int) {
+	ages := agesAt(hits, p)
+	for i, a := range ages {
+		end, _ := slices.BinarySearch(ages, a+ageTolerance)
+		most = max(most, end-i)
+	}
+	return most
+}
+
+// steadier reports whether the times that a request had been under way at its hits are much
+// more alike than those of another one, as they are of a crashing request.
+func steadier(hits map[Part][]*Crash, p, than Part) bool {
+	spread, ok := leastAgeSpread(hits[p], p)
+	if !ok {
+		return false
+	}
+	other, ok := leastAgeSpread(hits[than], than)
+	return !ok || other > 2*spread+ageNoise
+}
+
+// leastAgeSpread returns the least difference between the times that a request had been
+// under way at as many of its hits as a verdict needs. It reports false with fewer hits.
+func leastAgeSpread(hits []*Crash, p Part) (spread time.Duration, ok bool) {
+	ages := agesAt(hits, p)
+	for i := minHits - 1; i < len(ages); i++ {
+		if d := ages[i] - ages[i-minHits+1]; !ok || d < spread {
+			spread, ok = d, true
+		}
+	}
+	return spread, ok
+}
+
+// agesAt returns the times that a request had been under way at its hits, the shortest
+// first.
+func agesAt(hits []*Crash, p Part) []time.Duration {
 	ages := make([]time.Duration, 0, len(hits))
 	for _, r := range hits {
 		for _, s := range r.Suspects {
@@ -189,15 +225,11 @@
 		}
 	}
 	slices.Sort(ages)
-	for i, a := range ages {
-		end, _ := slices.BinarySearch(ages, a+ageTolerance)
-		most = max(most, end-i)
-	}
-	return most
+	return ages
 }
 
 // explainedByOther reports whether another request may be the cause of all hits of a request
-// but one, which may have another reason. Of crashes that coincide, the hits of the two may
+// but one, which may have another reason, or but two if the other one is steadier. Of crashes that coincide, the hits of the two may
 // be different ones, so that every crash under the other request counts.
 func explainedByOther(under, hits map[Part][]*Crash, p Part) bool {
 	for other, of := range hits {
@@ -210,7 +242,11 @@
 				shared++
 			}
 		}
-		if other != p && shared >= minHitsApart && len(hits[p])-shared < minHitsApart {
+		apart := minHitsApart
+		if steadier(hits, other, p) {
+			apart = minHits
+		}
+		if other != p && shared >= minHitsApart && len(hits[p])-shared < apart {
 			return true
 		}
 	}
--- a/internal/decide/quarantine/requests_test.go
+++ b/internal/decide/quarantine/requests_test.go
@@ -96,6 +96,11 @@
 			}, "bad"),
 		Entry("a sound request of long work under way at crashes for other reasons",
 			[]step{requestStep(0, "z1", "sound/745"), requestStep(3000, "z2", "sound/1385"), requestStep(6000, "z3", "sound/150"), requestStep(9000, "z4", "sound/2400")}),
+		Entry("a sound request of long work that shared crashes, and was under way at two for other reasons",
+			[]step{
+				requestStep(0, "z1", "sound/745"), requestStep(1300, "z2", "bad/100"), requestStep(1325, "z2", "bad/100", "sound/770"),
+				requestStep(1390, "z1", "bad/100", "sound/1385"), requestStep(6300, "z2", "sound/1290"), requestStep(9600, "z1", "bad/100", "sound/550"), requestStep(12000, "z2", "bad/100"),
+			}, "bad"),
 		Entry("a crashing request that waited at targets for different times",
 			[]step{
 				requestStep(0, "z1", "bad/20"), requestStep(3000, "z2", "bad/900"), requestStep(6000, "z3", "bad/1700"),
@@ -230,6 +235,23 @@
 	})
 }
 
+// Guards against a crashing request that is found later the more entries it comes to.
+func TestCrashingRequestBeforeManyEntries(t *testing.T) {
+	for _, entries := range []int{4, 32, 68} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			f := newRequestFleet(int64(entries), entries, 2, 6, 4)
+			f.play(15*time.Second, requestLoad{crashing: 2, rate: 60, popular: 20, longest: 300 * time.Millisecond, crashAfter: 100 * time.Millisecond, losses: 1})
+			for d, at := range f.crashesOf {
+				t.Logf("%s: %d crashes, %d late sends", d, len(at), f.lateSends[d])
+			}
+			if len(f.crashesOf) != 2 {
+				t.Fatalf("%d requests crashed replicas, not 2", len(f.crashesOf))
+			}
+			checkRequests(t, f)
+		})
+	}
+}
+
 // randomRequestFleet draws a fleet and its load.
 func randomRequestFleet(t *rapid.T) (*requestFleet, requestLoad) {
 	entries := rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "entries")
@@ -244,7 +266,7 @@
 
 // checkRequests fails if a sound request was refused, or a crashing one was sent too often
 // after its third crash.
-func checkRequests(t *rapid.T, f *requestFleet) {
+func checkRequests(t rapid.TB, f *requestFleet) {
 	for d, n := range f.refused {
 		if !strings.Contains(string(d), "bad") {
 			t.Fatalf("sound: %s was refused %d times", d, n)
