--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -62,10 +62,11 @@
 
 // mostSuspectRequest returns the request that is to be quarantined next. A hit of a
 // request is a crash of a target that had it under way and has not answered it whole
-// since. Three hits of like age suffice, or five of any age, and one more for each three other
-// crashes of the pool near them, if no other request explains them. If all hits are in one wave, a trial follows
-// soon: a loss of power of all targets looks the same. A request that has been sent late as
-// often as it may be is quarantined in any case, and without a trial.
+// since. Three hits of like age suffice, or five of any age, and one more for each three
+// other crashes of the pool near them, if no other request explains them. If all hits are
+// in one wave, a trial follows soon: a loss of power of all targets looks the same. A
+// request that has been sent late as often as it may be is quarantined in any case, and
+// without a trial.
 func mostSuspectRequest(records []*Crash, answeredAt func(Part) time.Time) (candidate, bool) {
 	under := crashesUnder(records, answeredAt)
 	hits := requestHits(records, under)
@@ -229,8 +230,9 @@
 }
 
 // explainedByOther reports whether another request may be the cause of all hits of a request
-// but one, which may have another reason, or but two if the other one is steadier. Of crashes that coincide, the hits of the two may
-// be different ones, so that every crash under the other request counts.
+// but one, which may have another reason, or but two if the other one is steadier. Of crashes
+// that coincide, the hits of the two may be different ones, so that every crash under the
+// other request counts.
 func explainedByOther(under, hits map[Part][]*Crash, p Part) bool {
 	for other, of := range hits {
 		if len(of) < minHitsApart {
