--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -107,11 +107,11 @@
 	// connections, the listener front in the settings.
 	frontAddresses []string
 	// targetProcesses stand beside the engines, one beside each.
-	targetProcesses []*process
-	engines         []*standin.Replica
-	engineServers   []*standin.Server
-	services        []*standin.Replica
-	targetProxies   []*proxy
+	targetProcesses               []*process
+	engines                       []*standin.Replica
+	engineServers, serviceServers []*standin.Server
+	services                      []*standin.Replica
+	targetProxies                 []*proxy
 	// port is the first port of port_range in all settings files.
 	port int
 	// network is the third byte of the loopback addresses 127.2.x.y of the
@@ -131,9 +131,12 @@
 	adapterSlots = 3
 	// streamEvents is the number of events of a streamed answer.
 	streamEvents = 12
-	// Engines crash on crashingPart and are down for engineDownTime.
+	// Engines crash on crashingPart, services after crashTime of work on a request for
+	// crashingPath. They are down for targetDownTime.
 	crashingPart   = "bad0"
-	engineDownTime = 400 * time.Millisecond
+	crashingPath   = "/lookup/crash"
+	crashTime      = 5 * time.Millisecond
+	targetDownTime = 400 * time.Millisecond
 	gracePeriod    = 4 * time.Second
 )
 
@@ -149,13 +152,18 @@
 		r.Events, r.EventTime = streamEvents, 15*time.Millisecond
 		f.engines = append(f.engines, r)
 		ip := fmt.Sprintf("127.2.%d.%d", network, i+1)
-		real := f.serveEngine(i, ip, r)
+		server := f.serveTarget(ip, "llm", r)
+		server.CrashOn(crashingPart)
+		f.engineServers = append(f.engineServers, server)
+		real := server.Address
 		f.targetProcesses = append(f.targetProcesses, f.newProcess(binDir, "agate-target", fmt.Sprintf("vm-%d", i), f.settingsText(ip, real, f.directStoreAddress(), nil)))
 	}
 	for i := range serviceCount {
 		r := standin.NewReplica(fmt.Sprintf("s-%d", i), "", 0)
 		f.services = append(f.services, r)
-		f.register(r, "ledger", "127.0.0.1", f.serve("127.0.0.1", r))
+		server := f.serveTarget("127.0.0.1", "ledger", r)
+		server.CrashUnder(func(run standin.Run) bool { return run.URI == crashingPath }, crashTime)
+		f.serviceServers = append(f.serviceServers, server)
 	}
 	f.publishNextConfig()
 	var peerAddresses []string
@@ -202,23 +210,22 @@
 	return l.Addr().String()
 }
 
-// serveEngine starts engine i with a proxy before it and returns its address. It
-// crashes on crashingPart; its proxy refuses connections while it is down.
-func (f *fleet) serveEngine(i int, ip string, r *standin.Replica) string {
+// serveTarget starts a target of a pool with a proxy before it, which refuses connections
+// while the target is down after a crash.
+func (f *fleet) serveTarget(ip, pool string, r *standin.Replica) *standin.Server {
 	server, err := standin.Serve(ip+":0", r)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(server.Close)
-	f.engineServers = append(f.engineServers, server)
-	f.register(r, "llm", ip, server.Address)
+	f.register(r, pool, ip, server.Address)
+	i := len(f.targetProxies) - 1
 	server.OnCrash(f.targetProxies[i].goDown)
-	server.RestartAfter(engineDownTime, nil, func() {
+	server.RestartAfter(targetDownTime, nil, func() {
 		f.targetProxies[i].goUp()
 		f.registrations[i]()
 	})
-	server.CrashOn(crashingPart)
-	return server.Address
+	return server
 }
 
 // register starts a proxy before a target, on the given IP address, and lists the
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,7 +59,7 @@
 	status int
 	body   string
 	err    error
-	// crashing is true if the prompt has the crashing part.
+	// crashing is true if the request crashes the targets that run it.
 	crashing bool
 	// resumes is the ID of the request whose stream this one takes up after event, empty if
 	// it takes up none.
@@ -154,18 +154,17 @@
 			s.callUntil(ctx, rand.New(rand.NewSource(seed*100+int64(i))))
 		}()
 	}
-	crashingDone := make(chan struct{})
-	crashingRng := rand.New(rand.NewSource(s.partRng.Int63()))
-	go func() {
-		defer close(crashingDone)
-		s.callCrashing(crashingRng, faultTime)
-	}()
+	var crashing sync.WaitGroup
+	crashingRng, crashingRequestRng := rand.New(rand.NewSource(s.partRng.Int63())), rand.New(rand.NewSource(seed+1<<35))
+	crashing.Go(func() { s.callCrashing(crashingRng, faultTime) })
+	crashing.Go(func() { s.callCrashingRequest(crashingRequestRng, faultTime) })
 	s.injectFaultsUntil(time.Now().Add(faultTime))
-	<-crashingDone
+	crashing.Wait()
 	s.endFaults()
 	s.waitServing("after the faults")
 	// An entry that stops may break off what is open at the end of its grace period.
 	time.Sleep(time.Until(s.lastTerm.Add(gracePeriod + time.Second)))
+	s.checkCrashingRequest()
 	calm := time.Now()
 	s.silenceEngines()
 	s.checkLimits(s.limitRng)
@@ -347,7 +346,7 @@
 func (s *soak) send(front, path, adapter, part string, given outcome) outcome {
 	number := s.lastNumber.Add(1)
 	o := outcome{
-		id: fmt.Sprintf("r%d", number), kind: strings.Split(path, "/")[1], crashing: part == crashingPart, sent: time.Now(),
+		id: fmt.Sprintf("r%d", number), kind: strings.Split(path, "/")[1], crashing: part == crashingPart || path == crashingPath, sent: time.Now(),
 		resumes: given.resumes, event: given.event, adapter: adapter, part: part,
 	}
 	method, body := http.MethodPost, io.Reader(strings.NewReader("body"))
@@ -431,7 +430,7 @@
 	if !o.crashing && strings.Contains(o.body, "prompt_quarantined") {
 		s.t.Errorf("%s %s was refused for a part that crashes nothing", o.kind, o.id)
 	}
-	if strings.Contains(o.body, "request_quarantined") {
+	if !o.crashing && strings.Contains(o.body, "request_quarantined") {
 		s.t.Errorf("%s %s was refused as a request that crashes targets", o.kind, o.id)
 	}
 	if o.status != 200 || o.err != nil {
