--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -192,7 +192,8 @@
 }
 
 // steadier reports whether the times that a request had been under way at its hits are much
-// more alike than those of another one, as they are of a crashing request.
+// more alike than those of another one. A crashing request has the same time at each hit,
+// but for queues at its targets.
 func steadier(hits map[Part][]*Crash, p, than Part) bool {
 	spread, ok := leastAgeSpread(hits[p], p)
 	if !ok {
