--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -78,6 +78,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool){
 	"take-up":        takeUpAfterKill,
 	"two-runs":       twoRuns,
+	"uploads":        uploadBodies,
 	"part-session":   crashingPart(partCase{parts: 2, crashAfter: 80 * time.Millisecond, oneSession: true}),
 	"part-many":      crashingPart(partCase{parts: 8, crashAfter: 80 * time.Millisecond}),
 	"part-begun":     crashingPart(partCase{parts: 2, crashAfter: 110 * time.Millisecond}),
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -24,6 +24,8 @@
 	// eventTime is the time between two events of a stream, workTime the time of a
 	// request to a plain service.
 	eventTime, workTime time.Duration
+	// prefill is the time from the arrival of a request to its first token.
+	prefill time.Duration
 	// crashOn returns the time of work after which the request crashes the replica, and
 	// false if it doesn't.
 	crashOn  func(*http.Request, []byte) (time.Duration, bool)
@@ -49,7 +51,7 @@
 func newReplica(f *fleet, service, version, zone, ip string, engine bool) *replica {
 	r := &replica{
 		fleet: f, service: service, version: version, zone: zone, ip: ip, engine: engine, model: true,
-		eventTime: 27 * time.Millisecond, workTime: 30 * time.Millisecond, downTime: 3 * time.Second,
+		eventTime: 27 * time.Millisecond, workTime: 30 * time.Millisecond, prefill: 60 * time.Millisecond, downTime: 3 * time.Second,
 	}
 	l := f.listen(ip)
 	r.address = l.Addr().String()
@@ -313,7 +315,7 @@
 			return false
 		}
 	}
-	if !wait(60 * time.Millisecond) {
+	if !wait(r.prefill) {
 		return
 	}
 	beginRun(n)
