--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -87,6 +87,8 @@
 	"request-killed": crashingRequest(requestCase{killed: true}),
 	"request-plain":  crashingRequest(requestCase{}),
 	"request-late":   lateCrash,
+	"part-noise":     partBesideCrashes,
+	"request-queued": requestBehindQueues,
 }
 
 func main() {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -30,6 +30,8 @@
 	// false if it doesn't.
 	crashOn  func(*http.Request, []byte) (time.Duration, bool)
 	downTime time.Duration
+	// queueTime returns how long a request waits at a plain service before it runs, nil for 0.
+	queueTime func() time.Duration
 	// quietAfter returns for how long the replica sends nothing before an event of a
 	// request, though it goes on with its work.
 	quietBefore func(r *http.Request, event int) time.Duration
@@ -262,6 +264,13 @@
 		w.WriteHeader(declined)
 		return
 	}
+	if r.queueTime != nil {
+		select {
+		case <-time.After(r.queueTime()):
+		case <-q.Context().Done():
+			return
+		}
+	}
 	x := run{attempt: attempt, replica: id, service: r.service, version: r.version, from: q.Header.Get("Last-Event-Id"), header: q.Header, path: q.URL.Path, began: time.Now()}
 	n := addRun(x)
 	defer func() {
