--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -25,17 +25,22 @@
 		crashDown     = 2 * time.Second
 		total         = 60 * time.Second
 	)
-	holds := func(h http.Header) bool { return strings.Contains(h.Get("Prompt-Prefix"), bad) }
-	var seen crashes
+	holds := func(h http.Header, part int) bool {
+		return strings.Contains(h.Get("Prompt-Prefix"), fmt.Sprint(bad, part))
+	}
+	// seen are the crashes by their parts.
+	var seen [badParts]crashes
 	for range 12 {
 		r := f.addReplica(engines, "v1", true)
 		r.downTime = crashDown
 		r.crashOn = func(q *http.Request, _ []byte) (time.Duration, bool) {
-			if !trouble || !holds(q.Header) {
-				return 0, false
+			for part := range badParts {
+				if trouble && holds(q.Header, part) {
+					seen[part].add(80 * time.Millisecond)
+					return 80 * time.Millisecond, true
+				}
 			}
-			seen.add(80 * time.Millisecond)
-			return 80 * time.Millisecond, true
+			return 0, false
 		}
 	}
 	f.addFronts(4)
@@ -62,9 +67,13 @@
 	}
 	every(badInterval, total, func(n int) { record("request with the part: %v", ask(n, fmt.Sprint(bad, n%badParts), newID())) })
 	time.Sleep(3 * time.Second)
-	late := seen.sentLate(5, func(x run) bool { return holds(x.header) })
-	record("%d runs of requests with the part; %d reached engines later than %v after the fifth crash; %d of %d sound requests were served", len(seen.at), late, contactTime, served.Load(), sound.Load())
-	return late > 3
+	for part := range badParts {
+		late := seen[part].sentLate(5, func(x run) bool { return holds(x.header, part) })
+		record("part %d: %d runs of requests with it; %d reached engines later than %v after the fifth crash", part, len(seen[part].at), late, contactTime)
+		broken = broken || late > 3
+	}
+	record("%d of %d sound requests were served", served.Load(), sound.Load())
+	return broken
 }
 
 // requestBehindQueues sends one request again and again that crashes each replica that runs it.
