quarantine: a crashing part that one session sends is found

Cause: the last part of a prompt was taken for the identity of a request, so that repeats on crashing engines count once. All turns of a session have that part in common, so that they were one hit, and three are needed.

Change: a suspect ends with the ID of its request, a digest of method, host, path, query, model, parts and body, beside one of the last part. Attempts at a request, by an entry or by its caller and whatever their headers are, have the same ID; turns of a session differ. The last part of the prompt is no suspect, as before. The spec that found the request's own last part in the evidence now demands IDs that differ for different requests instead, because the last part is no longer there.

--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -355,6 +355,17 @@
 	maps.DeleteFunc(g.refusals, func(p quarantine.Part, _ int64) bool { return !known[p] })
 }
 
+// suspectParts returns the shared parts of a request and what identifies it among the
+// suspects of crashes. The last part of the prompt does not: it may be that of a session,
+// whose turns are requests of their own.
+func suspectParts(r relay.Identity) []quarantine.Part {
+	list := bounded(r.PromptParts)
+	if len(list) > 1 {
+		list[len(list)-1] = quarantine.NewRequestID(string(list[len(list)-1]), r.Content())
+	}
+	return list
+}
+
 // bounded returns the parts that are considered, in the form in which entries exchange
 // them: the first shared ones and the last one, which is the request's own. A long ID is
 // replaced by its hash.
--- a/entry/containment/containment_suite_test.go
+++ b/entry/containment/containment_suite_test.go
@@ -17,6 +17,7 @@
 	"agatelanding.example/agatelanding/entry/containment"
 	"agatelanding.example/agatelanding/entry/peers"
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/quarantine"
 	"agatelanding.example/agatelanding/internal/relay"
 	"agatelanding.example/agatelanding/internal/telemetry"
 )
@@ -117,12 +118,21 @@
 // crash lets target i crash under requests with these parts at an entry, and waits until
 // the entry has recorded it.
 func (m *mesh) crash(entry, i int, requests ...string) {
+	var identities []relay.Identity
+	for _, r := range requests {
+		identities = append(identities, prompted(strings.Split(r, ",")...))
+	}
+	m.crashPrompts(entry, i, identities...)
+}
+
+// crashPrompts lets target i crash under attempts at an entry, like crash.
+func (m *mesh) crashPrompts(entry, i int, requests ...relay.Identity) {
 	before := records(m.guards[entry])
 	m.skipped.Add(int64(time.Second))
 	for _, r := range requests {
-		m.guards[entry].Broken(target(i), prompted(strings.Split(r, ",")...), false, m.now())
+		m.guards[entry].Broken(target(i), r, false, m.now())
 	}
-	EventuallyWithOffset(1, func() int { return records(m.guards[entry]) }).WithPolling(2 * time.Millisecond).Should(Equal(before + 1))
+	EventuallyWithOffset(2, func() int { return records(m.guards[entry]) }).WithPolling(2 * time.Millisecond).Should(Equal(before + 1))
 }
 
 // counts returns the begins that were broadcast and the targets that were dialed.
@@ -134,10 +144,14 @@
 
 var lastDigest atomic.Int64
 
-// prompted returns a request with these parts in its prompt, which differs from all others.
-func prompted(parts ...string) relay.Identity {
+// prompted returns an attempt at a request with these parts in its prompt, which determine
+// its content. It has a header of its own, so that its digest differs from all others.
+func prompted(parts ...string) relay.Identity { return withContent(strings.Join(parts, ","), parts...) }
+
+// withContent returns an attempt at a request with this content.
+func withContent(content string, parts ...string) relay.Identity {
 	digest := fmt.Sprint("digest", lastDigest.Add(1))
-	return relay.Identity{PromptParts: parts, Digest: func() string { return digest }}
+	return relay.Identity{PromptParts: parts, Digest: func() string { return digest }, Content: func() string { return content }}
 }
 
 func target(i int) *catalog.Target { return &catalog.Target{ID: fmt.Sprint("i-", i), StartedAtMS: 5} }
@@ -187,6 +201,41 @@
 		Entry("although one was cut off during all crashes", "cut 0 1 0 heal"),
 	)
 
+	// Guards against a part that is never found because all requests with it have the last
+	// part of one session.
+	DescribeTable("is quarantined if the turns of a session are the only requests with it", func(sessions int, turn func(i int) relay.Identity) {
+		m := newMesh(2)
+		for i := range 2 + sessions {
+			m.crashPrompts(i%2, 2*i, turn(i))
+			m.crashPrompts(i%2, 2*i+1, turn(i))
+			m.guards[0].Began(prompted("wall", "served"))
+		}
+		for i, g := range m.guards {
+			Eventually(func() bool { return blocked(g, "wall", "bad", "another") }).Within(time.Second).Should(BeTrue(), "entry %d", i)
+			Expect(blocked(g, "wall", "session0")).To(BeFalse(), "the last part is never quarantined")
+			parts, _, _ := g.Status()
+			Expect(parts).To(ConsistOf(HaveField("Part", "bad")))
+		}
+	},
+		Entry("with another part and body in each", 1, func(i int) relay.Identity { return prompted("wall", "bad", fmt.Sprint("turn", i), "session0") }),
+		Entry("with another body only", 1, func(i int) relay.Identity { return withContent(fmt.Sprint("body", i), "wall", "bad", "session0") }),
+		Entry("of two sessions", 2, func(i int) relay.Identity {
+			return prompted("wall", "bad", fmt.Sprint("turn", i), fmt.Sprint("session", i%2))
+		}),
+	)
+
+	// Guards against a verdict on the evidence of a single request.
+	It("is not quarantined if one request is sent again and again, also with headers of its own", func() {
+		m := newMesh(2)
+		for i := range 6 {
+			m.crash(i%2, i, "wall,sound,own")
+			m.guards[0].Began(prompted("wall", "served"))
+		}
+		for _, g := range m.guards {
+			Consistently(func() bool { return blocked(g, "wall", "sound", "another") }).WithTimeout(600 * time.Millisecond).Should(BeFalse())
+		}
+	})
+
 	It("is released at all entries if an engine begins to answer the one request that tries it", func() {
 		m := newMesh(2)
 		for i := range 3 {
@@ -297,6 +346,7 @@
 		Eventually(func() bool { return blocked(m.guards[0], long+"1", "c") }).Should(BeTrue())
 		Expect(blocked(m.guards[0], long+"2", "c")).To(BeFalse())
 		Expect(blocked(m.guards[0], "c", long+"1")).To(BeFalse(), "the last part is the request's own")
+		var ids []quarantine.Part
 		for _, c := range m.guards[0].Evidence().Crashes {
 			parts := c.Suspects[0].Parts
 			if strings.HasPrefix(string(parts[0]), "@") {
@@ -305,7 +355,9 @@
 			}
 			Expect(len(parts)).To(BeNumerically("<=", 8))
 			Expect(parts[0]).To(HaveLen(32))
-			Expect(string(parts[len(parts)-1])).To(HavePrefix("own"))
+			Expect(string(parts[len(parts)-1])).To(HaveLen(25), "the ID of the request")
+			Expect(ids).NotTo(ContainElement(parts[len(parts)-1]))
+			ids = append(ids, parts[len(parts)-1])
 		}
 	})
 
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -58,7 +58,7 @@
 		return
 	}
 	incarnation := incarnationOf(target)
-	digest := digestParts(r)
+	digest, prompt := digestParts(r), suspectParts(r)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.broken[incarnation]
@@ -71,8 +71,8 @@
 		go g.examine(target, incarnation, b)
 	}
 	b.prompted = b.prompted || len(r.PromptParts) > 0
-	if list := bounded(r.PromptParts); !began && len(list) > 1 && len(b.suspects) < wire.MaxSuspects {
-		b.suspects = append(b.suspects, quarantine.Suspect{Parts: list, SentAt: sentAt})
+	if !began && len(prompt) > 1 && len(b.suspects) < wire.MaxSuspects {
+		b.suspects = append(b.suspects, quarantine.Suspect{Parts: prompt, SentAt: sentAt})
 	}
 	if len(b.requests) < maxBrokenRequests {
 		b.requests = append(b.requests, quarantine.Suspect{Parts: digest, SentAt: sentAt})
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -159,8 +159,8 @@
 }
 
 // countGroup returns how many crashes of a group hold a part, and whether a
-// request with the part is in none of the groups before. It adds the own parts of
-// these requests to requests.
+// request with the part is in none of the groups before. It adds the IDs of these
+// requests to requests.
 func countGroup(group []*Crash, part Part, counts func(*Crash) bool, requests map[Part]bool) (held int, hit bool) {
 	for _, r := range group {
 		if !counts(r) {
@@ -168,8 +168,8 @@
 		}
 		held++
 		for _, s := range r.Suspects {
-			if own := s.Parts[len(s.Parts)-1]; slices.Contains(sharedParts(s.Parts), part) && !requests[own] {
-				requests[own], hit = true, true
+			if id := s.Parts[len(s.Parts)-1]; slices.Contains(sharedParts(s.Parts), part) && !requests[id] {
+				requests[id], hit = true, true
 			}
 		}
 	}
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -9,8 +9,9 @@
 // time in which messages between entries arrive, and decides alone.
 //
 // Everywhere in this package the parts of a request are those of its prompt in
-// order, including the last one. The last part belongs to the request itself. It
-// identifies the request and is never suspected.
+// order, including the last one, which is never suspected: it belongs to the request or
+// to its session. In a suspect its place is taken by the ID of the request, which is the
+// same for all attempts at it (NewRequestID).
 //
 // For whole requests the shared part is the digest of the request, and a begin is the end
 // of a whole answer or SurvivalTime of work: a request may crash its target after the first
@@ -20,14 +21,35 @@
 // for concurrent use.
 package quarantine
 
-import "time"
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"time"
+)
 
 // Part is the ID of a part of a prompt.
 type Part string
 
+const sessionBytes, contentBytes = 6, 12
+
+// NewRequestID returns the ID of a request with this last part of its prompt and this
+// content. Turns of a session have the last part in common, attempts at a request both.
+func NewRequestID(lastPart, content string) Part {
+	return Part(shortHash(lastPart, sessionBytes) + sessionSeparator + shortHash(content, contentBytes))
+}
+
+// sessionSeparator is in no ID of a part and in no short hash.
+const sessionSeparator = "."
+
+func shortHash(s string, n int) string {
+	hash := sha256.Sum256([]byte(s))
+	return base64.RawURLEncoding.EncodeToString(hash[:n])
+}
+
 // Suspect is a request that an engine had got and not begun to answer when it
 // crashed.
 type Suspect struct {
+	// Parts ends with the ID of the request.
 	Parts  []Part
 	SentAt time.Time
 }
--- a/internal/relay/identity.go
+++ b/internal/relay/identity.go
@@ -23,9 +23,7 @@
 // for headers that concern one attempt or connection only. The body is not kept.
 func (x *callerRequest) digest() string {
 	h := sha256.New()
-	writeField(h, x.r.Method)
-	writeField(h, strings.ToLower(x.r.Host))
-	writeField(h, x.requestURI())
+	x.writeTarget(h)
 	header := x.h.Dialect.RepeatedHeader(x.r.Header)
 	names := make([]string, 0, len(header))
 	for name := range header {
@@ -42,6 +40,30 @@
 	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:digestBytes])
 }
 
+// content returns the digest of method, host, path, query, model, parts of the prompt and
+// body. Unlike digest it is the same if the caller's headers change from one attempt to the
+// next, and it may be the same for two callers.
+func (x *callerRequest) content() string {
+	h := sha256.New()
+	x.writeTarget(h)
+	writeField(h, x.meta.Model)
+	writeField(h, x.meta.Adapter)
+	// With their number, no body can be taken for further parts.
+	writeField(h, strconv.Itoa(len(x.meta.PromptParts)))
+	for _, p := range x.meta.PromptParts {
+		writeField(h, p)
+	}
+	_, _ = h.Write(x.body)
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
+// writeTarget writes method, host, path and query.
+func (x *callerRequest) writeTarget(h hash.Hash) {
+	writeField(h, x.r.Method)
+	writeField(h, strings.ToLower(x.r.Host))
+	writeField(h, x.requestURI())
+}
+
 // writeField writes a field with its length, so that two lists of fields differ in what is
 // written if they differ at all.
 func writeField(h hash.Hash, s string) {
--- a/internal/relay/identity_suite_test.go
+++ b/internal/relay/identity_suite_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -17,16 +18,20 @@
 	return out
 }
 
-// digestOf returns the digest of a request that change has altered.
-func digestOf(change func(x *callerRequest)) string {
+// altered returns a request that change has altered.
+func altered(change func(x *callerRequest)) *callerRequest {
 	x := &callerRequest{h: &Handler{Dialect: headers{}}, r: httptest.NewRequest(http.MethodPost, "http://h.example/lookup/1?q=1", nil), body: []byte(strings.Repeat("b", 1<<20))}
 	x.r.Header.Set("Tenant", "one")
+	x.meta.PromptParts = []string{"a"}
 	if change != nil {
 		change(x)
 	}
-	return x.digest()
+	return x
 }
 
+// digestOf returns the digest of a request that change has altered.
+func digestOf(change func(x *callerRequest)) string { return altered(change).digest() }
+
 var _ = Describe("The digest of a request", func() {
 	// Guards against a sound request that is refused for another one, and against a
 	// crashing one that is not recognised.
@@ -54,6 +59,30 @@
 	)
 })
 
+var _ = Describe("The digest of the content of a request", func() {
+	// Guards against turns of a session that count as one request, and against repeats of
+	// one request that count as several.
+	DescribeTable("differs for another request, but not for another attempt",
+		func(same bool, change func(x *callerRequest)) {
+			Expect(altered(change).content() == altered(nil).content()).To(Equal(same))
+		},
+		Entry("another attempt", true, func(x *callerRequest) { x.r.Header.Set("Attempt-Id", "2") }),
+		Entry("a header of its own", true, func(x *callerRequest) { x.r.Header.Set("Trace", "2") }),
+		Entry("another deadline", true, func(x *callerRequest) { x.meta.CallerTimeout = time.Second }),
+		Entry("a stream that is taken up", true, func(x *callerRequest) { x.meta.Resumes, x.meta.LastEventID = "1", "7" }),
+		Entry("another letter case of the host", true, func(x *callerRequest) { x.r.Host = "H.Example" }),
+		Entry("one byte of the body", false, func(x *callerRequest) { x.body[1<<19] = 'c' }),
+		Entry("one more part", false, func(x *callerRequest) { x.meta.PromptParts = []string{"a", "b"} }),
+		Entry("a part that moved to the body", false, func(x *callerRequest) {
+			x.meta.PromptParts = nil
+			x.body = append([]byte("\x00\x00\x00\x00\x00\x00\x00\x01a"), x.body...)
+		}),
+		Entry("another model", false, func(x *callerRequest) { x.meta.Model = "m" }),
+		Entry("another adapter", false, func(x *callerRequest) { x.meta.Adapter = "a" }),
+		Entry("another query", false, func(x *callerRequest) { x.r.RequestURI = "/lookup/1?q=2" }),
+	)
+})
+
 // BenchmarkDigest shows what the digest of a request costs by the size of its body.
 func BenchmarkDigest(b *testing.B) {
 	for _, size := range []int{1 << 10, 4 << 20} {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -153,7 +153,7 @@
 	}
 	x.route, x.body, x.lastEventID, x.configVersion = route, body, x.meta.LastEventID, view.Config.Version
 	x.poolName = route.Pick(rand.Float64())
-	x.identity = Identity{PromptParts: x.meta.PromptParts, Digest: sync.OnceValue(x.digest)}
+	x.identity = Identity{PromptParts: x.meta.PromptParts, Digest: sync.OnceValue(x.digest), Content: sync.OnceValue(x.content)}
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -118,8 +118,9 @@
 	// PromptParts are those of Metadata.
 	PromptParts []string
 	// Digest returns the digest of the whole request, which is equal for all attempts at
-	// it. It is safe for concurrent use.
-	Digest func() string
+	// it, and Content that of what a request is made of without its headers but the model.
+	// Both are safe for concurrent use.
+	Digest, Content func() string
 }
 
 // Cause is why a request is kept from the targets: a part of its prompt, or the digest of
