quarantine: a crashing part that comes with other parts of its sessions is found in time

Cause: each other part in as many crashes asked for one more hit, also parts that are in the same requests. A session with two parts of its own needed five turns. Where two parts tied, the one further back was taken, also one that engines had served or that a single sound session sent. And once a part of the session was quarantined, its crashes were explained, so that the crashing part started anew with the next session.

What callers saw: more late sends than the three that are allowed (read from the rule and the specs, not seen with processes).

Change: parts in the same suspects are one rival. Among parts in as many crashes, one that was not served comes first, then one of several sessions. A part that is in all suspects with a quarantined one and in a crash beyond is quarantined from four hits on.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -214,10 +214,18 @@
 			q.evaluateAt = records[settled].At.Add(settleTime)
 			records = records[:settled]
 		}
-		if len(records) < minHits || q.countVerdicts(true) >= q.rules.maxQuarantined {
+		if len(records) == 0 || q.countVerdicts(true) >= q.rules.maxQuarantined {
 			return changed
 		}
-		c, ok := q.rules.find(records, func(p Part) time.Time { return q.evidence.begins.get(p).at })
+		begunAt := func(p Part) time.Time { return q.evidence.begins.get(p).at }
+		var c candidate
+		ok := false
+		if len(records) >= minHits {
+			c, ok = q.rules.find(records, begunAt)
+		}
+		if !ok && q.cfg.Kind == SharedParts {
+			c, ok = coveringPart(q.settled(now), records, begunAt, q.quarantined)
+		}
 		if !ok {
 			return changed
 		}
@@ -226,6 +234,15 @@
 	}
 }
 
+// settled returns the records for which the evidence of all entries has arrived.
+func (q *Quarantine) settled(now time.Time) []*Crash {
+	i := slices.IndexFunc(q.evidence.records, func(r *Crash) bool { return now.Sub(r.At) < settleTime })
+	if i < 0 {
+		return q.evidence.records
+	}
+	return q.evidence.records[:i]
+}
+
 // Suspected reports whether a crash counts against a part.
 func (q *Quarantine) Suspected(p Part) bool {
 	at, ok := q.suspected[p]
--- a/internal/decide/quarantine/quarantine_suite_test.go
+++ b/internal/decide/quarantine/quarantine_suite_test.go
@@ -83,6 +83,16 @@
 	return list
 }
 
+// turns returns the crashes under requests of which each is sent twice. Another caller is
+// served after each.
+func turns(n int, request func(i int) string) (list []step) {
+	for i := range time.Duration(n) {
+		from := 1000 + i*4500
+		list = append(list, crash(from, request(int(i))), crash(from+300, request(int(i))), begun(from+350, "wall.served"))
+	}
+	return list
+}
+
 var _ = Describe("The decision", func() {
 	// The numbers are those of the cases that the design is held against.
 	DescribeTable("quarantines the part that crashes engines and no other",
@@ -117,6 +127,28 @@
 			repeat(12, func(i time.Duration) step { return crash(i*500, []string{"f1.c", "f2.x", "f3.y", "f4.z"}[i%4]) })),
 	)
 
+	// Guards against crashing parts of sessions that are found late, or taken for one of
+	// the sound parts that only these sessions have. Each turn crashes two engines.
+	DescribeTable("finds a part that sessions send",
+		func(steps []step, want ...string) {
+			Expect(play(quarantine.New(quarantine.Config{}), steps)).To(ConsistOf(want))
+		},
+		Entry("beside parts that all turns have", turns(3, func(i int) string { return fmt.Sprintf("wall.bad.a.b.s/%d", i) }), "b"),
+		Entry("with one more part in each turn", turns(3, func(i int) string {
+			return "wall.bad.h1" + []string{"", ".h2", ".h2.h3"}[i] + fmt.Sprint(".s/", i)
+		}), "h1"),
+		Entry("in a session that sent sound turns before", append([]step{begun(0, "wall.a.b.s/0"), begun(100, "wall.a.b.s/1")},
+			turns(3, func(i int) string { return fmt.Sprintf("wall.bad.a.b.s/%d", 2+i) })...), "bad"),
+		Entry("in one session after the other", turns(4, func(i int) string { return fmt.Sprintf("wall.bad.a%d.s%d/%d", i/3, i/3, i) }), "a0", "bad"),
+		Entry("in ten sessions at once", turns(3, func(i int) string { return fmt.Sprintf("wall.bad.a%d.s%d/%d", i, i, i) }), "bad"),
+		Entry("while a sound session is under way at each crash", repeat(8, func(i time.Duration) step {
+			if i%2 == 1 {
+				return begun(1000+i*700, "wall.served")
+			}
+			return crash(1000+i*700, fmt.Sprintf("wall.bad.s%d/%d", i/2%2, i), fmt.Sprintf("wall.a.b.s9/%d", i))
+		}), "bad"),
+	)
+
 	// Records of 4 entries hold different suspects of one crash.
 	It("7: merges records of one crash, whatever their order and number", func() {
 		q := quarantine.New(quarantine.Config{})
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -14,20 +14,37 @@
 	crashes, suspects int
 	// position is its last position in a prompt.
 	position int
+	// served is true if an engine is known to have begun to answer it before the first of
+	// these crashes, and sessions the number of last parts of prompts that it came with.
+	served   bool
+	sessions map[Part]bool
 	// trialsLeftOut is the number of trials that are not made.
 	trialsLeftOut int
 }
 
 // compareCandidates orders the part that explains the most crashes first. Among
-// equals, it is the part whose quarantine refuses the fewest requests: the one with
+// equals, it is one that no engine has served, then one that did not come with a single
+// session, and then the part whose quarantine refuses the fewest requests: the one with
 // the fewest suspects, then the one further back in prompts.
 func compareCandidates(x, y candidate) int {
 	return cmp.Or(
-		cmp.Compare(y.crashes, x.crashes), cmp.Compare(x.suspects, y.suspects),
+		cmp.Compare(y.crashes, x.crashes), compareBools(x.served, y.served),
+		compareBools(len(x.sessions) == 1, len(y.sessions) == 1), cmp.Compare(x.suspects, y.suspects),
 		cmp.Compare(y.position, x.position), cmp.Compare(x.part, y.part),
 	)
 }
 
+// compareBools orders false before true.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 // mostSuspectPart returns the candidate that is to be quarantined next.
 func mostSuspectPart(records []*Crash, begunAt func(Part) time.Time) (candidate, bool) {
 	left, ahead := records, 0
@@ -35,13 +52,7 @@
 	for len(list) > 0 && list[0].crashes >= minHits {
 		c := list[0]
 		hits, others := countHits(left, c.part, begunAt(c.part))
-		rivals := ahead
-		for _, other := range list[1:] {
-			if other.crashes < c.crashes-1 {
-				break
-			}
-			rivals++
-		}
+		rivals := ahead + countRivals(left, list, begunAt)
 		needed := minHits + others/othersPerHit
 		if c.crashes >= others {
 			needed = min(needed, minHitsInMost)
@@ -60,6 +71,77 @@
 	return candidate{}, false
 }
 
+// countRivals returns the number of other parts in as many crashes as the first candidate,
+// or in one less. Of parts that always come together one counts: whichever is the cause,
+// the hits are due to it.
+func countRivals(records []*Crash, list []candidate, begunAt func(Part) time.Time) int {
+	distinct := list[:1:1]
+	for _, c := range list[1:] {
+		if c.crashes < list[0].crashes-1 {
+			break
+		}
+		if !slices.ContainsFunc(distinct, func(x candidate) bool { return inseparable(records, x, c, begunAt) }) {
+			distinct = append(distinct, c)
+		}
+	}
+	return len(distinct) - 1
+}
+
+// inseparable reports whether two parts are in the same suspects of the records.
+func inseparable(records []*Crash, x, y candidate, begunAt func(Part) time.Time) bool {
+	if x.crashes != y.crashes || x.suspects != y.suspects {
+		return false
+	}
+	return !slices.ContainsFunc(records, func(r *Crash) bool {
+		return r.At.After(begunAt(x.part)) && slices.ContainsFunc(r.Suspects, func(s Suspect) bool {
+			shared := sharedParts(s.Parts)
+			return slices.Contains(shared, x.part) != slices.Contains(shared, y.part)
+		})
+	})
+}
+
+// coveringPart returns a part without a verdict that is in every suspect with a certain
+// quarantined part, and in a crash which no quarantine explains. The two came together,
+// and the other one was quarantined in its place.
+func coveringPart(all, unexplained []*Crash, begunAt func(Part) time.Time, quarantined func(Part) bool) (candidate, bool) {
+	companions := make(map[Part]map[Part]bool)
+	for _, r := range all {
+		for _, s := range r.Suspects {
+			shared := sharedParts(s.Parts)
+			for _, q := range shared {
+				if quarantined(q) {
+					companions[q] = intersect(companions[q], shared)
+				}
+			}
+		}
+	}
+	if len(companions) == 0 {
+		return candidate{}, false
+	}
+	for _, c := range candidates(unexplained, begunAt) {
+		for _, parts := range companions {
+			if !parts[c.part] {
+				continue
+			}
+			if hits, _ := countHits(all, c.part, begunAt(c.part)); hits > minHits {
+				return c, true
+			}
+		}
+	}
+	return candidate{}, false
+}
+
+// intersect returns the parts that are also in a set. A nil set holds all parts.
+func intersect(set map[Part]bool, parts []Part) map[Part]bool {
+	both := make(map[Part]bool)
+	for _, p := range parts {
+		if set == nil || set[p] {
+			both[p] = true
+		}
+	}
+	return both
+}
+
 // explainedByAnother reports whether the records that hold a part, but at most one of
 // them, also hold another part that is in more records and that no engine has
 // begun to answer since the last of them.
@@ -101,9 +183,10 @@
 				}
 				c := found[p]
 				if c == nil {
-					c = &candidate{part: p}
+					c = &candidate{part: p, served: !begunAt(p).IsZero(), sessions: make(map[Part]bool)}
 					found[p] = c
 				}
+				c.sessions[sessionOf(s)] = true
 				if !counted[p] {
 					counted[p] = true
 					c.crashes++
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -24,6 +24,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"strings"
 	"time"
 )
 
@@ -39,7 +40,13 @@
 }
 
 // sessionSeparator is in no ID of a part and in no short hash.
-const sessionSeparator = "."
+const sessionSeparator = "/"
+
+// sessionOf returns what the requests of one session have in common.
+func sessionOf(s Suspect) Part {
+	session, _, _ := strings.Cut(string(s.Parts[len(s.Parts)-1]), sessionSeparator)
+	return Part(session)
+}
 
 func shortHash(s string, n int) string {
 	hash := sha256.Sum256([]byte(s))
