streams: take-ups go on after the loss of all processes

Cause: which software version began a stream was known to its entry and to three target processes only. When all of them end at one moment, nothing is left that says so, and with two versions listed every take-up was refused (2023) for as long as both were there.

Change: while a pool lists several versions, a new stream on a resumable route begins at its home, the version of the target that comes first for the stream's key by rendezvous hashing. The key is the last part of the prompt, or a digest of the content. A take-up that nobody knows goes on at the home if the home cannot have been another one in the last 15 s; how long a target has been listed follows from its registrations in the store's history. Otherwise it is refused as before, with a time to come back. Nothing is sent, asked or kept for it. Routes that are not resumable and pools with one version are as they were.

--- a/entry/edge/software_version_suite_test.go
+++ b/entry/edge/software_version_suite_test.go
@@ -52,6 +52,27 @@
 	time.Sleep(400 * time.Millisecond)
 }
 
+// registerFor registers all engines for a number of intervals of a second each.
+func (f *versionFleet) registerFor(intervals int) {
+	for range intervals {
+		for i := range f.engines {
+			f.register(i)
+		}
+	}
+	for i := range f.settings {
+		f.settings[i].RegistrationInterval = time.Second
+	}
+	time.Sleep(400 * time.Millisecond)
+}
+
+// restartTargetProcesses replaces the target processes by others that know nothing.
+func (f *versionFleet) restartTargetProcesses() {
+	for i, a := range f.targetProcesses {
+		a.Shutdown(context.Background())
+		f.targetProcesses[i] = f.startTargetProcess(i, f.servers[i].Address)
+	}
+}
+
 // versionsOf returns the software versions of the engines that ran any of the requests.
 func (f *versionFleet) versionsOf(ids ...string) map[any]bool {
 	versions := make(map[any]bool)
@@ -73,7 +94,10 @@
 }
 
 // begin begins a stream at entry i and reads its first event.
-func (f *versionFleet) begin(i int) *begunStream {
+func (f *versionFleet) begin(i int) *begunStream { return f.beginPrompt(i, "") }
+
+// beginPrompt begins a stream whose prompt ends with a part.
+func (f *versionFleet) beginPrompt(i int, part string) *begunStream {
 	s := &begunStream{id: fmt.Sprintf("req-%d", lastRequestNumber.Add(1))}
 	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings[i].Listen+"/query/x", strings.NewReader("prompt"))
 	Expect(err).NotTo(HaveOccurred())
@@ -81,6 +105,9 @@
 	standin.SetRequest(req.Header, s.id, 6*time.Second)
 	req.Header.Set("Model", "m")
 	req.Header.Set("Token-Usage", "100,20")
+	if part != "" {
+		req.Header.Set("Prompt-Prefix", promptOf(part))
+	}
 	s.resp, err = http.DefaultTransport.RoundTrip(req)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(s.resp.StatusCode).To(Equal(http.StatusOK))
@@ -92,12 +119,19 @@
 	return s
 }
 
+func promptOf(part string) string { return sharedPart + ":90," + part + ":10" }
+
 // takeUp takes a stream up at entry i after its first event.
-func (f *versionFleet) takeUp(i int, resumes string) prompted {
+func (f *versionFleet) takeUp(i int, resumes string) prompted { return f.takeUpPrompt(i, resumes, "") }
+
+// takeUpPrompt takes a stream up whose prompt ends with a part.
+func (f *versionFleet) takeUpPrompt(i int, resumes, part string) prompted {
 	p := prompted{sent: time.Now()}
-	p.response = f.call(context.Background(), i, "POST", "/query/x", map[string]string{
-		"Model": "m", "Token-Usage": "100,20", "Last-Event-Id": "1", "Resumes": resumes,
-	}, "prompt")
+	header := map[string]string{"Model": "m", "Token-Usage": "100,20", "Last-Event-Id": "1", "Resumes": resumes}
+	if part != "" {
+		header["Prompt-Prefix"] = promptOf(part)
+	}
+	p.response = f.call(context.Background(), i, "POST", "/query/x", header, "prompt")
 	p.took = time.Since(p.sent)
 	return p
 }
@@ -131,6 +165,55 @@
 		}
 	})
 
+	// Guards against streams that are refused, or go on at another version, once no process
+	// knows any more which version began them.
+	It("is taken up at its version after all processes have restarted at once", func() {
+		f := newVersionFleet("v1", "v1", "v2", "v2")
+		f.registerFor(20)
+		part := func(i int) string { return fmt.Sprintf("%x", 0xab00+i) }
+		var begun []string
+		for i := range 12 {
+			begun = append(begun, f.beginPrompt(i%2, part(i)).id)
+		}
+		versions := make(map[any]bool)
+		f.restartTargetProcesses()
+		f.restartEntries()
+		for i, id := range begun {
+			p := f.takeUpPrompt(i%2, id, part(i))
+			Expect(p.status).To(Equal(http.StatusOK), p.body)
+			for v := range f.versionsOf(id, p.id) {
+				versions[v] = true
+			}
+			Expect(f.versionsOf(id, p.id)).To(HaveLen(1))
+		}
+		Expect(versions).To(HaveLen(2), "both versions began streams")
+	})
+
+	// Guards against a stream that is joined with one of another version because the targets
+	// were others when it began.
+	It("is refused after all processes have restarted if another version may have begun it", func() {
+		f := newVersionFleet("v1", "v1", "v2", "v2")
+		f.registerFor(20)
+		// These come last, so that they look as if they had just been started.
+		for i := range f.engines {
+			f.engines[i].Restart()
+			f.register(i)
+		}
+		f.restartTargetProcesses()
+		f.restartEntries()
+		refused := 0
+		for i := range 12 {
+			p := f.takeUpPrompt(i%2, "nobody-knows", fmt.Sprintf("%x", 0xab00+i))
+			if p.status != http.StatusOK {
+				Expect(p.status).To(Equal(http.StatusServiceUnavailable), p.body)
+				Expect(p.body).To(ContainSubstring("2023"))
+				Expect(p.header.Get("Retry-After")).NotTo(BeEmpty())
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(12))
+	})
+
 	// Guards against a client that is held until its deadline, and against a conclusion from
 	// the version that is left.
 	It("is refused at once if its version has left, also after all entries have restarted", func() {
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"agatelanding.example/agatelanding/entry/peers"
+	"agatelanding.example/agatelanding/entry/streams"
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/softwareversion"
 	"agatelanding.example/agatelanding/internal/result"
@@ -82,9 +83,9 @@
 	// registrationInterval is about the time between two registrations of a target, 0 if it is not
 	// known.
 	registrationInterval time.Duration
-	// addHistory takes the targets in the history of the store, which is complete for a
-	// span of the past.
-	addHistory func(targets []*catalog.Target, span time.Duration)
+	// addHistory takes the changes of targets in the history of the store, which is complete
+	// for a span of the past, and the interval at which targets register.
+	addHistory func(changes []streams.Change, span, interval time.Duration)
 	broadcast  func(peers.State)
 	entries    func() int
 
@@ -470,12 +471,13 @@
 		}
 		asked = (revisions + tooMany) / 2
 	}
-	var targets []*catalog.Target
+	changes := make([]streams.Change, 0, len(items))
 	registrations := make(map[string]int)
 	most := 0
 	for _, item := range items {
-		if decoded, err := platform.Decode(item); err == nil && decoded.Target != nil {
-			targets = append(targets, decoded.Target)
+		decoded, err := platform.Decode(item)
+		changes = append(changes, streams.Change{ID: platform.TargetID(item.Key), Target: decoded.Target})
+		if err == nil && decoded.Target != nil {
 			registrations[item.Key]++
 			most = max(most, registrations[item.Key])
 		}
@@ -486,8 +488,8 @@
 		// That is all that ever was.
 		span = softwareversion.Needed
 	}
-	w.log.With("revisions", revisions).With("registrations", len(targets)).With("span_ms", span.Milliseconds()).Info("the history of the store was read")
-	w.addHistory(targets, span)
+	w.log.With("revisions", revisions).With("registrations", len(changes)).With("span_ms", span.Milliseconds()).Info("the history of the store was read")
+	w.addHistory(changes, span, w.registrationInterval)
 }
 
 // awaitNextRead waits until it is this entry's turn to read the store. It returns the
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -52,6 +52,7 @@
 
 	mu     sync.Mutex
 	seen   *softwareversion.Seen
+	homes  *softwareversion.Homes
 	own    *recall.Memory
 	toldAt map[string]time.Time
 }
@@ -59,7 +60,7 @@
 // New returns a Registry of an entry that has started now.
 func New(metrics *telemetry.Metrics) *Registry {
 	return &Registry{
-		Metrics: metrics, historyRead: make(chan struct{}), started: time.Now(), seen: softwareversion.NewSeen(time.Now()), own: recall.NewMemory(),
+		Metrics: metrics, historyRead: make(chan struct{}), started: time.Now(), seen: softwareversion.NewSeen(time.Now()), homes: softwareversion.NewHomes(), own: recall.NewMemory(),
 		toldAt: make(map[string]time.Time),
 	}
 }
@@ -101,6 +102,13 @@
 	return done
 }
 
+// Home implements relay.StreamVersions.
+func (r *Registry) Home(a relay.StreamAttempt, pool string) (version string, bound bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.homes.Home(poolKey(pool), a.Key)
+}
+
 // Resolve implements relay.StreamVersions.
 func (r *Registry) Resolve(ctx context.Context, a relay.StreamAttempt, pool string) (softwareversion.Decision, string) {
 	t := softwareversion.TakeUp{}
@@ -119,11 +127,17 @@
 		source = "none"
 		r.awaitHistory(ctx)
 		r.mu.Lock()
-		t.Versions, t.Complete = r.seen.Versions(time.Now(), poolKey(pool))
+		now := time.Now()
+		t.Versions, t.Complete = r.seen.Versions(now, poolKey(pool))
+		t.Home, t.HasHome = r.homes.BegunAt(now, poolKey(pool), a.Key)
 		r.mu.Unlock()
 	}
 	r.Metrics.Count("take_ups_known_by_" + source)
-	return softwareversion.Decide(t)
+	decision, version := softwareversion.Decide(t)
+	if decision == softwareversion.Only && !t.Known && len(t.Versions) > 1 {
+		r.Metrics.Count("take_ups_at_home")
+	}
+	return decision, version
 }
 
 func (r *Registry) awaitHistory(ctx context.Context) {
@@ -139,13 +153,18 @@
 	now := time.Now()
 	r.mu.Lock()
 	var news []recall.Fact
+	pools := make(map[string][]softwareversion.Target)
 	for _, t := range v.Targets {
+		if !t.Draining {
+			pools[poolKey(t.Pool)] = append(pools[poolKey(t.Pool)], homeTarget(t))
+		}
 		r.seen.Add(now, poolKey(t.Pool), t.SoftwareVersion, now)
 		if key := versionKey(t.Pool, t.SoftwareVersion); now.Sub(r.toldAt[key]) >= tellInterval {
 			r.toldAt[key] = now
 			news = append(news, versionFact(key, now))
 		}
 	}
+	r.homes.Update(now, pools)
 	for key, at := range r.toldAt {
 		if now.Sub(at) >= versionTTL {
 			delete(r.toldAt, key)
@@ -161,19 +180,62 @@
 	return recall.Fact{Kind: recall.SoftwareVersion, Key: key, At: at, TTL: versionTTL}
 }
 
-// AddHistory records the versions in the history of the store, which is complete for a span
-// of the past. It is called at most once.
-func (r *Registry) AddHistory(targets []*catalog.Target, span time.Duration) {
+func homeTarget(t *catalog.Target) softwareversion.Target {
+	return softwareversion.Target{ID: t.ID, Version: t.SoftwareVersion, StartedAtMS: t.StartedAtMS}
+}
+
+// Change is a change of a target in the history of the store. Target is nil if the target was
+// removed, or described so that nothing may use it.
+type Change struct {
+	ID     string
+	Target *catalog.Target
+}
+
+// AddHistory records the changes in the history of the store, in order, which is complete for a
+// span of the past. Targets register at an interval. It is called at most once.
+func (r *Registry) AddHistory(changes []Change, span, interval time.Duration) {
 	now := time.Now()
 	r.mu.Lock()
-	for _, t := range targets {
-		r.seen.Add(now, poolKey(t.Pool), t.SoftwareVersion, now.Add(-span))
+	for _, c := range changes {
+		if c.Target != nil {
+			r.seen.Add(now, poolKey(c.Target.Pool), c.Target.SoftwareVersion, now.Add(-span))
+		}
 	}
 	r.seen.Cover(now.Add(-span))
+	r.homes.AddPast(now, pastOf(now, changes, span, interval))
 	r.mu.Unlock()
 	close(r.historyRead)
 }
 
+// pastOf returns what the changes of targets tell of each of their incarnations that took new
+// requests. As many registrations without a change between them took as many intervals, but one.
+func pastOf(now time.Time, changes []Change, span, interval time.Duration) []softwareversion.Past {
+	var list []softwareversion.Past
+	// current is the index of the incarnation that a target had last, and registrations counts
+	// those of it.
+	current, registrations := make(map[string]int), make(map[string]int)
+	for _, c := range changes {
+		i, known := current[c.ID]
+		ready := c.Target != nil && !c.Target.Draining
+		if known && (!ready || list[i].Target != homeTarget(c.Target) || list[i].Pool != poolKey(c.Target.Pool)) {
+			list[i].Gone = true
+			delete(current, c.ID)
+			known = false
+		}
+		if !ready {
+			continue
+		}
+		if !known {
+			i = len(list)
+			current[c.ID], registrations[c.ID] = i, 0
+			list = append(list, softwareversion.Past{Pool: poolKey(c.Target.Pool), Target: homeTarget(c.Target)})
+		}
+		registrations[c.ID]++
+		list[i].Since = now.Add(-min(span, time.Duration(registrations[c.ID]-1)*interval))
+	}
+	return list
+}
+
 // Facts returns the listed versions, for a target process that keeps them.
 func (r *Registry) Facts() []recall.Fact {
 	r.mu.Lock()
--- a/entry/streams/streams_suite_test.go
+++ b/entry/streams/streams_suite_test.go
@@ -46,7 +46,7 @@
 		"a": {ID: "a", Pool: "llm", SoftwareVersion: "v1"}, "b": {ID: "b", Pool: "llm", SoftwareVersion: "v2"},
 		"c": {ID: "c", Pool: "one", SoftwareVersion: "v1"},
 	}})
-	r.AddHistory(nil, sv.Needed)
+	r.AddHistory(nil, sv.Needed, time.Second)
 	return r
 }
 
@@ -97,7 +97,7 @@
 		late := streams.New(telemetry.NewMetrics())
 		late.Holders = h
 		late.SetView(&catalog.View{Targets: map[string]*catalog.Target{"b": {ID: "b", Pool: "llm", SoftwareVersion: "v2"}}})
-		late.AddHistory(nil, sv.Needed)
+		late.AddHistory(nil, sv.Needed, time.Second)
 		Expect(resolve(late, attempt("nobody"), "llm")).To(Equal("v2"), "nobody has told it")
 		late.ReceiveFacts(h.memory.List(time.Now(), recall.SoftwareVersion))
 		Expect(resolve(late, attempt("nobody"), "llm")).To(Equal("none"))
--- a/internal/decide/softwareversion/softwareversion.go
+++ b/internal/decide/softwareversion/softwareversion.go
@@ -104,6 +104,9 @@
 	// Versions are those that the pool had lately; Complete is true if these are all.
 	Versions []string
 	Complete bool
+	// HasHome is true if the stream can only have begun at its home, Home.
+	HasHome bool
+	Home    string
 }
 
 // Decision is which versions a request may use.
@@ -120,7 +123,7 @@
 )
 
 // Decide returns which versions a request that takes a stream up may use. Without knowledge
-// of the stream, it may go on where there was one version only.
+// of the stream, it may go on where there was one version only, and at its home.
 func Decide(t TakeUp) (Decision, string) {
 	switch {
 	case t.Known && !t.SamePool:
@@ -130,6 +133,8 @@
 		return Only, t.Version
 	case t.Complete && len(t.Versions) == 1:
 		return Only, t.Versions[0]
+	case t.Complete && t.HasHome:
+		return Only, t.Home
 	}
 	return None, ""
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -267,6 +267,9 @@
 	if x.r.Context().Err() != nil {
 		x.abandon("caller left while waiting")
 	}
+	if refused.Code == result.StreamVersionGone && x.versions != nil && !x.versions.hasBegun() {
+		refused.Code = result.NoTarget
+	}
 	if x.history.possibleRuns == 0 {
 		x.history.lastCode = refused.Code
 		x.history.requestedDelay = refused.RetryAfter
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -161,6 +161,8 @@
 	Host, Path string
 	// ID is that of the attempt, empty if it is not known.
 	ID string
+	// Key is the same for all attempts at the stream, and for the streams of one session.
+	Key string
 }
 
 // StreamVersions keeps which software version began each stream.
@@ -169,6 +171,9 @@
 	// record with a higher order. confirmed is closed once it is known outside of this
 	// entry, never if nobody can be told.
 	Record(a StreamAttempt, pool, version string, order uint64) (confirmed <-chan struct{})
+	// Home returns the version of a pool at which the stream has to begin, and false if any
+	// may begin it.
+	Home(a StreamAttempt, pool string) (version string, bound bool)
 	// Resolve returns which versions of a pool may serve a request that takes a stream up
 	// whose first event came from an attempt.
 	Resolve(ctx context.Context, a StreamAttempt, pool string) (softwareversion.Decision, string)
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -24,6 +24,8 @@
 // the one that brings the first event is settled. It is safe for concurrent use.
 type versionRecord struct {
 	record func(version string, order uint64) (confirmed <-chan struct{})
+	// home is the version at which the stream has to begin, nil for any.
+	home *string
 
 	mu        sync.Mutex
 	version   string
@@ -40,6 +42,9 @@
 	if v.settled {
 		return version == v.version
 	}
+	if v.home != nil && version != *v.home {
+		return false
+	}
 	v.set(version)
 	return true
 }
@@ -65,20 +70,36 @@
 	return v.confirmed
 }
 
-// bound returns the version that the stream must stay at, nil if any may serve it.
+// bound returns the version that the stream must begin or stay at, nil if any may serve it.
 func (v *versionRecord) bound() *string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.settled {
-		return nil
+		return v.home
 	}
 	version := v.version
 	return &version
 }
 
+// hasBegun reports whether a version has brought the first event.
+func (v *versionRecord) hasBegun() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.settled
+}
+
 // attemptOf returns an attempt of the caller at this stream.
 func (x *callerRequest) attemptOf(id string) StreamAttempt {
-	return StreamAttempt{Host: x.r.Host, Path: x.r.URL.EscapedPath(), ID: id}
+	return StreamAttempt{Host: x.r.Host, Path: x.r.URL.EscapedPath(), ID: id, Key: x.streamKey()}
+}
+
+// streamKey returns what all attempts at a stream have in common: the last part of the prompt,
+// which is that of the session if there is one, or else the content of the request.
+func (x *callerRequest) streamKey() string {
+	if n := len(x.meta.PromptParts); n > 0 {
+		return x.meta.PromptParts[n-1]
+	}
+	return x.identity.Content()
 }
 
 // resolveVersion finds out at which software version a stream has to go on that the request
@@ -91,6 +112,12 @@
 		return x.h.StreamVersions.Record(x.attemptOf(x.meta.AttemptID), x.poolName, version, order)
 	}}
 	if x.meta.Resumes == "" && x.meta.LastEventID == "" {
+		if !x.route.Resumable {
+			return nil
+		}
+		if version, bound := x.h.StreamVersions.Home(x.attemptOf(x.meta.AttemptID), x.poolName); bound {
+			x.versions.home = &version
+		}
 		return nil
 	}
 	decision, version := x.h.StreamVersions.Resolve(ctx, x.attemptOf(x.meta.Resumes), x.poolName)
