--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -115,6 +115,7 @@
 	// complete is the position up to which all changes are known.
 	complete      catalog.Position
 	lastPeerQuery time.Time
+	malformed     malformedKeys
 	// toConfirm is the time for which the next view is confirmed.
 	toConfirm time.Duration
 	// recent holds the positions that were complete within the last two intervals,
@@ -381,6 +382,32 @@
 	return w.started.Add(time.Duration(w.viewConfirmedAt.Load()))
 }
 
+// malformedKeys are the keys whose last item could not be read, up to maxMalformedKeys. Another
+// writer may write such an item at an interval.
+type malformedKeys map[string]bool
+
+const maxMalformedKeys = 1024
+
+// changed records whether the last item of a key can be read, and reports whether that is new.
+// Beyond maxMalformedKeys nothing is.
+func (m *malformedKeys) changed(key string, malformed bool) bool {
+	if (*m)[key] == malformed {
+		return false
+	}
+	if !malformed {
+		delete(*m, key)
+		return true
+	}
+	if len(*m) >= maxMalformedKeys {
+		return false
+	}
+	if *m == nil {
+		*m = make(malformedKeys)
+	}
+	(*m)[key] = true
+	return true
+}
+
 // beginEra records the first complete state of a newer era.
 func (w *stateWatcher) beginEra(now time.Time, at catalog.Position) {
 	w.era.Store(at.Era)
@@ -401,6 +428,8 @@
 	item, err := platform.Decode(e)
 	if err != nil {
 		w.metrics.Count("published_items_malformed")
+	}
+	if w.malformed.changed(e.Key, err != nil) && err != nil {
 		w.log.With("key", e.Key).With("era", e.Era).With("revision", e.Revision).Error(err, "an item cannot be read")
 	}
 	changed := w.catalog.Apply(now, item)
