upstream: an earlier refusal that is written again is not that of the next request

Cause: a response without an Attempt-Id counted as the response to the pending request, also on a connection that had carried others, and of several IDs the first one counted.

What callers saw: with a target that writes an earlier refusal once more without an ID, or with two, '503, not run' for a request that ran.

Change: a response that names no request belongs to the first request of a connection only. On a kept one the connection is closed and the request counts as sent, as after a reset. A response with several IDs is passed over, like one that names another request.

An entry sends one attempt of a caller to a target once, so that no earlier refusal has its ID.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -136,7 +136,7 @@
 	id := x.meta.AttemptID
 	return &upstream.Request{
 		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body,
-		MatchesAnswer: func(resp *http.Response) bool { return x.h.Dialect.MatchesRequest(resp, id) },
+		MatchesAnswer: func(resp *http.Response) upstream.Match { return x.h.Dialect.MatchesRequest(resp, id) },
 	}
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -12,6 +12,7 @@
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
 	"agatelanding.example/agatelanding/internal/decide/softwareversion"
 	"agatelanding.example/agatelanding/internal/decide/steering"
+	"agatelanding.example/agatelanding/internal/upstream"
 )
 
 // Metadata holds what the entry reads from the headers of a caller's request.
@@ -85,9 +86,8 @@
 	// CallerHeader returns the headers of a target's response that the caller
 	// gets.
 	CallerHeader(h http.Header) http.Header
-	// MatchesRequest reports whether a response belongs to the request with the
-	// ID.
-	MatchesRequest(resp *http.Response, id string) bool
+	// MatchesRequest returns whether a response belongs to the request with the ID.
+	MatchesRequest(resp *http.Response, id string) upstream.Match
 	// Classify returns the class of the response to the request with the ID.
 	Classify(resp *http.Response, id string) ResponseClass
 	// ParseDecline reports whether another incarnation uses the address, and the
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,8 +52,8 @@
 // roundTrip is one request and the response to it.
 type roundTrip struct {
 	req *http.Request
-	// belongs reports whether a response belongs to the request.
-	belongs  func(*http.Response) bool
+	// matches returns whether a response belongs to the request.
+	matches  func(*http.Response) Match
 	response chan responseOrError
 	// bodyDone is closed when the body of the response has been read or dropped.
 	bodyDone     chan struct{}
@@ -96,7 +96,9 @@
 	mu sync.Mutex
 	// pending is the round trip that waits for a response, nil while the
 	// connection is idle.
-	pending     *roundTrip
+	pending *roundTrip
+	// requests counts the requests that the connection has carried.
+	requests    int
 	closed      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -136,9 +138,17 @@
 		return false
 	}
 	c.pending = rt
+	c.requests++
 	return true
 }
 
+// carriedOthers reports whether the pending request is not the first one.
+func (c *conn) carriedOthers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests > 1
+}
+
 // current returns the pending round trip, or nil.
 func (c *conn) current() *roundTrip {
 	c.mu.Lock()
@@ -208,8 +218,15 @@
 		rt.response <- responseOrError{err: err}
 		return false
 	}
-	if !rt.belongs(resp) {
+	switch rt.matches(resp) {
+	case OtherRequest:
 		return c.skipExtra(rt, resp)
+	case NoRequest:
+		if c.carriedOthers() {
+			c.close()
+			rt.response <- responseOrError{err: errUnexpectedBytes}
+			return false
+		}
 	}
 	if timeout := keepAlive(resp); !resp.Close && timeout > 0 {
 		rt.recycle = func() bool { return c.recycle(rt, timeout) }
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -44,7 +44,12 @@
 		defer cancel()
 		resp, failure := upstream.NewPool(&counter{}).Do(ctx, l.Addr().String(), &upstream.Request{
 			Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {"a"}}, Body: []byte("body"),
-			MatchesAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == "a" },
+			MatchesAnswer: func(r *http.Response) upstream.Match {
+				if r.Header.Get("Id") == "a" {
+					return upstream.ThisRequest
+				}
+				return upstream.OtherRequest
+			},
 		})
 		if failure != nil {
 			if !failure.MaybeSent {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,21 @@
 // to try another one.
 const DialTimeout = 150 * time.Millisecond
 
+// Match is whether a response belongs to a request.
+type Match uint8
+
+// Values of Match.
+const (
+	// ThisRequest is named by the response, and no other.
+	ThisRequest Match = iota + 1
+	// OtherRequest is named, or several are. The response is passed over.
+	OtherRequest
+	// NoRequest is named. The response belongs to the first request of a connection. On one
+	// that has carried others it may be a repetition of an earlier response, so that the
+	// connection is closed and the request counts as sent.
+	NoRequest
+)
+
 // Request is a request as it is sent to a target.
 type Request struct {
 	Method string
@@ -29,8 +44,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// MatchesAnswer reports whether a response belongs to this request.
-	MatchesAnswer func(*http.Response) bool
+	// MatchesAnswer returns whether a response belongs to this request.
+	MatchesAnswer func(*http.Response) Match
 }
 
 // Error reports a request without a response.
@@ -140,7 +155,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, *Error) {
 	h := p.host(address)
 	rt := &roundTrip{
-		req: &http.Request{Method: r.Method}, belongs: r.MatchesAnswer,
+		req: &http.Request{Method: r.Method}, matches: r.MatchesAnswer,
 		response: make(chan responseOrError, 1), bodyDone: make(chan struct{}), written: make(chan struct{}),
 	}
 	c := h.take(time.Now())
--- a/internal/upstream/upstream_suite_test.go
+++ b/internal/upstream/upstream_suite_test.go
@@ -93,10 +93,22 @@
 	fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+func matches(id string) func(*http.Response) upstream.Match {
+	return func(r *http.Response) upstream.Match {
+		switch r.Header.Get("Id") {
+		case id:
+			return upstream.ThisRequest
+		case "":
+			return upstream.NoRequest
+		}
+		return upstream.OtherRequest
+	}
+}
+
 func request(id string) *upstream.Request {
 	return &upstream.Request{
 		Method: "POST", URI: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		MatchesAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+		MatchesAnswer: matches(id),
 	}
 }
 
@@ -145,6 +157,23 @@
 		Expect(c.get("extra_answers_skipped")).To(Equal(1))
 	})
 
+	// Guards against an earlier response that is taken for that to the next request.
+	It("takes a response that names no request only on a connection without earlier ones", func() {
+		t := newTarget(respondToEach(func(nc net.Conn, r *http.Request) {
+			id := r.Header.Get("Id")
+			if id != "named" {
+				id = ""
+			}
+			reply(nc, id, "ok")
+		}))
+		Expect(do(p, t, "first")).To(Equal("ok"))
+		_, failure := do(p, t, "second")
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.MaybeSent).To(BeTrue())
+		Expect(do(p, t, "named")).To(Equal("ok"))
+		Expect(t.conns.Load()).To(Equal(int64(2)))
+	})
+
 	It("drops a connection with unexpected bytes before the next request", func() {
 		t := newTarget(respondToEach(func(nc net.Conn, r *http.Request) {
 			reply(nc, r.Header.Get("Id"), "ok")
