streams: a take-up reads the store itself before it goes on by the entry's view

Cause: the wait for a confirmed view ended after 1 s, but where no target registers, the store holds a watch for that long, so that the view was not confirmed in time.

What callers saw: with the specs of entry/edge, take-ups beside one version only were refused (2023), also after the loss of all processes (four specs of 'A stream beside two software versions').

Change: the first take-up that nobody knows reads the changes since the last known position; others that come meanwhile share the read. It takes 500 ms at most, and for 1 s after one that failed the others are refused at once.

Evidence: the four specs failed before and pass now; 'that nobody knows is not taken up by an entry that misses a version, or cannot read the store' is new.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -170,7 +170,7 @@
 	e.mesh.ReceiveLimits = e.permits.Receive
 	e.mesh.CurrentLimits = func() []wire.RateLimit { return e.permits.Limits(e.isListed) }
 	e.stateWatcher.publish, e.stateWatcher.queryPeers = e.publish, e.mesh.QueryPeers
-	e.streams.ConfirmedAt = e.stateWatcher.viewConfirmed
+	e.streams.Confirm = e.stateWatcher.confirmNow
 	e.stateWatcher.addPassing, e.stateWatcher.changesMissed = e.streams.AddPassing, e.streams.ChangesMissed
 	e.stateWatcher.addHistory, e.stateWatcher.registrationInterval = e.streams.AddHistory, e.settings.RegistrationInterval
 	e.stateWatcher.broadcast, e.stateWatcher.entries = e.mesh.Broadcast, e.mesh.EntryCount
--- a/entry/edge/software_version_suite_test.go
+++ b/entry/edge/software_version_suite_test.go
@@ -254,6 +254,37 @@
 		Entry("not after a history of some seconds", 12, http.StatusServiceUnavailable),
 	)
 
+	// Guards against a conclusion from a view that is older than the take-up.
+	It("that nobody knows is not taken up by an entry that misses a version, or cannot read the store", func() {
+		f := newVersionFleet("v1", "v1", "v2")
+		for range 30 {
+			f.register(0)
+			f.register(1)
+		}
+		for i := range f.settings {
+			f.settings[i].RegistrationInterval = time.Second
+		}
+		f.restartEntries()
+		refused := func() int {
+			statuses := callAll(24, func(i int) response {
+				return f.takeUpPrompt(i%2, "nobody-knows", fmt.Sprintf("%x", 0xab00+i)).response
+			})
+			Expect(statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable]).To(Equal(24))
+			return statuses[http.StatusServiceUnavailable]
+		}
+		Expect(refused()).To(BeZero())
+		f.register(2)
+		f.store.Deregister("e-2")
+		Expect(refused()).To(BeNumerically("~", 8, 6), "a version came and went that may have been the home of a third")
+		f.restartEntries()
+		f.fleet.servers[f.storeAddr].Close()
+		for i := range 2 {
+			p := f.takeUp(i, "nobody-knows")
+			Expect(p.status).To(Equal(http.StatusServiceUnavailable), p.body)
+			Expect(p.took).To(BeNumerically("<", time.Second))
+		}
+	})
+
 	// Guards against refusals where there never was a second version.
 	It("is taken up beside one version only, also if nobody knows its attempt", func() {
 		f := newVersionFleet("v1", "v1")
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -63,6 +63,9 @@
 	// maxBroadcastBytes bounds the items of a broadcast. After a larger change, such
 	// as a new configuration, every entry reads the store itself.
 	maxBroadcastBytes = 8 << 10
+	// confirmTimeout bounds the wait for a read of the store by confirmNow.
+	confirmTimeout    = 500 * time.Millisecond
+	failedConfirmTime = time.Second
 )
 
 // stateWatcher keeps the published state up to date: the configuration, the
@@ -108,6 +111,10 @@
 	eraBeganAt atomic.Int64
 	// completeCopy is a copy of complete for other goroutines.
 	completeCopy atomic.Pointer[catalog.Position]
+	// confirming is held by the call of confirmNow that reads the store. It protects
+	// confirmFailedAt, when the last such read failed.
+	confirming      chan struct{}
+	confirmFailedAt time.Time
 
 	// Only the goroutine of run uses the fields below.
 	catalog *catalog.Catalog
@@ -157,12 +164,14 @@
 	// confirmedAt is a time since started at which complete was the position of the
 	// store, or 0.
 	confirmedAt time.Duration
+	// applied is closed once the update is applied, if it is not nil.
+	applied chan struct{}
 }
 
 func newStateWatcher(store *platform.Store, bounds platform.Bounds, metrics *telemetry.Metrics) *stateWatcher {
 	w := &stateWatcher{
 		store: store, metrics: metrics, log: telemetry.For("keeper"), started: time.Now(),
-		updates: make(chan update, 64), queries: make(chan itemsQuery),
+		updates: make(chan update, 64), confirming: make(chan struct{}, 1), queries: make(chan itemsQuery),
 		catalog: catalog.New(), items: make(map[string]platform.StoreItem),
 	}
 	w.bounds.Store(&bounds)
@@ -222,6 +231,9 @@
 		select {
 		case u := <-w.updates:
 			w.applyUpdate(u)
+			if u.applied != nil {
+				close(u.applied)
+			}
 		case q := <-w.queries:
 			q.reply <- peers.State{Items: w.collectItems(q.after), Complete: w.complete}
 		case <-ticker.C:
@@ -340,6 +352,10 @@
 		w.applyRemovals(now, w.catalog.RemovalsForEra(u.complete))
 	}
 	w.confirm(u.complete, u.confirmedAt)
+	if u.applied != nil && u.complete.Era == w.complete.Era {
+		// A view that is ahead of the read holds what it has returned.
+		w.toConfirm = max(w.toConfirm, u.confirmedAt)
+	}
 	if u.complete.After(w.complete) {
 		w.advance(now, u.complete)
 	}
@@ -377,9 +393,44 @@
 	w.viewConfirmedAt.Store(int64(w.toConfirm))
 }
 
-// viewConfirmed returns when the published view was last known to be that of the store.
-func (w *stateWatcher) viewConfirmed() time.Time {
-	return w.started.Add(time.Duration(w.viewConfirmedAt.Load()))
+// confirmNow makes the published view that of the store at the time of the call or later, and
+// reports whether it could. Calls at the same time share a read. After one that failed, calls
+// fail at once for failedConfirmTime.
+func (w *stateWatcher) confirmNow(ctx context.Context) bool {
+	called := time.Since(w.started)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	select {
+	case w.confirming <- struct{}{}:
+		defer func() { <-w.confirming }()
+	case <-ctx.Done():
+		return false
+	}
+	position := w.completeCopy.Load()
+	switch {
+	case time.Duration(w.viewConfirmedAt.Load()) >= called:
+		return true
+	case position == nil || time.Since(w.confirmFailedAt) < failedConfirmTime:
+		return false
+	}
+	u := update{confirmedAt: time.Since(w.started), applied: make(chan struct{})}
+	var err error
+	if u.items, u.complete, err = w.store.Watch(ctx, "", *position, 0); err != nil {
+		w.confirmFailedAt = time.Now()
+		w.log.With("reason", err).Info("the state could not be confirmed")
+		return false
+	}
+	select {
+	case w.updates <- u:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-u.applied:
+		return time.Duration(w.viewConfirmedAt.Load()) >= called
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // malformedKeys are the keys whose last item could not be read, up to maxMalformedKeys. Another
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -29,12 +29,7 @@
 	tellInterval = 20 * time.Second
 	// historyTimeout bounds the wait for the history of the store after a start.
 	historyTimeout = time.Second
-	// confirmTimeout bounds the wait for the next look at the store, and maxViewAge is the age
-	// of the last one from which there is no wait: the entry is cut off.
-	confirmTimeout      = time.Second
-	confirmPollInterval = 20 * time.Millisecond
-	maxViewAge          = 2 * time.Second
-	keyBytes            = 16
+	keyBytes       = 16
 	// maxPoolBytes bounds the names of pools that are kept as they are.
 	maxPoolBytes = 48
 )
@@ -50,9 +45,10 @@
 	// Holders may be set until the first request.
 	Holders Holders
 	Metrics *telemetry.Metrics
-	// ConfirmedAt returns when the view of SetView was last known to be that of the store. It
-	// may be set until the first request; the default is the present.
-	ConfirmedAt func() time.Time
+	// Confirm waits until the view of SetView is that of the store at the time of the call or
+	// later, and reports whether it is. It may be set until the first request; without it,
+	// every view is.
+	Confirm func(ctx context.Context) bool
 
 	// historyRead is closed once the history of the store has been read.
 	historyRead chan struct{}
@@ -133,13 +129,12 @@
 		t.Known, t.Version, t.SamePool = true, string(version), string(at) == poolKey(pool)
 	} else {
 		source = "none"
-		arrived := time.Now()
 		r.awaitHistory(ctx)
 		r.conclude(&t, a, pool)
 		if decision, _ := softwareversion.Decide(t); decision == softwareversion.Only {
 			// The stream may have begun at a target that has joined since the last look at
 			// the store.
-			confirmed := r.awaitConfirmation(ctx, arrived)
+			confirmed := r.Confirm == nil || r.Confirm(ctx)
 			r.conclude(&t, a, pool)
 			t.Complete = t.Complete && confirmed
 		}
@@ -161,24 +156,6 @@
 	t.Home, t.HasHome = r.homes.BegunAt(now, poolKey(pool), a.Key)
 }
 
-// awaitConfirmation waits until the view is known to be that of the store at a time or later,
-// and reports whether it is. It does not wait where the view has stood still for long.
-func (r *Registry) awaitConfirmation(ctx context.Context, at time.Time) bool {
-	if r.ConfirmedAt == nil {
-		return true
-	}
-	if time.Since(r.ConfirmedAt()) > maxViewAge {
-		return false
-	}
-	for end := time.Now().Add(confirmTimeout); r.ConfirmedAt().Before(at); {
-		if ctx.Err() != nil || time.Now().After(end) {
-			return false
-		}
-		time.Sleep(confirmPollInterval)
-	}
-	return true
-}
-
 func (r *Registry) awaitHistory(ctx context.Context) {
 	select {
 	case <-r.historyRead:
