streams: a removal from before the first list is no change that was missed

Cause: each removal of a key that an entry had never listed counted as a target that came and went unseen. Other entries pass on removals that are older than the first list of an entry that has just started.

What callers could see: take-ups that nobody knows are refused for 15 s after a restart beside a removal (read from the code; no run).

Change: only a removal after the known position counts. The key of a stream is worked out only where a pool has several versions or a take-up is not known, so that other requests are not hashed.

--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -341,8 +341,7 @@
 	missed := u.fullList && w.complete.Revision > 0
 	var registered []*catalog.Target
 	for _, e := range u.items {
-		// A key that was never listed here was removed: it came and went unseen.
-		missed = missed || e.Removed && platform.IsTarget(e.Key) && w.catalog.Position(e.Key).Revision == 0
+		missed = missed || w.isUnseenRemoval(e)
 		if t := w.applyItem(now, e); t != nil && !t.Draining {
 			registered = append(registered, t)
 		}
@@ -377,6 +376,12 @@
 	w.publish(view)
 }
 
+// isUnseenRemoval reports whether an item removes a target that came and went since the known
+// position.
+func (w *stateWatcher) isUnseenRemoval(e platform.StoreItem) bool {
+	return e.Removed && platform.IsTarget(e.Key) && e.Position().After(w.complete) && w.catalog.Position(e.Key).Revision == 0
+}
+
 // confirmView records up to when the published view is that of the store, and what it does not
 // show of the time since the one before.
 func (w *stateWatcher) confirmView(view *catalog.View, registered []*catalog.Target, missed bool) {
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -108,9 +108,16 @@
 
 // Home implements relay.StreamVersions.
 func (r *Registry) Home(a relay.StreamAttempt, pool string) (version string, bound bool) {
+	r.mu.Lock()
+	several := r.homes.Several(poolKey(pool))
+	r.mu.Unlock()
+	if !several {
+		return "", false
+	}
+	key := a.Key()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.homes.Home(poolKey(pool), a.Key)
+	return r.homes.Home(poolKey(pool), key)
 }
 
 // Resolve implements relay.StreamVersions.
@@ -149,11 +156,11 @@
 
 // conclude sets what is known of a pool's versions.
 func (r *Registry) conclude(t *softwareversion.TakeUp, a relay.StreamAttempt, pool string) {
-	now := time.Now()
+	key, now := a.Key(), time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.Versions, t.Complete = r.seen.Versions(now, poolKey(pool))
-	t.Home, t.HasHome = r.homes.BegunAt(now, poolKey(pool), a.Key)
+	t.Home, t.HasHome = r.homes.BegunAt(now, poolKey(pool), key)
 }
 
 func (r *Registry) awaitHistory(ctx context.Context) {
--- a/entry/streams/streams_suite_test.go
+++ b/entry/streams/streams_suite_test.go
@@ -50,8 +50,10 @@
 	return r
 }
 
+func key() string { return "session" }
+
 func attempt(id string) relay.StreamAttempt {
-	return relay.StreamAttempt{Host: "h.example", Path: "/query/x", ID: id}
+	return relay.StreamAttempt{Host: "h.example", Path: "/query/x", ID: id, Key: key}
 }
 
 var _ = Describe("A stream", func() {
@@ -79,15 +81,15 @@
 		r := entry(h)
 		r.Record(attempt("A"), "llm", "v2", 1)
 		for _, other := range []relay.StreamAttempt{
-			{Host: "i.example", Path: "/query/x", ID: "A"}, {Host: "h.example", Path: "/query/y", ID: "A"},
-			{Host: "h.example", Path: "/query/x", ID: "B"}, {Host: "h.example", Path: "/query/x", ID: strings.Repeat("A", 10_000)},
-			{Host: "h.example", Path: "/query/x"},
+			{Host: "i.example", Path: "/query/x", ID: "A", Key: key}, {Host: "h.example", Path: "/query/y", ID: "A", Key: key},
+			{Host: "h.example", Path: "/query/x", ID: "B", Key: key}, {Host: "h.example", Path: "/query/x", ID: strings.Repeat("A", 10_000), Key: key},
+			{Host: "h.example", Path: "/query/x", Key: key},
 		} {
 			Expect(resolve(r, other, "llm")).To(Equal("none"))
 			Expect(resolve(r, other, "one")).To(Equal("v1"), "the only version of the pool")
 		}
 		Expect(resolve(r, attempt("A"), "one")).To(Equal("any"), "it began at another pool")
-		Expect(resolve(r, relay.StreamAttempt{Host: "H.Example", Path: "/query/x", ID: "A"}, "llm")).To(Equal("v2"))
+		Expect(resolve(r, relay.StreamAttempt{Host: "H.Example", Path: "/query/x", ID: "A", Key: key}, "llm")).To(Equal("v2"))
 	})
 
 	// Guards against an entry that takes the version which is left for the only one.
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -15,7 +15,7 @@
 	// position is its last position in a prompt.
 	position int
 	// served is true if an engine is known to have begun to answer it before the first of
-	// these crashes, and sessions the number of last parts of prompts that it came with.
+	// these crashes, and sessions holds the sessions whose requests held it.
 	served   bool
 	sessions map[Part]bool
 	// trialsLeftOut is the number of trials that are not made.
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -31,6 +31,8 @@
 // Part is the ID of a part of a prompt.
 type Part string
 
+// sessionBytes and contentBytes are the lengths of the hashes in a request ID, which is within
+// maxPartBytes.
 const sessionBytes, contentBytes = 6, 12
 
 // NewRequestID returns the ID of a request with this last part of its prompt and this
--- a/internal/decide/softwareversion/homes.go
+++ b/internal/decide/softwareversion/homes.go
@@ -147,13 +147,19 @@
 	}
 }
 
+// Several reports whether a pool has several versions.
+func (h *Homes) Several(pool string) bool {
+	m := h.pools[pool]
+	return m != nil && m.versions > 1
+}
+
 // Home returns the version at which a stream with this key begins now, and false if its pool
 // has fewer than two.
 func (h *Homes) Home(pool, key string) (version string, several bool) {
-	m := h.pools[pool]
-	if m == nil || m.versions < 2 {
+	if !h.Several(pool) {
 		return "", false
 	}
+	m := h.pools[pool]
 	return m.listed[m.ranker.Rank(key, 1)[0]].Version, true
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -161,8 +161,9 @@
 	Host, Path string
 	// ID is that of the attempt, empty if it is not known.
 	ID string
-	// Key is the same for all attempts at the stream, and for the streams of one session.
-	Key string
+	// Key returns what is the same for all attempts at the stream, and for the streams of one
+	// session.
+	Key func() string
 }
 
 // StreamVersions keeps which software version began each stream.
