--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -12,7 +12,6 @@
 	"agatelanding.example/agatelanding/entry/peers"
 	"agatelanding.example/agatelanding/entry/streams"
 	"agatelanding.example/agatelanding/internal/catalog"
-	"agatelanding.example/agatelanding/internal/decide/softwareversion"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -29,13 +28,6 @@
 	// the store, each of which has a price, because every heartbeat of a target
 	// ends a watch.
 	watchIntervalDivisor = 4
-	// registrationsPerTarget is about what a target registers in the time that the store
-	// keeps, minHistory and maxHistory bound the revisions that are read of the history, and
-	// historyTries is how often it is read to find out how many are kept.
-	registrationsPerTarget = 20
-	minHistory             = 64
-	maxHistory             = 4000
-	historyTries           = 6
 	// minBackoff and maxBackoff bound the delay after a failed call to the
 	// store.
 	minBackoff = 100 * time.Millisecond
@@ -63,9 +55,6 @@
 	// maxBroadcastBytes bounds the items of a broadcast. After a larger change, such
 	// as a new configuration, every entry reads the store itself.
 	maxBroadcastBytes = 8 << 10
-	// confirmTimeout bounds the wait for a read of the store by confirmNow.
-	confirmTimeout    = 500 * time.Millisecond
-	failedConfirmTime = time.Second
 )
 
 // stateWatcher keeps the published state up to date: the configuration, the
@@ -376,94 +365,6 @@
 	w.publish(view)
 }
 
-// isUnseenRemoval reports whether an item removes a target that came and went since the known
-// position.
-func (w *stateWatcher) isUnseenRemoval(e platform.StoreItem) bool {
-	return e.Removed && platform.IsTarget(e.Key) && e.Position().After(w.complete) && w.catalog.Position(e.Key).Revision == 0
-}
-
-// confirmView records up to when the published view is that of the store, and what it does not
-// show of the time since the one before.
-func (w *stateWatcher) confirmView(view *catalog.View, registered []*catalog.Target, missed bool) {
-	passing := slices.DeleteFunc(registered, func(t *catalog.Target) bool {
-		listed := view.Targets[t.ID]
-		return listed != nil && listed.Pool == t.Pool && listed.SoftwareVersion == t.SoftwareVersion && listed.StartedAtMS == t.StartedAtMS
-	})
-	if len(passing) > 0 {
-		w.addPassing(passing)
-	}
-	if missed {
-		w.changesMissed()
-	}
-	w.viewConfirmedAt.Store(int64(w.toConfirm))
-}
-
-// confirmNow makes the published view that of the store at the time of the call or later, and
-// reports whether it could. Calls at the same time share a read. After one that failed, calls
-// fail at once for failedConfirmTime.
-func (w *stateWatcher) confirmNow(ctx context.Context) bool {
-	called := time.Since(w.started)
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	select {
-	case w.confirming <- struct{}{}:
-		defer func() { <-w.confirming }()
-	case <-ctx.Done():
-		return false
-	}
-	position := w.completeCopy.Load()
-	switch {
-	case time.Duration(w.viewConfirmedAt.Load()) >= called:
-		return true
-	case position == nil || time.Since(w.confirmFailedAt) < failedConfirmTime:
-		return false
-	}
-	u := update{confirmedAt: time.Since(w.started), applied: make(chan struct{})}
-	var err error
-	if u.items, u.complete, err = w.store.Watch(ctx, "", *position, 0); err != nil {
-		w.confirmFailedAt = time.Now()
-		w.log.With("reason", err).Info("the state could not be confirmed")
-		return false
-	}
-	select {
-	case w.updates <- u:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-u.applied:
-		return time.Duration(w.viewConfirmedAt.Load()) >= called
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// malformedKeys are the keys whose last item could not be read, up to maxMalformedKeys. Another
-// writer may write such an item at an interval.
-type malformedKeys map[string]bool
-
-const maxMalformedKeys = 1024
-
-// changed records whether the last item of a key can be read, and reports whether that is new.
-// Beyond maxMalformedKeys nothing is.
-func (m *malformedKeys) changed(key string, malformed bool) bool {
-	if (*m)[key] == malformed {
-		return false
-	}
-	if !malformed {
-		delete(*m, key)
-		return true
-	}
-	if len(*m) >= maxMalformedKeys {
-		return false
-	}
-	if *m == nil {
-		*m = make(malformedKeys)
-	}
-	(*m)[key] = true
-	return true
-}
-
 // beginEra records the first complete state of a newer era.
 func (w *stateWatcher) beginEra(now time.Time, at catalog.Position) {
 	w.era.Store(at.Era)
@@ -571,53 +472,6 @@
 	}
 }
 
-// readHistory reads the last changes of targets before the first list, for what the targets
-// were that have left since. The store may keep less than what is asked for first.
-func (w *stateWatcher) readHistory(ctx context.Context, u update) {
-	listed := 0
-	for _, item := range u.items {
-		if platform.IsTarget(item.Key) {
-			listed++
-		}
-	}
-	asked := uint64(min(listed*registrationsPerTarget+minHistory, maxHistory))
-	// The store keeps revisions or more, and less than tooMany.
-	revisions, tooMany := uint64(0), asked+1
-	var items []platform.StoreItem
-	for try := 0; try < historyTries && asked > revisions; try++ {
-		found, err := w.store.TargetHistory(ctx, u.complete, asked)
-		switch {
-		case err == nil:
-			items, revisions = found, asked
-		case errors.Is(err, platform.ErrCompacted):
-			tooMany = asked
-		default:
-			w.log.With("revisions", asked).With("reason", err).Info("the history of the store is not to be had")
-			return
-		}
-		asked = (revisions + tooMany) / 2
-	}
-	changes := make([]streams.Change, 0, len(items))
-	registrations := make(map[string]int)
-	most := 0
-	for _, item := range items {
-		decoded, err := platform.Decode(item)
-		changes = append(changes, streams.Change{ID: platform.TargetID(item.Key), Target: decoded.Target})
-		if err == nil && decoded.Target != nil {
-			registrations[item.Key]++
-			most = max(most, registrations[item.Key])
-		}
-	}
-	// Targets register at an interval, so that their registrations tell the time.
-	span := time.Duration(max(0, most-1)) * w.registrationInterval
-	if revisions >= u.complete.Revision {
-		// That is all that ever was.
-		span = softwareversion.Needed
-	}
-	w.log.With("revisions", revisions).With("registrations", len(changes)).With("span_ms", span.Milliseconds()).Info("the history of the store was read")
-	w.addHistory(changes, span, w.registrationInterval)
-}
-
 // awaitNextRead waits until it is this entry's turn to read the store. It returns the
 // position to continue from, which other entries may have advanced.
 func (w *stateWatcher) awaitNextRead(ctx context.Context, position catalog.Position) catalog.Position {
