upstream: refusals without an ID are believed again, and their connection is not kept

Cause: took each response without an ID on a kept connection for one that may have run. The examples of the protocol show refusals (503, 421) without an ID, and the project's stand-in sends them so: requests that were declined got 502 instead of another target.

Change: a response that names no request is that to the pending one, and its connection is not used again, so that no later response can be a repetition of it. After a refusal that named its request, one without a name is not believed, as before.

--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -169,7 +169,7 @@
 	{TargetsLimited, "targets_limited", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The targets that could take the request name the requests a second that they take, and there is no room within the deadline."},
 	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request has crashed the targets that ran it, so it is sent to none. With the status 502 a target may have run it this time."},
 	{RequestSuspected, "request_suspected", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request was under way at targets that crashed and may be why. Until that is known, it is sent to one target at a time."},
-	{StreamVersionUnknown, "stream_version_unknown", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request takes up a stream, targets have several software versions, and nobody knows which one began it."},
+	{StreamVersionUnknown, "stream_version_unknown", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The request takes up a stream, nobody knows at which software version it began, and targets of several have come or gone lately."},
 	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "No target that takes requests has the software version that began the stream. With the status 502 a target may have run the request."},
 
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, CallerRetryChecked, false, "The request may have been executed. Check before sending it again under a new key."},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -92,13 +92,13 @@
 	host *host
 	// head bounds what br reads while a head is read. Only readLoop uses it.
 	head headLimiter
+	// refused is true after a refusal that names its request. Only readLoop uses it.
+	refused bool
 
 	mu sync.Mutex
 	// pending is the round trip that waits for a response, nil while the
 	// connection is idle.
-	pending *roundTrip
-	// requests counts the requests that the connection has carried.
-	requests    int
+	pending     *roundTrip
 	closed      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -138,15 +138,16 @@
 		return false
 	}
 	c.pending = rt
-	c.requests++
 	return true
 }
 
-// carriedOthers reports whether the pending request is not the first one.
-func (c *conn) carriedOthers() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.requests > 1
+// isRefusal reports whether a status says that the request has not run.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // current returns the pending round trip, or nil.
@@ -218,17 +219,18 @@
 		rt.response <- responseOrError{err: err}
 		return false
 	}
-	switch rt.matches(resp) {
-	case OtherRequest:
+	match := rt.matches(resp)
+	if match == NoRequest && c.refused {
+		// It may be that refusal once more.
+		c.close()
+		rt.response <- responseOrError{err: errUnexpectedBytes}
+		return false
+	}
+	c.refused = c.refused || isRefusal(resp.StatusCode)
+	if match == OtherRequest {
 		return c.skipExtra(rt, resp)
-	case NoRequest:
-		if c.carriedOthers() {
-			c.close()
-			rt.response <- responseOrError{err: errUnexpectedBytes}
-			return false
-		}
 	}
-	if timeout := keepAlive(resp); !resp.Close && timeout > 0 {
+	if timeout := keepAlive(resp); !resp.Close && timeout > 0 && match == ThisRequest {
 		rt.recycle = func() bool { return c.recycle(rt, timeout) }
 	}
 	resp.Body = &responseBody{ReadCloser: resp.Body, roundTrip: rt}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,9 +30,10 @@
 	ThisRequest Match = iota + 1
 	// OtherRequest is named, or several are. The response is passed over.
 	OtherRequest
-	// NoRequest is named. The response belongs to the first request of a connection. On one
-	// that has carried others it may be a repetition of an earlier response, so that the
-	// connection is closed and the request counts as sent.
+	// NoRequest is named. The response is that to the pending request, and its connection is
+	// not used again, because a repetition of it could not be told from the response to the
+	// next request. After a refusal that named its request the connection is closed instead,
+	// and the request counts as sent.
 	NoRequest
 )
 
