--- a/entry/edge/state_confirm.go
+++ b/entry/edge/state_confirm.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// confirmTimeout bounds the wait for a read of the store by confirmNow.
+	// confirmTimeout bounds the wait for a read of the store by confirmNow, and
+	// failedConfirmTime is how long no other read is tried after one that failed.
 	confirmTimeout    = 500 * time.Millisecond
 	failedConfirmTime = time.Second
 )
@@ -38,7 +39,7 @@
 }
 
 // confirmNow makes the published view that of the store at the time of the call or later, and
-// reports whether it could. Calls at the same time share a read. After one that failed, calls
+// reports whether it could. Calls that wait while a read is under way share the next one. After one that failed, calls
 // fail at once for failedConfirmTime.
 func (w *stateWatcher) confirmNow(ctx context.Context) bool {
 	called := time.Since(w.started)
--- a/internal/decide/softwareversion/homes.go
+++ b/internal/decide/softwareversion/homes.go
@@ -27,8 +27,8 @@
 // members are the targets that a pool has or had within the last Needed.
 type members struct {
 	list []*member
-	// ranker ranks the listed members, all of them and those that have gone. versions is the
-	// number of versions among the listed ones.
+	// listed holds the members that have not gone, and all every one. ranker ranks the former,
+	// allRanker the latter. versions is the number of versions among the listed ones.
 	listed, all []*member
 	ranker      *placement.Ranker
 	allRanker   *placement.Ranker
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -221,7 +221,7 @@
 	}
 	match := rt.matches(resp)
 	if match == NoRequest && c.refused {
-		// It may be that refusal once more.
+		// The response may be a repetition of that refusal.
 		c.close()
 		rt.response <- responseOrError{err: errUnexpectedBytes}
 		return false
