--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -193,7 +193,8 @@
 		outcome = steering.WrongIncarnation
 	}
 	x.failAttempt(requestNumber, outcome, result.QueueFull)
-	x.attemptLog().With("status", resp.StatusCode).With("version", x.adapterVersion).With("retry_after_ms", retryAfter.Milliseconds()).Info("the target declined")
+	x.attemptLog().With("status", resp.StatusCode).With("version", x.adapterVersion).With("retry_after_ms", retryAfter.Milliseconds()).
+		With("named", x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest).Info("the target declined")
 }
 
 // handleFailed records a failure response of the target. The response is kept
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -35,13 +35,13 @@
 // newReplacement returns the search for a target that replaces a silent one of the
 // present attempt. ctx is that of the request.
 func (x *callerRequest) newReplacement(ctx context.Context, endAttempt func()) *replacement {
-	history, tried := x.history, x.triedTargets
+	history, tried, silentTarget := x.history, x.triedTargets, x.targetID
 	return &replacement{
 		ctx: ctx, timeout: attemptTimeout(x.route, &x.history), endAttempt: endAttempt, release: x.release,
 		mayReplace: func(failed sendCounts) bool { return history.mayReplace(x.route, x.remaining(), failed) },
 		open: func(searchCtx context.Context, resumeAfter string, failed []string) openOutcome {
 			excluded := append(append([]string(nil), tried...), failed...)
-			return x.openElsewhere(ctx, searchCtx, resumeAfter, excluded)
+			return x.openElsewhere(ctx, searchCtx, resumeAfter, silentTarget, excluded)
 		},
 	}
 }
@@ -54,10 +54,10 @@
 	x.h.Broker.Done(target.requestNumber, steering.Abandoned)
 }
 
-// openElsewhere sends the request to a target that is not excluded and waits until it
-// begins to answer. ctx bounds the response, search only the wait. It runs beside the
-// attempt and uses no field that the attempt changes.
-func (x *callerRequest) openElsewhere(ctx, search context.Context, resumeAfter string, excluded []string) openOutcome {
+// openElsewhere sends the request to a target other than the silent one and those excluded,
+// and waits until it begins to answer. ctx bounds the response, search only the wait. It
+// runs beside the attempt and uses no field that the attempt changes.
+func (x *callerRequest) openElsewhere(ctx, search context.Context, resumeAfter, silentTarget string, excluded []string) openOutcome {
 	if !x.h.RetryBudget.CanSpend(time.Now(), x.poolName) {
 		x.h.Metrics.NotRetried(retry.StopBudget)
 		return openOutcome{}
@@ -87,7 +87,10 @@
 	if !stop() && outcome == 0 {
 		outcome, mayHaveRun = steering.Abandoned, true
 	}
+	overlap := time.Since(sentAt).Milliseconds()
+	x.h.Metrics.Observe("two_targets_ms", overlap)
 	x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", requestNumber).With("target", grant.Target.ID).
+		With("silent_target", silentTarget).With("after_event", resumeAfter).With("overlap_ms", overlap).
 		With("began", outcome == 0).Info("sent elsewhere, because the target is silent")
 	if outcome != 0 {
 		broken := outcome == steering.ResponseBroken && x.targetBroke(o.ctx, grant.Target, false, sentAt)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	// configuration in force counts as the newest. If it is false, an unknown
 	// route may be one that a newer configuration has.
 	ConfigCurrent func() bool
+	// openAttempts counts the requests in progress by the ID of the caller's attempt.
+	openAttempts attemptCounts
 	// Stopping reports whether the entry refuses new requests because of a planned
 	// stop.
 	Stopping func() bool
@@ -114,6 +116,13 @@
 	h.Metrics.Count("requests")
 	x := &callerRequest{h: h, w: w, r: r, meta: h.Dialect.ParseRequest(r.Header), arrived: time.Now(), buffers: buffers{pool: h.Buffers}}
 	defer x.buffers.release()
+	if id := x.meta.AttemptID; id != "" {
+		if h.openAttempts.add(id, 1) > 1 {
+			h.Metrics.Count("attempts_open_twice")
+			h.Log.With("id", id).With("entry", h.EntryName).Info("a request with this ID is open already")
+		}
+		defer h.openAttempts.add(id, -1)
+	}
 	if err := x.resolve(); err != nil {
 		x.writeRefusal(err)
 		return
