relay: a response continues a stream only with events above the last one

After a stream had begun and broke off, callers got the text of the next target's 200 in the middle of their stream, events twice, or a stream that seemed complete. Cause: eventReader took each framed end for the end of the stream and passed on what has no ID, which is right for a stream from its start only.

A continuation is 200 with text/event-stream and has an event above the last one; its events rise. Otherwise the answer is broken, and the next target gets the stream or the connection is aborted. Also in the search beside a silent target.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,8 +87,9 @@
 		x.failAttempt(requestNumber, steering.Abandoned, result.StreamVersionGone)
 		return false, false
 	}
-	silence.await(x.resumeAfter())
-	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, x.resumeAfter()))
+	resumeAfter := x.resumeAfter()
+	silence.await(resumeAfter)
+	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	silence.arrived()
 	if failure != nil {
 		return false, x.handleNoResponse(ctx, requestNumber, failure)
@@ -110,7 +111,7 @@
 	if x.route.Kind != catalog.Stream {
 		return x.relayWhole(ctx, requestNumber, resp, silence)
 	}
-	return x.relayStream(ctx, requestNumber, resp, newEventReader(resp), silence)
+	return x.relayStream(ctx, requestNumber, resp, newEventReader(resp, resumeAfter), silence)
 }
 
 // relayOpened relays a response that has begun before its attempt.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -3,14 +3,24 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 
 	"agatelanding.example/agatelanding/internal/upstream"
 )
 
+// errNoContinuation ends a response that does not go on with a stream after its last event.
+var errNoContinuation = errors.New("the response does not continue the stream")
+
 // eventReader reads the events of a stream. One goroutine at a time uses it.
 type eventReader struct {
+	// after is the ID of the event that the response continues after, or of the last one
+	// returned since. It is empty for a stream from its start, whose bytes are passed on as
+	// they are.
+	after  string
 	resp   *http.Response
 	reader *bufio.Reader
 	// peeked is an event that was read and not returned yet.
@@ -22,8 +32,8 @@
 	preceding []byte
 }
 
-func newEventReader(resp *http.Response) *eventReader {
-	return &eventReader{resp: resp, reader: bufio.NewReaderSize(resp.Body, 4<<10)}
+func newEventReader(resp *http.Response, after string) *eventReader {
+	return &eventReader{after: after, resp: resp, reader: bufio.NewReaderSize(resp.Body, 4<<10)}
 }
 
 // peek reads the next event, which next then returns.
@@ -35,23 +45,44 @@
 	return err
 }
 
-// next returns the next event with an ID. It returns io.EOF at the end of a whole stream.
+// next returns the next event with an ID. It returns io.EOF at the end of a whole stream. A
+// response that continues a stream has at least one event above the last one: without it, the
+// end of the stream cannot be told from a failure of the target.
 func (e *eventReader) next() ([]byte, error) {
 	if event := e.peeked; event != nil {
 		e.peeked = nil
 		return event, nil
 	}
+	if e.after != "" && !e.began && !isEventStream(e.resp) {
+		return nil, errNoContinuation
+	}
 	e.preceding = nil
 	for {
 		event, err := readEvent(e.reader)
+		id := eventID(event)
 		switch {
 		case err == io.EOF && (len(event) > 0 || !e.began && endsWithConnection(e.resp)):
 			return nil, io.ErrUnexpectedEOF
+		case err == io.EOF && e.after != "" && !e.began:
+			return nil, errNoContinuation
 		case err != nil:
 			return nil, err
-		case eventID(event) != "":
+		case id != "" && e.after == "":
 			e.began = true
 			return event, nil
+		case id != "" && id == e.after:
+			// The target repeats the last event.
+			e.preceding = nil
+			continue
+		case id != "" && !follows(id, e.after):
+			return nil, errNoContinuation
+		case id != "":
+			if !e.began {
+				// What precedes the first event is not part of the stream.
+				e.preceding = nil
+			}
+			e.began, e.after = true, id
+			return event, nil
 		}
 		if e.preceding = append(e.preceding, event...); len(e.preceding) > maxEventBytes {
 			return nil, upstream.ErrOverBounds
@@ -59,6 +90,20 @@
 	}
 }
 
+// isEventStream reports whether a response is a whole stream of events by its head.
+func isEventStream(resp *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && resp.StatusCode == http.StatusOK
+}
+
+// follows reports whether an event ID is above another one. IDs that are no numbers have no
+// order.
+func follows(id, last string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	return errA != nil || errB != nil || a > b
+}
+
 // endsWithConnection reports whether only the end of its connection ends a response. Then
 // the end of the target cannot be told from that of a response without a body.
 func endsWithConnection(resp *http.Response) bool {
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -138,7 +138,7 @@
 	}
 	var err error
 	if x.route.Kind == catalog.Stream {
-		o.events = newEventReader(resp)
+		o.events = newEventReader(resp, resumeAfter)
 		err = o.events.peek()
 	} else {
 		var body [][]byte
