relay: a request whose body arrives late in a planned stop is refused

Whether requests are refused was asked before the body was read, so that a request whose head came early and whose body came late was passed on, and cut at the end of the grace period. It is asked again once the body is there.

Evidence: "refuses a request whose body arrives after requests are refused" failed before (connection closed without an answer, one run at the target).

--- /dev/null
+++ b/entry/edge/stop_suite_test.go
@@ -0,0 +1,95 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A planned stop with late requests", func() {
+	const grace = 4 * time.Second
+	var (
+		f        *fleet
+		requests *atomic.Int64
+		stopped  chan struct{}
+		began    time.Time
+		// hang makes the target keep requests until they are dropped.
+		hang atomic.Bool
+	)
+	BeforeEach(func() {
+		var address string
+		hang.Store(false)
+		f = newFleet(0, 0)
+		address, _, requests = serveRaw(func(nc net.Conn, id string) {
+			if hang.Load() {
+				_, _ = nc.Read(make([]byte, 1))
+				return
+			}
+			_, _ = io.WriteString(nc, head(200, id, "Content-Length: 2\r\n\r\nok"))
+		})
+		f.store.RegisterAddress("raw", address, 1)
+		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
+			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1, "timeout_ms": 20000}),
+			route("flow", "/flow/", "stream", "raw", map[string]any{"max_attempts": 1, "timeout_ms": 20000, "resumable": false}))
+		f.bounds.GracePeriod = grace
+		f.start()
+	})
+	stop := func() {
+		stopped, began = make(chan struct{}), time.Now()
+		go func() {
+			f.entries[0].Shutdown(context.Background())
+			close(stopped)
+		}()
+	}
+	until := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
+	// post begins a request and returns a function that sends its body and returns the answer.
+	post := func() func() (*http.Response, error) {
+		nc, err := net.Dial("tcp", f.settings[0].Listen)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(nc.Close)
+		_, err = fmt.Fprint(nc, "POST /call/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: late\r\nDeadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		return func() (*http.Response, error) {
+			_, _ = io.WriteString(nc, "x")
+			_ = nc.SetReadDeadline(time.Now().Add(grace))
+			resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			return resp, err
+		}
+	}
+
+	// Guards against a request that is passed on and then cut.
+	It("refuses a request whose body arrives after requests are refused", func() {
+		hang.Store(true)
+		finish := post()
+		time.Sleep(50 * time.Millisecond)
+		stop()
+		until(2700 * time.Millisecond)
+		resp, err := finish()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(requests.Load()).To(BeZero())
+	})
+
+	It("answers a request whose body arrives before requests are refused", func() {
+		finish := post()
+		time.Sleep(50 * time.Millisecond)
+		stop()
+		until(2 * time.Second)
+		resp, err := finish()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Eventually(stopped).Within(grace).Should(BeClosed())
+	})
+})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,6 +160,10 @@
 		}
 		return result.New(result.BadRequest, "the body could not be read")
 	}
+	if x.h.Stopping() {
+		// The body may arrive long after the head.
+		return result.Refuse(result.EntryLeaving, stoppingRetryAfter, "")
+	}
 	x.route, x.body, x.lastEventID, x.configVersion = route, body, x.meta.LastEventID, view.Config.Version
 	x.poolName = route.Pick(rand.Float64())
 	x.identity = Identity{PromptParts: x.meta.PromptParts, Digest: sync.OnceValue(x.digest), Content: sync.OnceValue(x.content)}
