edge: requests that are open at the end of a planned stop get an answer

At the end of the grace period, less 0.4 s, the server closed all connections: requests that still waited for a target, and those whose target had not answered, ended without an answer, among them requests that may run once.

The stop now ends them first: 503 with Retry-After if no target had it, otherwise 502; a stream that has begun is broken off. Requests that arrive during the stop have the end of it as their deadline, also at their target.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -51,6 +51,9 @@
 	// closes the requests that are still open. The process is killed at the end
 	// of the grace period.
 	killMargin = 400 * time.Millisecond
+	// lastAnswersTime is how much of killMargin is left for the answers to the requests
+	// that are open then.
+	lastAnswersTime = 200 * time.Millisecond
 	// openRequestsPollInterval is the time between two checks of a planned stop
 	// for open requests.
 	openRequestsPollInterval = 20 * time.Millisecond
@@ -99,6 +102,11 @@
 	// requests.
 	stopping        atomic.Bool
 	refusesRequests atomic.Bool
+	// ending is cancelled by endRequests at the end of a planned stop, and endsAt is when
+	// that will be, 0 before a stop, as Unix time in nanoseconds.
+	ending      context.Context
+	endRequests context.CancelFunc
+	endsAt      atomic.Int64
 	// gracePeriod is the time between the stop signal and the kill, in
 	// nanoseconds.
 	gracePeriod atomic.Int64
@@ -114,6 +122,7 @@
 		callerConns: callerConns{idle: make(map[net.Conn]bool)}, firstConfig: make(chan struct{}), failed: make(chan error, 1),
 	}
 	e.gracePeriod.Store(int64(s.Bounds.GracePeriod))
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	return e
 }
 
@@ -403,6 +412,7 @@
 	h := &relay.Handler{
 		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: noticeRecorder{e.broker, &e.leaving}, Upstream: upstream.NewPool(e.metrics),
 		RetryBudget: e.retryBudget, Containment: e.guard, StreamVersions: e.streams, Buffers: relay.NewBufferPool(maxBufferedBytes), Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, Stopping: e.refusesRequests.Load,
+		Ending: e.ending, EndsAt: e.stopEnd,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.openRequests.Add(1)
@@ -414,17 +424,28 @@
 	})
 }
 
+// stopEnd returns when a planned stop ends the open requests, the zero time if none has
+// begun.
+func (e *Edge) stopEnd() time.Time {
+	if at := e.endsAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // Shutdown fails readiness, waits drainDelay for the load balancer to notice and
 // then refuses new requests. Each answer closes its connection. When no request is
 // open, or killMargin before the end of the grace period, it closes the listener, the
-// idle connections and the process.
+// idle connections and the process. Requests that are open then get an answer: that they
+// have not run, or that nothing is known of their outcome.
 func (e *Edge) Shutdown(ctx context.Context) {
 	began := time.Now()
 	e.log.With("open", e.openRequests.Load()).Info("planned stop begins")
+	end := began.Add(time.Duration(e.gracePeriod.Load()) - killMargin)
+	e.endsAt.Store(end.UnixNano())
 	e.stopping.Store(true)
 	sleep(ctx, drainDelay)
 	e.refusesRequests.Store(true)
-	end := began.Add(time.Duration(e.gracePeriod.Load()) - killMargin)
 	for e.openRequests.Load() > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(openRequestsPollInterval)
 	}
@@ -433,6 +454,10 @@
 		time.Sleep(openRequestsPollInterval)
 	}
 	e.log.With("open", e.openRequests.Load()).Info("planned stop ends")
+	e.endRequests()
+	for e.callerConns.closeIdle() > 0 && time.Now().Before(end.Add(lastAnswersTime)) && ctx.Err() == nil {
+		time.Sleep(openRequestsPollInterval)
+	}
 	e.Close()
 }
 
--- a/entry/edge/stop_suite_test.go
+++ b/entry/edge/stop_suite_test.go
@@ -15,7 +15,10 @@
 )
 
 var _ = Describe("A planned stop with late requests", func() {
-	const grace = 4 * time.Second
+	const (
+		grace = 4 * time.Second
+		slots = 4
+	)
 	var (
 		f        *fleet
 		requests *atomic.Int64
@@ -35,7 +38,7 @@
 			}
 			_, _ = io.WriteString(nc, head(200, id, "Content-Length: 2\r\n\r\nok"))
 		})
-		f.store.RegisterAddress("raw", address, 1)
+		f.store.RegisterAddress("raw", address, slots)
 		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
 			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1, "timeout_ms": 20000}),
 			route("flow", "/flow/", "stream", "raw", map[string]any{"max_attempts": 1, "timeout_ms": 20000, "resumable": false}))
@@ -50,6 +53,12 @@
 		}()
 	}
 	until := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
+	long := map[string]string{"Deadline-Ms": "20000"}
+	call := func(path string) chan response {
+		got := make(chan response, 1)
+		go func() { got <- f.call(context.Background(), 0, "POST", path, long, "x") }()
+		return got
+	}
 	// post begins a request and returns a function that sends its body and returns the answer.
 	post := func() func() (*http.Response, error) {
 		nc, err := net.Dial("tcp", f.settings[0].Listen)
@@ -82,6 +91,50 @@
 		Expect(requests.Load()).To(BeZero())
 	})
 
+	// Guards against a request that is cut without an answer while it waits for a target.
+	It("refuses a request that still waits for a target at the end", func() {
+		hang.Store(true)
+		for range slots {
+			call("/call/1")
+		}
+		Eventually(requests.Load).Should(BeEquivalentTo(slots))
+		waiting := call("/call/2")
+		time.Sleep(50 * time.Millisecond)
+		stop()
+		a := <-waiting
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(503))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(requests.Load()).To(BeEquivalentTo(slots))
+		Eventually(stopped).Within(grace).Should(BeClosed())
+		Expect(time.Since(began)).To(BeNumerically("<", grace))
+	})
+
+	// Guards against a request that is cut without an answer while its target works.
+	DescribeTable("answers a request whose target does not end in time", func(path string, after time.Duration) {
+		hang.Store(true)
+		var got chan response
+		if after == 0 {
+			got = call(path)
+			Eventually(requests.Load).Should(BeEquivalentTo(1))
+			stop()
+		} else {
+			stop()
+			until(after)
+			got = call(path)
+		}
+		a := <-got
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(BeElementOf(502, 504))
+		Expect(requests.Load()).To(BeEquivalentTo(1))
+		Eventually(stopped).Within(grace).Should(BeClosed())
+		Expect(time.Since(began)).To(BeNumerically("<", grace))
+	},
+		Entry("sent before the stop", "/call/1", time.Duration(0)),
+		Entry("sent before requests are refused", "/call/1", 2300*time.Millisecond),
+		Entry("a stream without an event", "/flow/1", time.Duration(0)),
+	)
+
 	It("answers a request whose body arrives before requests are refused", func() {
 		finish := post()
 		time.Sleep(50 * time.Millisecond)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -157,7 +157,7 @@
 // failBroken records an attempt that ended without a whole answer, and returns its
 // outcome.
 func (x *callerRequest) failBroken(ctx context.Context, requestNumber uint64) steering.Outcome {
-	if x.r.Context().Err() != nil || errors.Is(context.Cause(ctx), errQuarantined) {
+	if x.r.Context().Err() != nil || errors.Is(context.Cause(ctx), errQuarantined) || errors.Is(context.Cause(ctx), errStopping) {
 		x.failAttempt(requestNumber, steering.Abandoned, result.CallerGone)
 		return steering.Abandoned
 	}
@@ -241,6 +241,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errSilent):
 		endedBy = "silence"
+	case errors.Is(cause, errStopping):
+		endedBy = "stop"
 	case cause != nil:
 		endedBy = "deadline"
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,8 +66,15 @@
 	// Stopping reports whether the entry refuses new requests because of a planned
 	// stop.
 	Stopping func() bool
+	// Ending is cancelled when a planned stop ends the open requests, and EndsAt returns
+	// when that will be, the zero time if no stop has begun.
+	Ending context.Context
+	EndsAt func() time.Time
 }
 
+// errStopping ends the requests that are open at the end of a planned stop.
+var errStopping = errors.New("the entry stops")
+
 // callerRequest is one request of a caller while it is handled.
 type callerRequest struct {
 	h            *Handler
@@ -98,6 +105,8 @@
 	versions *versionRecord
 	// quarantined is what was quarantined of the request, nil if nothing was.
 	quarantined atomic.Pointer[Cause]
+	// ended is true once a planned stop has ended the request.
+	ended atomic.Bool
 	// waited is the total time spent waiting for targets.
 	waited time.Duration
 	// requestNumber is the number that the broker gave to the last Acquire. Each
@@ -175,6 +184,10 @@
 		timeout = min(timeout, x.meta.CallerTimeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	if end := x.h.EndsAt(); !end.IsZero() && end.Before(x.deadline) {
+		// The target learns how long its answer can be waited for.
+		x.deadline = end
+	}
 	return nil
 }
 
@@ -188,6 +201,10 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
+	defer context.AfterFunc(x.h.Ending, func() {
+		x.ended.Store(true)
+		end(errStopping)
+	})()
 	stopWatch, blocked := x.watchQuarantine(end)
 	defer stopWatch()
 	if blocked {
@@ -224,6 +241,13 @@
 			}
 			x.abandon("caller left")
 		}
+		if x.ended.Load() {
+			if replacement != nil {
+				x.release(replacement)
+			}
+			x.giveUp()
+			return
+		}
 		if replacement == nil && (x.quarantined.Load() != nil || !x.history.canRetry(x.route, x.remaining(), mayHaveRun) && !x.history.mayReturn(x.route, x.remaining())) {
 			x.giveUp()
 			return
@@ -330,6 +354,10 @@
 		x.refuseQuarantined(*cause)
 		return
 	}
+	if x.ended.Load() && x.history.possibleRuns == 0 {
+		x.writeRefusal(result.Refuse(result.EntryLeaving, stoppingRetryAfter, ""))
+		return
+	}
 	code := x.history.refusalCode(x.remaining() < minAttemptTime)
 	retryAfter := time.Duration(0)
 	if x.history.possibleRuns == 0 {
