edge: a planned stop ends by the grace period in force

A grace period that SIGHUP made shorter during a planned stop was not used: the end was worked out once, so that the process could be killed with requests open. The end is worked out at each look.

Evidence: "ends by a grace period that becomes shorter meanwhile" failed on (it ended after the new period).

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -102,11 +102,11 @@
 	// requests.
 	stopping        atomic.Bool
 	refusesRequests atomic.Bool
-	// ending is cancelled by endRequests at the end of a planned stop, and endsAt is when
-	// that will be, 0 before a stop, as Unix time in nanoseconds.
+	// ending is cancelled by endRequests at the end of a planned stop. stopBegan is when the
+	// stop began, nil before.
 	ending      context.Context
 	endRequests context.CancelFunc
-	endsAt      atomic.Int64
+	stopBegan   atomic.Pointer[time.Time]
 	// gracePeriod is the time between the stop signal and the kill, in
 	// nanoseconds.
 	gracePeriod atomic.Int64
@@ -427,8 +427,8 @@
 // stopEnd returns when a planned stop ends the open requests, the zero time if none has
 // begun.
 func (e *Edge) stopEnd() time.Time {
-	if at := e.endsAt.Load(); at != 0 {
-		return time.Unix(0, at)
+	if began := e.stopBegan.Load(); began != nil {
+		return began.Add(time.Duration(e.gracePeriod.Load()) - killMargin)
 	}
 	return time.Time{}
 }
@@ -441,24 +441,26 @@
 func (e *Edge) Shutdown(ctx context.Context) {
 	began := time.Now()
 	e.log.With("open", e.openRequests.Load()).Info("planned stop begins")
-	end := began.Add(time.Duration(e.gracePeriod.Load()) - killMargin)
-	e.endsAt.Store(end.UnixNano())
+	e.stopBegan.Store(&began)
 	e.stopping.Store(true)
 	sleep(ctx, drainDelay)
 	e.refusesRequests.Store(true)
-	for e.openRequests.Load() > 0 && time.Now().Before(end) && ctx.Err() == nil {
-		time.Sleep(openRequestsPollInterval)
-	}
+	e.awaitStop(ctx, 0, func() bool { return e.openRequests.Load() == 0 })
 	_ = e.callerListener.Close()
-	for e.callerConns.closeIdle() > 0 && time.Now().Before(end) && ctx.Err() == nil {
-		time.Sleep(openRequestsPollInterval)
-	}
+	noConnections := func() bool { return e.callerConns.closeIdle() == 0 }
+	e.awaitStop(ctx, 0, noConnections)
 	e.log.With("open", e.openRequests.Load()).Info("planned stop ends")
 	e.endRequests()
-	for e.callerConns.closeIdle() > 0 && time.Now().Before(end.Add(lastAnswersTime)) && ctx.Err() == nil {
+	e.awaitStop(ctx, lastAnswersTime, noConnections)
+	e.Close()
+}
+
+// awaitStop waits until done returns true, or a time after the end of the planned stop. The
+// settings may change that end meanwhile.
+func (e *Edge) awaitStop(ctx context.Context, after time.Duration, done func() bool) {
+	for !done() && time.Now().Before(e.stopEnd().Add(after)) && ctx.Err() == nil {
 		time.Sleep(openRequestsPollInterval)
 	}
-	e.Close()
 }
 
 // Close closes connections and listeners and stops the actors at once.
--- a/entry/edge/stop_suite_test.go
+++ b/entry/edge/stop_suite_test.go
@@ -145,4 +145,21 @@
 		Expect(resp.StatusCode).To(Equal(200))
 		Eventually(stopped).Within(grace).Should(BeClosed())
 	})
+
+	// Guards against a grace period that is read once.
+	It("ends by a grace period that becomes shorter meanwhile", func() {
+		hang.Store(true)
+		got := call("/call/1")
+		Eventually(requests.Load).Should(BeEquivalentTo(1))
+		stop()
+		until(2600 * time.Millisecond)
+		s := f.settings[0]
+		s.Bounds.GracePeriod = grace - time.Second
+		f.entries[0].Reconfigure(s)
+		a := <-got
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(502))
+		Eventually(stopped).Within(grace).Should(BeClosed())
+		Expect(time.Since(began)).To(BeNumerically("<", grace-time.Second))
+	})
 })
