daemon: a repeated SIGTERM does not cut a planned stop

A second SIGTERM ended the process at once, with all open requests. A platform that repeats it kills at the end of the grace period anyway, and every stop ends by itself before that. SIGINT during the stop still ends the process.

Evidence: TestRepeatedStopSignals failed before (exit code 130 after the second SIGTERM).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,8 +104,9 @@
 	return settings.WriteDefaults(w, v)
 }
 
-// serve runs a process until a stop signal or a failure. A second stop signal
-// ends it at once. onStarted is called after the process has started.
+// serve runs a process until a stop signal or a failure. SIGINT during the stop ends it at
+// once; SIGTERM does not, because a platform may repeat it and kills the process at the end of
+// the grace period. onStarted is called after the process has started.
 func serve(ctx context.Context, p Process, onStarted func()) error {
 	signals := runtime.StopSignals()
 	if err := p.Provision(); err != nil {
@@ -121,8 +122,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		<-signals
-		os.Exit(ExitInterrupted)
+		for s := range signals {
+			if s == os.Interrupt {
+				os.Exit(ExitInterrupted)
+			}
+		}
 	}()
 	p.Shutdown(ctx)
 	return nil
