relay: a silent target that goes on after the send to another one is not used

The other target may have begun the stream in the 50 ms for which both have it; dropping it then left the first one at work after that begin. Once the stream was sent, only a target that declines or fails leaves it to the first one.

Evidence: "ends the attempt if the silent target goes on once the other one has the request" failed before.

--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -42,8 +42,9 @@
 // replacement sends a request to another target while the target of an attempt is
 // silent. A silent target may go on and another one may fail, so the attempt ends only
 // once the other target has begun to answer, or has had the request for maxOverlap, and
-// whatever the silent target sends before ends the search. The timers, the search and the
-// attempt run in goroutines of their own; mu guards the fields below it.
+// whatever the silent target sends before ends the search. With a maxOverlap it ends the
+// attempt instead once the request was sent. The timers, the search and the attempt run in
+// goroutines of their own; mu guards the fields below it.
 type replacement struct {
 	// ctx is that of the request.
 	ctx context.Context
@@ -120,6 +121,10 @@
 	defer r.mu.Unlock()
 	r.awaiting = false
 	r.timer.Stop()
+	if r.overlapTimer != nil {
+		// The other target may have begun already.
+		r.endSilentAttempt()
+	}
 	if r.endedAttempt {
 		return false
 	}
@@ -141,9 +146,17 @@
 func (r *replacement) endOverlap() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancelSearch == nil || r.granted != nil || r.endedAttempt {
+	if r.cancelSearch != nil && r.granted == nil {
+		r.endSilentAttempt()
+	}
+}
+
+// endSilentAttempt is endOverlap with r.mu held.
+func (r *replacement) endSilentAttempt() {
+	if r.endedAttempt {
 		return
 	}
+	r.overlapTimer.Stop()
 	if !r.ended {
 		r.endedAttempt = true
 		r.endAttempt()
--- a/internal/relay/replacement_suite_test.go
+++ b/internal/relay/replacement_suite_test.go
@@ -36,8 +36,8 @@
 				return failed.possibleRuns == 0
 			},
 			open: func(ctx context.Context, _ string, _ []string, sent func()) openOutcome {
-				searches.Add(1)
 				sent()
+				searches.Add(1)
 				select {
 				case o := <-outcome:
 					return o
@@ -113,6 +113,19 @@
 		Expect(r.endedAttempt).To(BeTrue())
 	})
 
+	// Guards against a second target that is dropped after it may have begun the stream.
+	It("ends the attempt if the silent target goes on once the other one has the request", func() {
+		r.finish(false)
+		r = bounded(r)
+		r.maxOverlap = time.Second
+		r.await("")
+		Eventually(searches.Load).Should(BeNumerically("==", 2))
+		Expect(r.arrived()).To(BeFalse())
+		Expect(ended.Load()).To(BeNumerically("==", 1))
+		outcome <- openOutcome{target: other}
+		Expect(r.finish(true)).To(BeIdenticalTo(other))
+	})
+
 	It("leaves the attempt alone if the other target fails before that", func() {
 		r.finish(false)
 		r = bounded(r)
