--- a/entry/edge/repeated_refusal_suite_test.go
+++ b/entry/edge/repeated_refusal_suite_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -104,4 +105,63 @@
 			return []string{strings.Join([]string{running, refused}, ", ")}
 		}, false),
 	)
+
+	// Guards against a second run of a request that may run once, at a target that is listed while
+	// the first one runs it.
+	DescribeTable("does not send the next request to a second target", func(refusal string, named bool) {
+		f := newFleet(0, 0)
+		var ran, ranElsewhere atomic.Int64
+		other, _, _ := serveRaw(func(nc net.Conn, id string) {
+			ranElsewhere.Add(1)
+			_, _ = io.WriteString(nc, head(200, id, "Content-Length: 2\r\n\r\nok"))
+		})
+		l := listen("127.0.0.1:0")
+		DeferCleanup(l.Close)
+		serve := func(nc net.Conn) {
+			defer nc.Close()
+			br, refused := bufio.NewReader(nc), ""
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				id := r.Header.Get("Attempt-Id")
+				if refused == "" {
+					refused = "Attempt-Id: " + id + "\r\n"
+					fmt.Fprintf(nc, "HTTP/1.1 %s\r\nContent-Length: 0\r\n%s\r\n", refusal, refused)
+					continue
+				}
+				ran.Add(1)
+				f.store.RegisterAddress("raw-2", other, 10)
+				time.Sleep(800 * time.Millisecond)
+				if !named {
+					refused = ""
+				}
+				fmt.Fprintf(nc, "HTTP/1.1 %s\r\nContent-Length: 0\r\n%s\r\n", refusal, refused)
+				_, _ = io.WriteString(nc, head(200, id, "Content-Length: 2\r\n\r\nok"))
+			}
+		}
+		go func() {
+			for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
+				go serve(nc)
+			}
+		}()
+		f.store.RegisterAddress("raw", l.Addr().String(), 10)
+		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
+			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 1}))
+		f.start()
+		call := func() response { return f.call(context.Background(), 0, "POST", "/call/1", nil, "x") }
+		Expect(call().status).To(BeElementOf(429, 503))
+		time.Sleep(300 * time.Millisecond)
+		a := call()
+		Expect(ran.Load()).To(BeEquivalentTo(1))
+		Expect(ranElsewhere.Load()).To(BeZero())
+		Expect(a.status).NotTo(BeElementOf(408, 421, 429, 503))
+	},
+		Entry("after 503 with the ID of the earlier one", "503 Service Unavailable\r\nNot-Executed: 1", true),
+		Entry("after 503", "503 Service Unavailable\r\nNot-Executed: 1", false),
+		Entry("after 421", "421 Misdirected Request", false),
+		Entry("after 429", "429 Too Many Requests\r\nNot-Executed: 1", false),
+	)
 })
