relay: a late timer of an ended search does not end the process

Found by reading: the timer of a search that had ended could run when the next one had begun and not sent the request yet, for example after the process stood still; endSilentAttempt then used a timer that was not there, and the process ended. Not seen in a run. It does nothing without a timer of a search that has sent the request.

Evidence: "does nothing when the time is up after the search has ended" panicked before.

--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -121,10 +121,8 @@
 	defer r.mu.Unlock()
 	r.awaiting = false
 	r.timer.Stop()
-	if r.overlapTimer != nil {
-		// The other target may have begun already.
-		r.endSilentAttempt()
-	}
+	// The other target may have begun already.
+	r.endSilentAttempt()
 	if r.endedAttempt {
 		return false
 	}
@@ -146,14 +144,13 @@
 func (r *replacement) endOverlap() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancelSearch != nil && r.granted == nil {
-		r.endSilentAttempt()
-	}
+	r.endSilentAttempt()
 }
 
-// endSilentAttempt is endOverlap with r.mu held.
+// endSilentAttempt ends the attempt if the other target has the request. r.mu must be held.
 func (r *replacement) endSilentAttempt() {
-	if r.endedAttempt {
+	// Without a timer the search has ended, or has not sent the request.
+	if r.endedAttempt || r.overlapTimer == nil {
 		return
 	}
 	r.overlapTimer.Stop()
--- a/internal/relay/replacement_suite_test.go
+++ b/internal/relay/replacement_suite_test.go
@@ -113,6 +113,23 @@
 		Expect(r.endedAttempt).To(BeTrue())
 	})
 
+	// Guards against a timer that fires late, after its search has ended.
+	It("does nothing when the time is up after the search has ended", func() {
+		r.finish(false)
+		r = bounded(r)
+		outcome <- openOutcome{tried: "other"}
+		r.await("")
+		Eventually(searches.Load).Should(BeNumerically("==", 2))
+		r.searching.Wait()
+		// The next search has begun and not sent the request yet.
+		r.mu.Lock()
+		r.cancelSearch = func() {}
+		r.mu.Unlock()
+		r.endOverlap()
+		Expect(ended.Load()).To(BeZero())
+		Expect(r.arrived()).To(BeTrue())
+	})
+
 	// Guards against a second target that is dropped after it may have begun the stream.
 	It("ends the attempt if the silent target goes on once the other one has the request", func() {
 		r.finish(false)
