--- a/entry/edge/stop_suite_test.go
+++ b/entry/edge/stop_suite_test.go
@@ -7,11 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/platform/standin"
 )
 
 var _ = Describe("A planned stop with late requests", func() {
@@ -164,3 +168,30 @@
 		Expect(time.Since(began)).To(BeNumerically("<", grace-time.Second))
 	})
 })
+
+var _ = Describe("A planned stop during a stream that lasts longer", func() {
+	// Guards against a stream that seems complete, and against one that no other entry takes up.
+	It("breaks it off, and another entry goes on with it", func() {
+		f := newFleet(1, 0)
+		f.bounds.GracePeriod = 4 * time.Second
+		f.start()
+		f.start()
+		Expect(f.query("a1").status).To(Equal(200))
+		f.engines[0].EventTime, f.engines[0].Events = 700*time.Millisecond, 8
+		got := make(chan response, 1)
+		go func() { got <- f.query("a1") }()
+		time.Sleep(100 * time.Millisecond)
+		go f.entries[0].Shutdown(context.Background())
+		a := <-got
+		Expect(a.err).To(HaveOccurred())
+		n := strings.Count(a.body, "id: ")
+		Expect(a.body).To(Equal(standin.Stream(a.id, n)))
+		Expect(n).To(And(BeNumerically(">", 3), BeNumerically("<", 8)))
+
+		header := map[string]string{"Model": "m/a1", "Token-Usage": "100,20", "Resumes": a.id, "Last-Event-Id": strconv.Itoa(n)}
+		b := f.call(context.Background(), 1, "POST", "/query/x?q=1", header, "prompt")
+		Expect(b.err).NotTo(HaveOccurred())
+		Expect(b.status).To(Equal(200))
+		Expect(strings.Count(b.body, "id: ")).To(Equal(8 - n))
+	})
+})
