--- a/entry/containment/containment_suite_test.go
+++ b/entry/containment/containment_suite_test.go
@@ -44,8 +44,10 @@
 	// begins counts the begins that were broadcast, dials the targets that were dialed,
 	// with the outcome dialErr.
 	begins, dials int
-	dialErr       error
-	leaving       containment.LeavingTargets
+	// delivered counts the broadcasts of crashes that have reached the other Guards.
+	delivered atomic.Int64
+	dialErr   error
+	leaving   containment.LeavingTargets
 	// skipped is the time by which the clock of the Guards is ahead.
 	skipped atomic.Int64
 }
@@ -94,6 +96,9 @@
 	for _, g := range to {
 		g.Receive(e)
 	}
+	if len(e.Crashes) > 0 {
+		m.delivered.Add(1)
+	}
 }
 
 // cut puts a Guard on the other side of a partition.
@@ -127,12 +132,14 @@
 
 // crashPrompts lets target i crash under attempts at an entry, like crash.
 func (m *mesh) crashPrompts(entry, i int, requests ...relay.Identity) {
-	before := records(m.guards[entry])
+	before, delivered := records(m.guards[entry]), m.delivered.Load()
 	m.skipped.Add(int64(time.Second))
 	for _, r := range requests {
 		m.guards[entry].Broken(target(i), r, false, m.now())
 	}
 	EventuallyWithOffset(2, func() int { return records(m.guards[entry]) }).WithPolling(2 * time.Millisecond).Should(Equal(before + 1))
+	// The others must not hear of this crash during the next one.
+	EventuallyWithOffset(2, m.delivered.Load).WithPolling(2 * time.Millisecond).Should(Equal(delivered + 1))
 }
 
 // counts returns the begins that were broadcast and the targets that were dialed.
