relay: no request is sent once a planned stop has ended the open ones

Traced in its log: a stop ended five requests at once; the place of one that had a target went to the one that waited, before the latter knew that it was ended too (waited_ms 3653), and it was sent, and cut, within a millisecond. Whether the stop has ended the requests is now read from its context, which is cancelled before any of them ends, and again after each grant.

The order that it needs can't be forced from outside.

--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -48,6 +48,12 @@
 		x.handleRefusal(refused)
 		return nil
 	}
+	if x.endedByStop() {
+		// The place may be that of another request that the stop has ended.
+		x.h.Broker.Done(requestNumber, steering.Abandoned)
+		x.giveUp()
+		return nil
+	}
 	if x.history.sends > 0 && !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
 		x.h.Metrics.NotRetried(retry.StopBudget)
 		x.h.Broker.Done(requestNumber, steering.Abandoned)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,8 +105,6 @@
 	versions *versionRecord
 	// quarantined is what was quarantined of the request, nil if nothing was.
 	quarantined atomic.Pointer[Cause]
-	// ended is true once a planned stop has ended the request.
-	ended atomic.Bool
 	// waited is the total time spent waiting for targets.
 	waited time.Duration
 	// requestNumber is the number that the broker gave to the last Acquire. Each
@@ -191,6 +189,9 @@
 	return nil
 }
 
+// endedByStop reports whether a planned stop has ended the open requests.
+func (x *callerRequest) endedByStop() bool { return x.h.Ending.Err() != nil }
+
 // remaining returns the time left to the deadline.
 func (x *callerRequest) remaining() time.Duration { return time.Until(x.deadline) }
 
@@ -201,10 +202,7 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer context.AfterFunc(x.h.Ending, func() {
-		x.ended.Store(true)
-		end(errStopping)
-	})()
+	defer context.AfterFunc(x.h.Ending, func() { end(errStopping) })()
 	stopWatch, blocked := x.watchQuarantine(end)
 	defer stopWatch()
 	if blocked {
@@ -241,7 +239,7 @@
 			}
 			x.abandon("caller left")
 		}
-		if x.ended.Load() {
+		if x.endedByStop() {
 			if replacement != nil {
 				x.release(replacement)
 			}
@@ -283,7 +281,7 @@
 		x.refuseQuarantined(*cause)
 		return
 	}
-	if x.ended.Load() && x.history.possibleRuns == 0 {
+	if x.endedByStop() && x.history.possibleRuns == 0 {
 		x.writeRefusal(result.Refuse(result.EntryLeaving, stoppingRetryAfter, ""))
 		return
 	}
