--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -40,11 +40,12 @@
 }
 
 // replacement sends a request to another target while the target of an attempt is
-// silent. A silent target may go on and another one may fail, so the attempt ends only
-// once the other target has begun to answer, or has had the request for maxOverlap, and
-// whatever the silent target sends before ends the search. With a maxOverlap it ends the
-// attempt instead once the request was sent. The timers, the search and the attempt run in
-// goroutines of their own; mu guards the fields below it.
+// silent. Whatever the silent target sends before that ends the search. Without a
+// maxOverlap the same holds until the other target answers, which ends the attempt. With
+// one, the attempt ends once the request was sent and the silent target goes on, the other
+// one answers or maxOverlap has passed, unless the other one has failed by then. The
+// timers, the search and the attempt run in goroutines of their own; mu guards the fields
+// below it.
 type replacement struct {
 	// ctx is that of the request.
 	ctx context.Context
