upstream: Do tells on which connection a request was sent

Logs could not tell whether a request went out on a new connection or on one that had carried others, nor which requests shared one. Request.Usage is filled with the number of the connection and of the requests before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,6 +60,8 @@
 	// matches returns whether a response belongs to the request.
 	matches  func(*http.Response) Match
 	response chan responseOrError
+	// usage is that of the connection at the begin of the round trip.
+	usage Usage
 	// bodyDone is closed when the body of the response has been read or dropped.
 	bodyDone     chan struct{}
 	bodyDoneOnce sync.Once
@@ -101,6 +103,8 @@
 	refused bool
 
 	mu sync.Mutex
+	// usage is that of the next request.
+	usage Usage
 	// pending is the round trip that waits for a response, nil while the
 	// connection is idle.
 	pending     *roundTrip
@@ -114,7 +118,7 @@
 		_ = tcp.SetReadBuffer(receiveBufferBytes)
 		_ = tcp.SetWriteBuffer(sendBufferBytes)
 	}
-	c := &conn{nc: nc, host: h, idleTimeout: defaultIdleTimeout, head: headLimiter{nc: nc}}
+	c := &conn{nc: nc, host: h, usage: newUsage(), idleTimeout: defaultIdleTimeout, head: headLimiter{nc: nc}}
 	c.br = bufio.NewReaderSize(&c.head, 8<<10)
 	go c.readLoop()
 	return c
@@ -143,9 +147,11 @@
 func (c *conn) begin(rt *roundTrip) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	rt.usage = c.usage
 	if c.closed {
 		return false
 	}
+	c.usage.Carried++
 	c.pending = rt
 	return true
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,6 +47,8 @@
 	Body   []byte
 	// MatchesAnswer returns whether a response belongs to this request.
 	MatchesAnswer func(*http.Response) Match
+	// Usage is set by Do to the connection on which the request was sent, unless it is nil.
+	Usage *Usage
 }
 
 // Error reports a request without a response.
@@ -167,6 +169,9 @@
 		}
 		c.begin(rt)
 	}
+	if r.Usage != nil {
+		*r.Usage = rt.usage
+	}
 	rt.detach = context.AfterFunc(ctx, func() {
 		rt.finishBody(false)
 		c.close()
