telemetry: reserved log lines have a budget of their own

The bound on the volume of the log dropped whichever line came after the 300th of a second.

Logger.Record writes a reserved line. BoundedWriter keeps a second budget and a second share of its queue for these (300 lines and 192 KB a second, 1024 lines while the reader stalls), so that ordinary lines cannot use them up. Dropped lines are reported and counted by kind, in the line 'log: lines were left out' (with the time of the first one) and in agate_log_lines_dropped_total.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -8,84 +8,152 @@
 	"time"
 )
 
+// Budget bounds the lines and bytes of one class of lines in a second.
+type Budget struct{ Lines, Bytes int }
+
 const (
-	// LinesPerSecond and BytesPerSecond bound the log output of one process.
+	// LinesPerSecond and BytesPerSecond bound the ordinary log output of one process.
 	LinesPerSecond = 300
 	BytesPerSecond = 96 << 10
-	// maxQueuedLines bounds the lines that wait for a stalled underlying writer.
+	// ReservedLinesPerSecond and ReservedBytesPerSecond bound its reserved lines.
+	ReservedLinesPerSecond = 300
+	ReservedBytesPerSecond = 192 << 10
+	// maxQueuedLines bounds the lines of each class that wait for a stalled underlying
+	// writer.
 	maxQueuedLines = 1024
 	// reportInterval is the time between two reports of dropped lines.
 	reportInterval = time.Second
 )
 
-// BoundedWriter writes lines to an underlying writer in the background. Write
-// never blocks: lines over the budget of a second, and lines that do not fit into
-// the queue while the underlying writer stalls, are dropped and counted. It is
-// safe for concurrent use.
-type BoundedWriter struct {
-	// maxLines and maxBytes are the budget of a second.
-	maxLines, maxBytes int
-	queue              chan []byte
-	// unreported counts the dropped lines since the last report, dropped all.
-	unreported atomic.Int64
-	dropped    atomic.Int64
-	now        func() time.Time
-	stop       chan struct{}
-	done       chan struct{}
+// lineClass is a class of lines with a budget and a share of the queue of its own.
+type lineClass struct {
+	name   string
+	budget Budget
+	// queued counts the lines in the queue.
+	queued atomic.Int64
+	// dropped counts all dropped lines.
+	dropped atomic.Int64
 
 	mu sync.Mutex
+	// unreported counts the dropped lines since the last report, and firstDropped is when
+	// the first of them was dropped.
+	unreported   int
+	firstDropped time.Time
 	// windowStart is the start of the current second of the budget.
 	windowStart time.Time
 	usedLines   int
 	usedBytes   int
 }
 
-// NewBoundedWriter returns a writer to w with a budget of lines and bytes per
-// second. It writes until Close.
-func NewBoundedWriter(w io.Writer, maxLines, maxBytes int) *BoundedWriter {
-	b := &BoundedWriter{
-		maxLines: maxLines, maxBytes: maxBytes, queue: make(chan []byte, maxQueuedLines), now: time.Now, stop: make(chan struct{}), done: make(chan struct{}),
+// admit reports whether a line of this size is within the budget of the current
+// second, and takes it from the budget if so.
+func (c *lineClass) admit(size int, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.windowStart) >= time.Second {
+		c.windowStart, c.usedLines, c.usedBytes = now, 0, 0
+	}
+	if c.usedLines >= c.budget.Lines || c.usedBytes+size > c.budget.Bytes {
+		return false
+	}
+	c.usedLines++
+	c.usedBytes += size
+	return true
+}
+
+func (c *lineClass) drop(now time.Time) {
+	c.dropped.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unreported == 0 {
+		c.firstDropped = now
+	}
+	c.unreported++
+}
+
+// report writes a line with the number of lines dropped since the last report, if
+// there are any.
+func (c *lineClass) report(w io.Writer, now time.Time) {
+	c.mu.Lock()
+	n, since := c.unreported, c.firstDropped
+	c.unreported = 0
+	c.mu.Unlock()
+	if n == 0 {
+		return
 	}
+	_, _ = fmt.Fprintf(w, "%s warn  log: lines were left out count=\"%d\" kind=%q since=%q\n",
+		now.UTC().Format(time.RFC3339Nano), n, c.name, since.UTC().Format(time.RFC3339Nano))
+}
+
+// queuedLine is a line that waits for the underlying writer.
+type queuedLine struct {
+	class *lineClass
+	text  []byte
+}
+
+// BoundedWriter writes lines to an underlying writer in the background. Write and
+// WriteReserved never block: lines over the budget of a second, and lines that do not
+// fit into the queue while the underlying writer stalls, are dropped and counted.
+// Ordinary and reserved lines take nothing from each other's budget and queue. It is
+// safe for concurrent use.
+type BoundedWriter struct {
+	ordinary, reserved lineClass
+	// queue holds maxQueuedLines of each class and keeps their order.
+	queue chan queuedLine
+	now   func() time.Time
+	stop  chan struct{}
+	done  chan struct{}
+}
+
+// NewBoundedWriter returns a writer to w with a budget of ordinary lines and bytes per
+// second, and the default one of reserved lines. It writes until Close.
+func NewBoundedWriter(w io.Writer, maxLines, maxBytes int) *BoundedWriter {
+	return NewReservingWriter(w, Budget{maxLines, maxBytes}, Budget{ReservedLinesPerSecond, ReservedBytesPerSecond})
+}
+
+// NewReservingWriter returns a writer to w with a budget for each class of lines.
+func NewReservingWriter(w io.Writer, ordinary, reserved Budget) *BoundedWriter {
+	b := &BoundedWriter{queue: make(chan queuedLine, 2*maxQueuedLines), now: time.Now, stop: make(chan struct{}), done: make(chan struct{})}
+	b.ordinary.name, b.ordinary.budget = "ordinary", ordinary
+	b.reserved.name, b.reserved.budget = "reserved", reserved
 	go b.run(w)
 	return b
 }
 
-// Write implements io.Writer; line is one log line. It never fails.
-func (b *BoundedWriter) Write(line []byte) (int, error) {
-	if !b.admit(len(line)) {
-		b.drop()
+// Write implements io.Writer; line is one ordinary log line. It never fails.
+func (b *BoundedWriter) Write(line []byte) (int, error) { return b.write(&b.ordinary, line) }
+
+// WriteReserved writes a reserved line. It never fails.
+func (b *BoundedWriter) WriteReserved(line []byte) (int, error) { return b.write(&b.reserved, line) }
+
+func (b *BoundedWriter) write(class *lineClass, line []byte) (int, error) {
+	now := b.now()
+	if !class.admit(len(line), now) {
+		class.drop(now)
 		return len(line), nil
 	}
-	select {
-	case b.queue <- append([]byte(nil), line...):
-	default:
-		b.drop()
+	if class.queued.Add(1) > maxQueuedLines {
+		class.queued.Add(-1)
+		class.drop(now)
+		return len(line), nil
 	}
+	b.queue <- queuedLine{class, append([]byte(nil), line...)}
 	return len(line), nil
 }
 
-func (b *BoundedWriter) drop() {
-	b.unreported.Add(1)
-	b.dropped.Add(1)
-}
+// Dropped returns the number of ordinary lines dropped so far.
+func (b *BoundedWriter) Dropped() int64 { return b.ordinary.dropped.Load() }
 
-// Dropped returns the number of lines dropped so far.
-func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
+// DroppedReserved returns the number of reserved lines dropped so far.
+func (b *BoundedWriter) DroppedReserved() int64 { return b.reserved.dropped.Load() }
 
-// admit reports whether a line of this size is within the budget of the current
-// second, and takes it from the budget if so.
-func (b *BoundedWriter) admit(size int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now := b.now(); now.Sub(b.windowStart) >= time.Second {
-		b.windowStart, b.usedLines, b.usedBytes = now, 0, 0
+// metrics returns the counters of dropped lines in the Prometheus text format.
+func (b *BoundedWriter) metrics() []string {
+	var lines []string
+	for _, class := range []*lineClass{&b.ordinary, &b.reserved} {
+		lines = append(lines, fmt.Sprintf("agate_log_lines_dropped_total{kind=%q} %d", class.name, class.dropped.Load()))
 	}
-	if b.usedLines >= b.maxLines || b.usedBytes+size > b.maxBytes {
-		return false
-	}
-	b.usedLines++
-	b.usedBytes += size
-	return true
+	return lines
 }
 
 func (b *BoundedWriter) run(w io.Writer) {
@@ -95,8 +163,7 @@
 	for {
 		select {
 		case line := <-b.queue:
-			// An error of w loses this line and must not affect requests.
-			_, _ = w.Write(line)
+			line.writeTo(w)
 		case <-ticker.C:
 			b.report(w)
 		case <-b.stop:
@@ -106,12 +173,18 @@
 	}
 }
 
+func (l queuedLine) writeTo(w io.Writer) {
+	l.class.queued.Add(-1)
+	// An error of w loses this line and must not affect requests.
+	_, _ = w.Write(l.text)
+}
+
 // drain writes the queued lines and the last report.
 func (b *BoundedWriter) drain(w io.Writer) {
 	for {
 		select {
 		case line := <-b.queue:
-			_, _ = w.Write(line)
+			line.writeTo(w)
 		default:
 			b.report(w)
 			return
@@ -119,12 +192,9 @@
 	}
 }
 
-// report writes a line with the number of lines dropped since the last report, if
-// there are any.
 func (b *BoundedWriter) report(w io.Writer) {
-	if n := b.unreported.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(w, "%s warn  log: lines were left out count=\"%d\"\n", b.now().UTC().Format(time.RFC3339Nano), n)
-	}
+	b.ordinary.report(w, b.now())
+	b.reserved.report(w, b.now())
 }
 
 // Close writes the queued lines and stops. Lines written afterwards are lost. If
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -8,8 +8,9 @@
 	"io"
 	"log/slog"
 	"slices"
-	"strings"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -23,6 +24,20 @@
 	entry log.Interface
 }
 
+// Fields are the fields of a line by their names.
+type Fields = log.Fields
+
+// reservedField marks a reserved line for lineHandler, which does not write it.
+const reservedField = "\x00reserved"
+
+// reservedWriter is implemented by writers that keep a budget for reserved lines.
+type reservedWriter interface {
+	WriteReserved(line []byte) (int, error)
+}
+
+// boundedLog is the writer of SetupLogs, nil if that drops no lines.
+var boundedLog atomic.Pointer[BoundedWriter]
+
 // SetupLogs directs all logs to w, from a minimum level on ("debug", "info",
 // "warn", "error").
 func SetupLogs(w io.Writer, level string) error {
@@ -30,6 +45,8 @@
 	if err != nil {
 		return result.Newf(result.SettingInvalid, "unknown log level %q", level)
 	}
+	bounded, _ := w.(*BoundedWriter)
+	boundedLog.Store(bounded)
 	log.SetHandler(&lineHandler{w: w})
 	log.SetLevel(parsed)
 	return nil
@@ -54,6 +71,14 @@
 // Info logs a change of state.
 func (l *Logger) Info(text string) { l.entry.Info(l.line(text)) }
 
+// Record logs, at the level info, a fact that has to be found afterwards. Its line is
+// reserved: ordinary lines cannot use up its budget of a BoundedWriter. The caller must
+// not use fields afterwards.
+func (l *Logger) Record(text string, fields Fields) {
+	fields[reservedField] = true
+	l.entry.WithFields(fields).Info(l.line(text))
+}
+
 // DebugEnabled reports whether Debug writes anything. Code on a hot path checks it
 // before it builds the fields.
 func (l *Logger) DebugEnabled() bool {
@@ -75,23 +100,50 @@
 
 // HandleLog implements log.Handler.
 func (h *lineHandler) HandleLog(e *log.Entry) error {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %-5s %s", e.Timestamp.UTC().Format(time.RFC3339Nano), e.Level, e.Message)
+	b := make([]byte, 0, 512)
+	b = e.Timestamp.UTC().AppendFormat(b, time.RFC3339Nano)
+	b = fmt.Appendf(b, " %-5s %s", e.Level, e.Message)
 	names := make([]string, 0, len(e.Fields))
+	write := h.w.Write
 	for name := range e.Fields {
-		names = append(names, name)
+		if name != reservedField {
+			names = append(names, name)
+		} else if reserving, ok := h.w.(reservedWriter); ok {
+			write = reserving.WriteReserved
+		}
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		fmt.Fprintf(&b, " %s=%q", name, fmt.Sprint(e.Fields[name]))
+		b = append(append(append(b, ' '), name...), '=')
+		b = appendValue(b, e.Fields[name])
 	}
-	b.WriteByte('\n')
+	b = append(b, '\n')
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, err := io.WriteString(h.w, b.String())
+	_, err := write(b)
 	return err
 }
 
+// appendValue appends the quoted text of a field.
+func appendValue(b []byte, value any) []byte {
+	var text string
+	switch v := value.(type) {
+	case string:
+		text = v
+	case bool:
+		text = strconv.FormatBool(v)
+	case int:
+		text = strconv.Itoa(v)
+	case int64:
+		text = strconv.FormatInt(v, 10)
+	case uint64:
+		text = strconv.FormatUint(v, 10)
+	default:
+		text = fmt.Sprint(v)
+	}
+	return strconv.AppendQuote(b, text)
+}
+
 // SlogHandler returns a slog.Handler that writes to the logger, for libraries that
 // log through slog. It writes records from the level warn on, all as warnings.
 func (l *Logger) SlogHandler() slog.Handler { return slogBridge{logger: l} }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -103,7 +103,7 @@
 }
 
 // WriteText writes all metrics in the Prometheus text format, with the prefix
-// "agate_".
+// "agate_", and the counters of the dropped log lines of the process.
 func (m *Metrics) WriteText(w io.Writer) error {
 	var lines []string
 	m.registry.Each(func(name string, v any) {
@@ -120,6 +120,9 @@
 			lines = append(lines, fmt.Sprintf("agate_%s_count %d", name, s.Count()))
 		}
 	})
+	if bounded := boundedLog.Load(); bounded != nil {
+		lines = append(lines, bounded.metrics()...)
+	}
 	slices.Sort(lines)
 	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
 	return err
