relay: each send of a request that may run once leaves a line

An attempt that went wrong left a line only in some cases, an attempt that succeeded none but the end of the request, and both could be dropped by the bound on the log's volume. Of a request that ran twice nobody could find afterwards where it had been sent and why it was sent again.

'send ended' has the target and its incarnation, which send it was, the connection and how many requests that had carried, what came, whether the response named the request, what was believed, and whether and why (not) the request may be sent again; 'to be sent again' is the decision. Both are reserved lines. canRetry is now retryStop with a reason; the order of its cases changed, its result did not. Repeatable requests have no record.

--- a/entry/edge/edge_suite_test.go
+++ b/entry/edge/edge_suite_test.go
@@ -30,7 +30,7 @@
 	knownred.RunSpecs(t, "edge")
 }
 
-var _ = BeforeSuite(func() { Expect(telemetry.SetupLogs(GinkgoWriter, "info")).To(Succeed()) })
+var _ = BeforeSuite(func() { Expect(telemetry.SetupLogs(&suiteLog, "info")).To(Succeed()) })
 
 // lastSubnet is the number of the loopback subnet of the newest fleet. Each fleet
 // of a test run has its own, so that their addresses differ.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -53,6 +53,7 @@
 	x.history.sends++
 	x.began.Store(false)
 	x.sentAt = time.Now()
+	x.beginSend()
 	requestCtx := ctx
 	ctx, end := context.WithCancelCause(ctx)
 	opened := target.opened
@@ -100,6 +101,7 @@
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	silence.arrived()
 	if failure != nil {
+		x.sending.failed(failure)
 		if !failure.MaybeSent {
 			x.inDoubt.Add(-1)
 		}
@@ -107,6 +109,7 @@
 	}
 	defer resp.Body.Close()
 	class := x.h.Dialect.Classify(resp, x.meta.AttemptID)
+	x.sending.responded(resp, class, x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest)
 	x.h.passOnNotice(grant, resp, class, x.sentAt)
 	switch class {
 	case Declined:
@@ -154,6 +157,7 @@
 	return &upstream.Request{
 		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body,
 		MatchesAnswer: func(resp *http.Response) upstream.Match { return x.h.Dialect.MatchesRequest(resp, id) },
+		Usage:         x.sending.connection(),
 	}
 }
 
@@ -286,6 +290,7 @@
 
 // answered records that the target has sent the whole answer.
 func (x *callerRequest) answered(requestNumber uint64) {
+	x.sending.complete()
 	if !x.began.Load() {
 		x.beganAnswer()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -128,6 +128,8 @@
 	configVersion int64
 	// buffers holds the responses that were read whole.
 	buffers buffers
+	// sending is the record of the present attempt, nil if it has none.
+	sending *sendRecord
 	// grant is the last grant: the target and the load report behind its choice.
 	grant  steering.Grant
 	caller caller
@@ -232,6 +234,8 @@
 	}
 	defer x.settleCharge()
 	x.h.RetryBudget.CountRequest(time.Now(), x.poolName)
+	// A panic ends an attempt without a result.
+	defer x.endSend(false, true)
 	var next *grantedTarget
 	for {
 		if next == nil {
@@ -250,6 +254,7 @@
 			return
 		}
 		done, mayHaveRun, replacement := x.attempt(ctx, next)
+		x.endSend(done, mayHaveRun)
 		if done {
 			return
 		}
@@ -273,6 +278,7 @@
 			x.giveUp()
 			return
 		}
+		x.recordSendAgain()
 		x.h.Metrics.Retried(x.history.lastCode)
 		next = replacement
 	}
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -75,17 +75,24 @@
 // canRetry reports whether a request may go to another target after its last
 // attempt. It does not check the retry budget.
 func (h *history) canRetry(route *catalog.Route, remaining time.Duration, lastAttemptMayHaveRun bool) bool {
+	return h.retryStop(route, remaining, lastAttemptMayHaveRun) == ""
+}
+
+// retryStop returns why canRetry is false, empty if it is true.
+func (h *history) retryStop(route *catalog.Route, remaining time.Duration, lastAttemptMayHaveRun bool) string {
 	switch {
+	case (lastAttemptMayHaveRun || h.possibleRuns > 0) && !route.Repeatable():
+		return "may_have_run"
 	case remaining < minAttemptTime:
-		return false
+		return "no_time"
 	case h.possibleRuns >= route.MaxAttempts:
-		return false
-	case h.sends >= route.MaxAttempts+maxExtraSends, h.brokenBegins >= maxBrokenBegins:
-		return false
-	case lastAttemptMayHaveRun || h.possibleRuns > 0:
-		return route.Repeatable()
+		return "attempts_used"
+	case h.sends >= route.MaxAttempts+maxExtraSends:
+		return "sends_used"
+	case h.brokenBegins >= maxBrokenBegins:
+		return "targets_broke"
 	}
-	return true
+	return ""
 }
 
 // sendCounts counts attempts that failed while another one went on.
--- /dev/null
+++ b/internal/relay/sendrecord.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"agatelanding.example/agatelanding/internal/telemetry"
+	"agatelanding.example/agatelanding/internal/upstream"
+)
+
+// maxSendFields is the number of fields of a record, with the one that marks it.
+const maxSendFields = 20
+
+// sendRecord holds what is logged of one send of a request that may run once.
+type sendRecord struct {
+	// usage is filled by upstream.Pool.Do.
+	usage upstream.Usage
+	// fields are those that are known so far.
+	fields telemetry.Fields
+	// answered is true once the whole answer has arrived.
+	answered bool
+}
+
+// beginSend begins the record of the present attempt. Repeatable requests have none: two
+// attempts at one may run beside each other.
+func (x *callerRequest) beginSend() {
+	if x.route.Repeatable() {
+		return
+	}
+	target := x.grant.Target
+	fields := make(telemetry.Fields, maxSendFields)
+	fields["id"], fields["entry"], fields["number"], fields["route"] = x.meta.AttemptID, x.h.EntryName, x.requestNumber, x.route.Name
+	fields["target"], fields["target_started_ms"], fields["send"] = target.ID, target.StartedAtMS, x.history.sends
+	x.sending = &sendRecord{fields: fields}
+}
+
+// connection returns where the connection of the send is recorded, nil for nowhere.
+func (r *sendRecord) connection() *upstream.Usage {
+	if r == nil {
+		return nil
+	}
+	return &r.usage
+}
+
+// failed records a send without a response.
+func (r *sendRecord) failed(failure *upstream.Error) {
+	if r != nil {
+		r.fields["sent"], r.fields["error"] = failure.MaybeSent, failure.Cause.Error()
+	}
+}
+
+// responded records the head of the response and what it means for the request. named is
+// true if it names the request, and no other.
+func (r *sendRecord) responded(resp *http.Response, class ResponseClass, named bool) {
+	if r != nil {
+		r.fields["sent"], r.fields["status"], r.fields["response"], r.fields["named"] = true, resp.StatusCode, class.String(), named
+	}
+}
+
+// complete records that the whole answer has arrived.
+func (r *sendRecord) complete() {
+	if r != nil {
+		r.answered = true
+	}
+}
+
+// endSend logs the record of the present attempt, if it has one that was not logged yet.
+func (x *callerRequest) endSend(done, mayHaveRun bool) {
+	r := x.sending
+	if r == nil {
+		return
+	}
+	x.sending = nil
+	believed := "not_run"
+	switch {
+	case done || r.answered:
+		believed = "answered"
+	case mayHaveRun:
+		believed = "may_have_run"
+	}
+	stop := x.sendStop(done || r.answered, mayHaveRun)
+	fields := r.fields
+	if r.usage.Connection != 0 {
+		fields["connection"], fields["kept"], fields["carried"] = r.usage.Connection, r.usage.Kept(), r.usage.Carried
+	}
+	fields["believed"], fields["again"], fields["ms"] = believed, stop == "", time.Since(x.sentAt).Milliseconds()
+	if stop != "" {
+		fields["stop"] = stop
+	}
+	x.h.Log.Record("send ended", fields)
+}
+
+// sendStop returns why the request is not sent once more, empty if it may be.
+func (x *callerRequest) sendStop(answered, mayHaveRun bool) string {
+	switch {
+	case answered:
+		return "answered"
+	case x.r.Context().Err() != nil:
+		return "caller_left"
+	case x.endedByStop():
+		return "stopping"
+	case x.quarantined.Load() != nil:
+		return "quarantined"
+	}
+	return x.history.retryStop(x.route, x.remaining(), mayHaveRun)
+}
+
+// recordSendAgain logs the decision to send a request that may run once to one more target.
+func (x *callerRequest) recordSendAgain() {
+	if x.route.Repeatable() {
+		return
+	}
+	x.h.Log.Record("to be sent again", telemetry.Fields{
+		"id": x.meta.AttemptID, "entry": x.h.EntryName, "number": x.requestNumber, "target": x.targetID, "send": x.history.sends,
+		"ran": x.history.possibleRuns, "reason": x.history.lastCode.String(), "left_ms": x.remaining().Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/relay/sendrecord_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/steering"
+	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/telemetry"
+)
+
+// sendingRequest returns a request in its first attempt.
+func sendingRequest(route *catalog.Route) *callerRequest {
+	return &callerRequest{
+		h: &Handler{Log: telemetry.For("relay"), EntryName: "front-bolnisi-1", Ending: context.Background()}, r: httptest.NewRequest(http.MethodPost, "/", nil),
+		meta: Metadata{AttemptID: "d9302905a208fb2e"}, route: route, deadline: time.Now().Add(time.Hour), sentAt: time.Now(), requestNumber: 895,
+		grant: steering.Grant{Target: &catalog.Target{ID: "i-2dbf3407", StartedAtMS: 1795000000000}}, history: history{sends: 1},
+	}
+}
+
+var _ = Describe("The reason against a further send", func() {
+	// Guards against a log that gives a reason which did not decide.
+	DescribeTable("is that of the decision", func(route *catalog.Route, h history, remaining time.Duration, lastMayHaveRun bool, want string) {
+		Expect(h.retryStop(route, remaining, lastMayHaveRun)).To(Equal(want))
+		Expect(h.canRetry(route, remaining, lastMayHaveRun)).To(Equal(want == ""))
+	},
+		Entry("none after a decline", nonIdempotentRoute, history{sends: 1}, time.Second, false, ""),
+		Entry("the request may have run", nonIdempotentRoute, history{sends: 1}, time.Second, true, "may_have_run"),
+		Entry("it may have run in an earlier send", nonIdempotentRoute, history{sends: 2, possibleRuns: 1}, time.Second, false, "may_have_run"),
+		Entry("the deadline", nonIdempotentRoute, history{sends: 1}, time.Millisecond, false, "no_time"),
+		Entry("the route's attempts", idempotentRoute, history{sends: 2, possibleRuns: 2}, time.Second, true, "attempts_used"),
+		Entry("the bound on sends", nonIdempotentRoute, history{sends: 3}, time.Second, false, "sends_used"),
+		Entry("targets that broke", resumableRoute, history{sends: 2, brokenBegins: 2}, time.Second, false, "targets_broke"),
+	)
+})
+
+var _ = Describe("The record of a send", func() {
+	It("is kept for requests that may run once only", func() {
+		for route, want := range map[*catalog.Route]bool{nonIdempotentRoute: true, streamRoute: true, idempotentRoute: false, resumableRoute: false} {
+			x := sendingRequest(route)
+			x.beginSend()
+			Expect(x.sending != nil).To(Equal(want))
+			Expect(x.sending.connection() != nil).To(Equal(want))
+		}
+	})
+})
+
+// discardLog directs the logs to a writer without bounds.
+func discardLog(b *testing.B) {
+	unbounded := telemetry.Budget{Lines: 1 << 40, Bytes: 1 << 50}
+	w := telemetry.NewReservingWriter(io.Discard, unbounded, unbounded)
+	b.Cleanup(func() { w.Close(time.Second) })
+	if err := telemetry.SetupLogs(w, "info"); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+}
+
+func BenchmarkSendRecord(b *testing.B) {
+	for name, route := range map[string]*catalog.Route{"once": nonIdempotentRoute, "repeatable": idempotentRoute} {
+		b.Run(name, func(b *testing.B) {
+			discardLog(b)
+			x := sendingRequest(route)
+			response := &http.Response{StatusCode: 200}
+			for b.Loop() {
+				x.beginSend()
+				x.sending.responded(response, Succeeded, true)
+				x.sending.complete()
+				x.endSend(true, true)
+			}
+		})
+	}
+}
+
+// BenchmarkRequestEnded is the cost of the line that each request has, for comparison.
+func BenchmarkRequestEnded(b *testing.B) {
+	discardLog(b)
+	x := sendingRequest(nonIdempotentRoute)
+	for b.Loop() {
+		x.logEnd(result.OK, 200)
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -89,6 +89,21 @@
 	Untrusted
 )
 
+// String returns the name of the class in the log.
+func (c ResponseClass) String() string {
+	switch c {
+	case Succeeded:
+		return "succeeded"
+	case Failed:
+		return "failed"
+	case Declined:
+		return "declined"
+	case Untrusted:
+		return "untrusted"
+	}
+	return "unknown"
+}
+
 // HeaderCodec translates between the headers of callers, the entry and targets.
 type HeaderCodec interface {
 	// ParseRequest parses the headers of a caller's request.
