agatectl: trace orders lines by time, not by its text

Times in the log have no zeros at their end, so that 17.2Z was printed after 17.2000001Z: the first of two lines came second. Lines whose time cannot be parsed are skipped like those in another format.

The spec 'orders times of different lengths' fails before and passes now; go test -race ./internal/ctl: ok.

--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -8,13 +8,14 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 )
 
 // logLine is a parsed line of the log of an entry or a target process.
 type logLine struct {
-	time string
+	time time.Time
 	// text is the message without fields.
 	text   string
 	fields map[string]string
@@ -37,7 +38,11 @@
 	if m == nil {
 		return logLine{}, false
 	}
-	line := logLine{time: m[1], text: m[3], fields: make(map[string]string), raw: raw}
+	at, err := time.Parse(time.RFC3339Nano, m[1])
+	if err != nil {
+		return logLine{}, false
+	}
+	line := logLine{time: at, text: m[3], fields: make(map[string]string), raw: raw}
 	if first := logFieldPattern.FindStringIndex(m[3]); first != nil {
 		line.text = strings.TrimSpace(m[3][:first[0]])
 	}
@@ -61,7 +66,7 @@
 			return nil, fmt.Errorf("%s: %w", path, err)
 		}
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.time.Compare(b.time) })
 	return lines, nil
 }
 
--- a/internal/ctl/trace_test.go
+++ b/internal/ctl/trace_test.go
@@ -58,6 +58,17 @@
 		Expect(string(lines[2])).To(ContainSubstring("request ended"))
 	})
 
+	// Guards against an order by text: the zeros at the end of a time are not written.
+	It("orders times of different lengths", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "entry.log")
+		Expect(os.WriteFile(path, []byte(`2026-08-19T21:16:17.2000001Z info  relay: second id="a1"
+2026-08-19T21:16:17.2Z info  relay: first id="a1"
+`), 0o600)).To(Succeed())
+		code, out, _ := run("trace", "a1", path)
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(MatchRegexp(`(?s)first.*second`))
+	})
+
 	DescribeTable("prints the lines of the quarantine", func(id string, want ...string) {
 		path := filepath.Join(GinkgoT().TempDir(), "quarantine.log")
 		Expect(os.WriteFile(path, []byte(quarantineLog), 0o600)).To(Succeed())
