agatectl: trace sums up the sends of a request and says what logs left out

A line that the bound on the log's volume dropped could be taken for a send that did not happen. After the lines of a request, trace prints one line for each of its sends (target, connection, what came, what was believed, whether it may be sent again) and how many lines of which kind each process left out while the request was under way; without a line of the request, all that was left out.

go test -race ./internal/ctl: ok.

--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -21,6 +21,8 @@
 	fields map[string]string
 	// raw is the whole line as read.
 	raw string
+	// source is the file, and the word before the time, if there is one.
+	source string
 }
 
 // A line may have words before its time, such as the name of its VM.
@@ -32,8 +34,8 @@
 // maxLogLineBytes is the largest length of a log line.
 const maxLogLineBytes = 64 << 10
 
-// parseLog parses one line. It returns false for a line in another format.
-func parseLog(raw string) (logLine, bool) {
+// parseLog parses one line of a file. It returns false for a line in another format.
+func parseLog(path, raw string) (logLine, bool) {
 	m := logLinePattern.FindStringSubmatch(raw)
 	if m == nil {
 		return logLine{}, false
@@ -42,7 +44,10 @@
 	if err != nil {
 		return logLine{}, false
 	}
-	line := logLine{time: at, text: m[3], fields: make(map[string]string), raw: raw}
+	line := logLine{time: at, text: m[3], fields: make(map[string]string), raw: raw, source: path}
+	if words := strings.Fields(raw[:strings.Index(raw, m[0])]); len(words) > 0 {
+		line.source += " " + words[len(words)-1]
+	}
 	if first := logFieldPattern.FindStringIndex(m[3]); first != nil {
 		line.text = strings.TrimSpace(m[3][:first[0]])
 	}
@@ -60,7 +65,7 @@
 		if err != nil {
 			return nil, err
 		}
-		err = scanLog(f, &lines)
+		err = scanLog(path, f, &lines)
 		_ = f.Close()
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", path, err)
@@ -70,11 +75,11 @@
 	return lines, nil
 }
 
-func scanLog(r io.Reader, lines *[]logLine) error {
+func scanLog(path string, r io.Reader, lines *[]logLine) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 4096), maxLogLineBytes)
 	for scanner.Scan() {
-		if line, ok := parseLog(scanner.Text()); ok {
+		if line, ok := parseLog(path, scanner.Text()); ok {
 			*lines = append(*lines, line)
 		}
 	}
@@ -106,15 +111,19 @@
 		Use:   "trace ID FILE...",
 		Short: "Print the log lines of one request from all processes, in order",
 		Long: "trace prints the lines of one request and those of the quarantine that belong to it: crashes of\n" +
-			"its targets, and verdicts on its parts. ID may also be a part of prompts.\n\n" + exitText,
+			"its targets, and verdicts on its parts. ID may also be a part of prompts. A summary of the sends\n" +
+			"of a request that may run once follows, and the number of lines that processes left out during\n" +
+			"the request.\n\n" + exitText,
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			lines, err := readLogs(args[1:])
 			if err != nil {
 				return unreadableError(err)
 			}
-			matched := withQuarantine(lines, requestLines(lines, args[0]), args[0])
+			ofRequest := requestLines(lines, args[0])
+			matched := withQuarantine(lines, ofRequest, args[0])
 			if len(matched) == 0 {
+				printLeftOut(cmd, lines)
 				return &failure{ExitFaults, []error{fmt.Errorf("no line of request %s in %d lines", args[0], len(lines))}}
 			}
 			for _, l := range matched {
@@ -122,6 +131,14 @@
 					return unreadableError(err)
 				}
 			}
+			printSends(cmd, ofRequest)
+			if len(ofRequest) == 0 {
+				ofRequest = matched
+			}
+			began, ended := timeSpan(ofRequest)
+			printLeftOut(cmd, slices.DeleteFunc(lines, func(l logLine) bool {
+				return l.time.Before(began) || leftOutSince(l).After(ended)
+			}))
 			return nil
 		},
 	}
