--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -120,11 +120,7 @@
 // guards against a process that exceeds the memory or the descriptors of its VM, ends, or no
 // longer answers ordinary callers. It checks no times and not how many of the crowd are served.
 func TestCrowd(t *testing.T) {
-	binDir := t.TempDir()
-	build := exec.Command("go", "build", "-o", binDir+"/", "agatelanding.example/agatelanding/cmd/agate-entry")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	binDir := build(t, "agate-entry")
 	for _, c := range []struct {
 		name string
 		size int
@@ -153,6 +149,16 @@
 	}
 }
 
+// build builds a program and returns its folder.
+func build(t *testing.T, program string) string {
+	binDir := t.TempDir()
+	cmd := exec.Command("go", "build", "-o", binDir+"/", "agatelanding.example/agatelanding/cmd/"+program)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return binDir
+}
+
 // runCrowd lets callers send at once, calls during while their connections are open, and
 // closes them.
 func runCrowd(e *entry, size int, send caller, during func()) {
@@ -194,6 +200,11 @@
 	if status != http.StatusOK {
 		e.t.Errorf("a body of the largest size gets status %d after the crowd has left", status)
 	}
+	e.checkBounds()
+}
+
+// checkBounds checks that the process lives and the most that it has used until now.
+func (e *entry) checkBounds() {
 	select {
 	case <-e.ended:
 		e.t.Error("the process has ended")
