relay: end the largest unfinished answer when others need its room

Callers of sound targets got 502 for answers of more than 32 KiB while a faulty target's answers filled the pool of the entry: the pool failed whoever came next, and answers that send a byte from time to time held their room until the deadline of their requests.

Where the pool is empty, the largest unfinished answer of the target that holds most of it is ended, unless it is the one that asks. An answer that ends early gives its room back at once, not at the end of its request.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -233,7 +233,7 @@
 // readResponse reads a response to its end. It returns an error if the response
 // ends early or is too large.
 func (x *callerRequest) readResponse(resp *http.Response, silence *replacement) (*wholeResponse, error) {
-	body, err := x.buffers.read(&watchedBody{body: resp.Body, silence: silence}, resp.ContentLength)
+	body, err := x.buffers.read(&watchedBody{body: resp.Body, silence: silence}, resp.ContentLength, x.targetID, func() { _ = resp.Body.Close() })
 	if err != nil {
 		x.logBroken(err)
 		return nil, err
--- a/internal/relay/buffers.go
+++ b/internal/relay/buffers.go
@@ -29,37 +29,21 @@
 // requests. The first uncountedBytes of each response are not counted, so that large answers
 // or answers without end do not keep short ones from being read. While callers that read
 // slowly hold the pool, the reading of further responses waits, so that their targets wait,
-// and the slowest of these callers is disconnected. It is safe for concurrent use.
+// and the slowest of these callers is disconnected. If unfinished responses hold it, the
+// largest one of the target that holds most is ended. It is safe for concurrent use.
 type BufferPool struct {
 	mu   sync.Mutex
 	free int64
-	// writes are the responses with counted parts that are sent to their callers.
+	// writes are the responses with counted parts that are sent to their callers, and reads
+	// those that are being read.
 	writes  map[*callerWrite]bool
+	reads   map[*targetRead]bool
 	metrics *telemetry.Metrics
 }
 
 // NewBufferPool returns a pool with the given number of bytes.
 func NewBufferPool(size int64, metrics *telemetry.Metrics) *BufferPool {
-	return &BufferPool{free: size, writes: make(map[*callerWrite]bool), metrics: metrics}
-}
-
-// take takes bytes, if there is no room after a wait for the callers that are being sent their
-// responses. Without such callers it does not wait: what is read now would not become free.
-func (p *BufferPool) take(n int64) bool {
-	for began := time.Now(); ; time.Sleep(poolInterval) {
-		p.mu.Lock()
-		if p.free >= n {
-			p.free -= n
-			p.mu.Unlock()
-			return true
-		}
-		wait := len(p.writes) > 0 && time.Since(began) < maxPoolWait
-		p.endSlowest(time.Now())
-		p.mu.Unlock()
-		if !wait {
-			return false
-		}
-	}
+	return &BufferPool{free: size, writes: make(map[*callerWrite]bool), reads: make(map[*targetRead]bool), metrics: metrics}
 }
 
 // endSlowest disconnects the caller that has taken longest to read the present part, if that
@@ -137,40 +121,18 @@
 	taken int64
 }
 
-// read reads a response to its end, in parts. It returns upstream.ErrOverBounds if the
-// response is larger than maxResponseBytes or the pool is empty. length is the
-// announced length, negative if there is none.
-func (b *buffers) read(r io.Reader, length int64) ([][]byte, error) {
+// read reads a response of a target to its end, in parts. It returns
+// upstream.ErrOverBounds if the response is larger than maxResponseBytes or the pool is
+// empty. length is the announced length, negative if there is none. interrupt makes reading
+// fail; it may be called from another goroutine.
+func (b *buffers) read(r io.Reader, length int64, target string, interrupt func()) ([][]byte, error) {
 	if length > maxResponseBytes {
 		return nil, fmt.Errorf("%d bytes are announced: %w", length, upstream.ErrOverBounds)
 	}
-	size := firstPartBytes
-	if length >= 0 {
-		size = min(int(length), partBytes)
-	}
-	var parts [][]byte
-	for total := 0; ; size = nextPart(total) {
-		if total+size > maxResponseBytes {
-			return nil, fmt.Errorf("more than %d bytes: %w", total, upstream.ErrOverBounds)
-		}
-		if total+size > uncountedBytes {
-			if !b.pool.take(partBytes) {
-				return nil, fmt.Errorf("%d bytes and no room for more: %w", total, upstream.ErrOverBounds)
-			}
-			b.taken += partBytes
-		}
-		// The extra byte lets a full part see the end of the response.
-		part := make([]byte, size+1)
-		n, err := fill(r, part)
-		total += n
-		parts = append(parts, part[:n])
-		switch {
-		case err == io.EOF:
-			return parts, nil
-		case err != nil:
-			return nil, err
-		}
-	}
+	reading := b.pool.startRead(target, interrupt)
+	parts, err := reading.parts(r, length)
+	b.taken += reading.end(err == nil)
+	return parts, err
 }
 
 // nextPart returns the size of the part after a number of bytes.
--- a/internal/relay/buffers_suite_test.go
+++ b/internal/relay/buffers_suite_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,7 @@
 	const answer = uncountedBytes + 1
 	read := func(p *BufferPool) (*buffers, error) {
 		b := &buffers{pool: p}
-		_, err := b.read(strings.NewReader(strings.Repeat("x", answer)), answer)
+		_, err := b.read(strings.NewReader(strings.Repeat("x", answer)), answer, "t-1", func() {})
 		return b, err
 	}
 
@@ -56,4 +57,47 @@
 		Expect(err).To(MatchError(upstream.ErrOverBounds))
 		Expect(time.Since(began)).To(BeNumerically("<", maxPoolWait))
 	})
+
+	// unfinished starts to read a response of a target that stops after some bytes. The
+	// channel gets the error once it was ended.
+	unfinished := func(p *BufferPool, target string, bytes int) <-chan error {
+		body, source := io.Pipe()
+		failed := make(chan error, 1)
+		go func() {
+			b := &buffers{pool: p}
+			_, err := b.read(body, -1, target, func() { _ = source.CloseWithError(io.ErrUnexpectedEOF) })
+			failed <- err
+		}()
+		_, err := source.Write(make([]byte, bytes))
+		Expect(err).NotTo(HaveOccurred())
+		return failed
+	}
+
+	// Guards against a faulty target whose unfinished responses keep those of other targets
+	// from being read.
+	It("ends the largest unfinished response of the target that holds most", func() {
+		p := NewBufferPool(5*partBytes, telemetry.NewMetrics())
+		small := unfinished(p, "faulty", uncountedBytes+2)
+		large := unfinished(p, "faulty", uncountedBytes+partBytes+3)
+		sound := unfinished(p, "sound", uncountedBytes+2)
+		Eventually(func() int64 { p.mu.Lock(); defer p.mu.Unlock(); return p.free }).Should(Equal(int64(partBytes)))
+		for range 2 {
+			_, err := read(p)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(large).To(Receive(MatchError(upstream.ErrOverBounds)))
+		Expect(small).NotTo(Receive())
+		Expect(sound).NotTo(Receive())
+	})
+
+	// Guards against responses of one target that end each other as each asks for a part.
+	It("refuses a part to the largest response itself", func() {
+		p := NewBufferPool(2*partBytes, telemetry.NewMetrics())
+		other := unfinished(p, "t-1", uncountedBytes+2)
+		b := &buffers{pool: p}
+		_, err := b.read(strings.NewReader(strings.Repeat("x", 4*partBytes)), -1, "t-1", func() {})
+		Expect(err).To(MatchError(upstream.ErrOverBounds))
+		Expect(b.taken).To(BeZero())
+		Expect(other).NotTo(Receive())
+	})
 })
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -145,7 +145,7 @@
 		err = o.events.peek()
 	} else {
 		var body [][]byte
-		body, err = o.buffers.read(resp.Body, resp.ContentLength)
+		body, err = o.buffers.read(resp.Body, resp.ContentLength, grant.Target.ID, func() { _ = resp.Body.Close() })
 		o.whole = &wholeResponse{status: resp.StatusCode, header: x.h.Dialect.CallerHeader(resp.Header), body: body}
 	}
 	switch {
