--- a/entry/edge/refusing_targets_test.go
+++ b/entry/edge/refusing_targets_test.go
@@ -16,10 +16,28 @@
 	"agatelanding.example/agatelanding/platform/standin"
 )
 
-// refusal is the status of a response that rejects a request.
+// refusal is a response that rejects a request.
 type refusal struct {
 	status      int
 	notExecuted bool
+	// reset is true if the connection is reset once so many parts of the text are written.
+	reset   bool
+	written float64
+}
+
+// write writes the refusal and reports whether the connection goes on.
+func (r refusal) write(nc net.Conn, ids ...string) bool {
+	text := r.text(ids...)
+	if !r.reset {
+		_, err := io.WriteString(nc, text)
+		return err == nil
+	}
+	_, _ = io.WriteString(nc, text[:int(r.written*float64(len(text)))])
+	// What was written before a reset may be lost if the peer has not read it.
+	time.Sleep(5 * time.Millisecond)
+	_ = nc.(*net.TCPConn).SetLinger(0)
+	_ = nc.Close()
+	return false
 }
 
 // text returns the refusal with an Attempt-Id header for each of ids.
@@ -65,6 +83,9 @@
 	again    repetition
 	// runTime is the time from the repetition to the answer.
 	runTime time.Duration
+	// notify is called with the target that has received, refused or begun to run a request. If
+	// it isn't nil, only instances that were replaced write their refusals again.
+	notify func(*refusingTarget, moment)
 
 	mu       sync.Mutex
 	requests map[string]*receivedRequest
@@ -80,19 +101,73 @@
 // probe ends the paths of requests whose refusals are not written again.
 const probe = "probe"
 
-// listen starts one of the targets and returns its address.
-func (s *refusingTargets) listen() string {
-	l := listen("127.0.0.1:0")
+// moment is a step of what a target does with a request.
+type moment uint8
+
+const (
+	beforeRefusal moment = iota + 1
+	afterRefusal
+	whileItRuns
+)
+
+// refusingTarget is one of the targets. Connections that begin with a request without an ID go
+// to the server at behind, if that isn't empty.
+type refusingTarget struct {
+	address, behind string
+
+	mu sync.Mutex
+	// instance is the ID of what runs at the address: it alone runs requests that expect it.
+	// Connections belong to the instance that has accepted them. starts counts the instances.
+	instance string
+	starts   int
+	conns    []net.Conn
+}
+
+// replaced reports whether another instance has started since.
+func (t *refusingTarget) replaced(start int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.starts != start
+}
+
+// setInstance starts another instance at the address of the target. The connections to the one
+// before go on or are reset.
+func (t *refusingTarget) setInstance(instance string, reset bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.instance = instance
+	t.starts++
+	for _, nc := range t.conns {
+		if reset {
+			_ = nc.(*net.TCPConn).SetLinger(0)
+			_ = nc.Close()
+		}
+	}
+	t.conns = nil
+}
+
+func (t *refusingTarget) accept(nc net.Conn) (instance string, start int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns = append(t.conns, nc)
+	return t.instance, t.starts
+}
+
+// listen starts one of the targets at ip.
+func (s *refusingTargets) listen(ip, instance, behind string) *refusingTarget {
+	l := listen(ip + ":0")
 	DeferCleanup(l.Close)
+	t := &refusingTarget{address: l.Addr().String(), behind: behind, instance: instance}
 	go func() {
 		for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
-			go s.serve(nc)
+			instance, start := t.accept(nc)
+			go s.serve(nc, t, instance, start)
 		}
 	}()
-	return l.Addr().String()
+	return t
 }
 
-func (s *refusingTargets) serve(nc net.Conn) {
+func (s *refusingTargets) serve(nc net.Conn, t *refusingTarget, instance string, start int) {
 	defer nc.Close()
 	br := bufio.NewReader(nc)
 	var refused []string
@@ -101,22 +176,61 @@
 		if err != nil {
 			return
 		}
+		id, probes := standin.RequestID(r.Header), strings.HasSuffix(r.URL.Path, probe)
+		if id == "" && t.behind != "" {
+			passOn(nc, br, r, t.behind)
+			return
+		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		id := standin.RequestID(r.Header)
+		if r.Header.Get("Expect-Instance") != instance {
+			_, _ = io.WriteString(nc, refusal{status: 421}.text(id))
+			continue
+		}
+		notify := func(m moment) {
+			if s.notify != nil && !probes {
+				s.notify(t, m)
+			}
+		}
 		runs, first := s.receive(nc, id)
 		if !runs {
 			refused = append(refused, id)
-			_, _ = io.WriteString(nc, s.refusal.text(id))
+			notify(beforeRefusal)
+			response := s.refusal
+			response.reset = response.reset && !probes
+			ok := response.write(nc, id)
+			notify(afterRefusal)
+			if !ok {
+				return
+			}
 			continue
 		}
-		if !strings.HasSuffix(r.URL.Path, probe) {
+		notify(whileItRuns)
+		if !probes && (s.notify == nil || t.replaced(start)) {
 			s.repeat(nc, first, id, refused)
 		}
 		time.Sleep(s.runTime)
-		_, _ = io.WriteString(nc, head(200, id, "Content-Length: 2\r\n\r\nok"))
+		body := standin.Stream(id, 1)
+		_, _ = io.WriteString(nc, head(200, id, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)))
 	}
 }
 
+// passOn connects nc, from which a request was read, with another server.
+func passOn(nc net.Conn, br *bufio.Reader, r *http.Request, address string) {
+	other, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer other.Close()
+	if r.Write(other) != nil {
+		return
+	}
+	go func() {
+		_, _ = io.Copy(other, br)
+		_ = other.(*net.TCPConn).CloseWrite()
+	}()
+	_, _ = io.Copy(nc, other)
+}
+
 // receive records a request, and reports whether it runs now and the connection of its first
 // refusal.
 func (s *refusingTargets) receive(nc net.Conn, id string) (runs bool, first net.Conn) {
@@ -159,7 +273,7 @@
 	}
 	time.Sleep(s.again.delay)
 	for range s.again.times {
-		if _, err := io.WriteString(nc, s.again.refusal.text(names...)); err != nil {
+		if !s.again.refusal.write(nc, names...) {
 			return
 		}
 	}
