resend, relay: a request that may run once does not go back to a target that refused it

A target that writes its refusal of the first send again, while it runs the second one, names this very attempt: the second send counted as not run.

What is known of the sends of a request, and whether and where it may be sent again, is decided in one package now, internal/decide/resend; counters of its own for quota refunds are gone. A target gets a request that may run once at most once, and a refusal proves nothing for a second send. Repeatable requests go back as before.

--- a/internal/decide/steering/types.go
+++ b/internal/decide/steering/types.go
@@ -57,7 +57,8 @@
 	ExcludedTargets []string
 	// RejectedBy lists those of the ExcludedTargets that have rejected the request without
 	// running it. A plain service among them was full, and may get the request again while
-	// this entry's share bounds its requests.
+	// this entry's share bounds its requests. A request that may run once has none (package
+	// resend).
 	RejectedBy []string
 	// AvoidedTargets lists the IDs of targets that get the request only if there is no
 	// other.
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -28,8 +28,8 @@
 // after it has ended the request, if the broker refuses or the retry budget is spent.
 func (x *callerRequest) acquire(ctx context.Context) *grantedTarget {
 	started := time.Now()
-	request := x.targetRequest(started, x.triedTargets)
-	request.RejectedBy = x.rejectedBy
+	request := x.targetRequest(started, x.sends.Excluded())
+	request.RejectedBy = x.sends.Returnable()
 	only, refused := x.awaitTurn(ctx, request.Deadline)
 	if refused != nil {
 		x.waited += time.Since(started)
@@ -38,10 +38,9 @@
 	}
 	request.OnlyTarget = only
 	grant, requestNumber, refused := x.acquireOther(ctx, request)
-	if refused != nil && only == "" && x.history.mayReturn(x.route, x.remaining()) {
-		x.history.returned = true
+	if refused != nil && only == "" && x.sends.MayReturn(x.remaining()) {
 		x.h.Metrics.Count("streams_returned")
-		request.OnlyTarget, request.ExcludedTargets = x.history.silentTarget, nil
+		request.OnlyTarget, request.ExcludedTargets = x.sends.Return(), nil
 		grant, requestNumber, refused = x.h.Broker.Acquire(ctx, request)
 	}
 	x.waited += time.Since(started)
@@ -56,7 +55,7 @@
 		x.giveUp()
 		return nil
 	}
-	if x.history.sends > 0 && !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
+	if x.sends.Counts().Sends > 0 && !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
 		x.h.Metrics.NotRetried(retry.StopBudget)
 		x.h.Broker.Done(requestNumber, steering.Abandoned)
 		x.giveUp()
@@ -67,7 +66,7 @@
 
 // acquireOther acquires a target that was not tried, if one more may get the request.
 func (x *callerRequest) acquireOther(ctx context.Context, request steering.Request) (steering.Grant, uint64, *steering.Refused) {
-	if x.history.sends > 0 && !x.history.canRetry(x.route, x.remaining(), x.history.possibleRuns > 0) {
+	if x.sends.Counts().Sends > 0 && !x.sends.MaySendAgain(x.remaining()) {
 		return steering.Grant{}, 0, &steering.Refused{Code: x.history.lastCode}
 	}
 	return x.h.Broker.Acquire(ctx, request)
@@ -81,7 +80,7 @@
 	if refused.Code == result.StreamVersionGone && x.versions != nil && !x.versions.hasBegun() {
 		refused.Code = result.NoTarget
 	}
-	if x.history.possibleRuns == 0 {
+	if !x.sends.MayHaveRun() {
 		x.history.lastCode = refused.Code
 		x.history.requestedDelay = refused.RetryAfter
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,11 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
+	"agatelanding.example/agatelanding/internal/decide/resend"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/telemetry"
@@ -43,14 +43,12 @@
 
 // attempt sends the request to one target, or uses the answer that the target has begun
 // while another one was silent, and relays the response. done is true if the response
-// was sent to the caller; otherwise mayHaveRun is true if the target may have run the
-// request, and next is a target that has begun to answer meanwhile, nil if there is none.
-func (x *callerRequest) attempt(ctx context.Context, target *grantedTarget) (done, mayHaveRun bool, next *grantedTarget) {
+// was sent to the caller; otherwise next is a target that has begun to answer meanwhile, nil
+// if there is none.
+func (x *callerRequest) attempt(ctx context.Context, target *grantedTarget) (done bool, next *grantedTarget) {
 	grant, requestNumber := target.grant, target.requestNumber
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
-	x.triedTargets = append(x.triedTargets, grant.Target.ID)
-	x.rejectedBy = without(x.rejectedBy, grant.Target.ID)
-	x.history.sends++
+	x.sends.Begin(grant.Target.ID)
 	x.began.Store(false)
 	x.sentAt = time.Now()
 	x.beginSend()
@@ -70,42 +68,34 @@
 	defer func() {
 		next = silence.finish(needed)
 		if silence.endedAttempt {
-			x.history.silentTarget = grant.Target.ID
+			x.sends.Silent()
 		}
-		x.history.add(silence.failed)
-		x.triedTargets = append(x.triedTargets, silence.tried...)
+		x.sends.Add(silence.failed, silence.tried)
 	}()
 	if opened != nil {
-		done, mayHaveRun = x.relayOpened(ctx, requestNumber, opened, silence)
+		done = x.relayOpened(ctx, requestNumber, opened, silence)
 	} else {
-		done, mayHaveRun = x.send(ctx, grant, requestNumber, silence)
+		done = x.send(ctx, grant, requestNumber, silence)
 	}
 	needed = !done
-	return done, mayHaveRun, nil
-}
-
-// without returns a copy of a list without an element. The broker may still read the list.
-func without(list []string, x string) []string {
-	return slices.DeleteFunc(slices.Clone(list), func(y string) bool { return y == x })
+	return done, nil
 }
 
 // send sends the request to the target of an attempt and relays its response.
-func (x *callerRequest) send(ctx context.Context, grant steering.Grant, requestNumber uint64, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) send(ctx context.Context, grant steering.Grant, requestNumber uint64, silence *replacement) (done bool) {
 	if !x.sentTo(grant.Target) {
+		x.endSendWith(resend.NotWritten)
 		x.failAttempt(requestNumber, steering.Abandoned, result.StreamVersionGone)
-		return false, false
+		return false
 	}
 	resumeAfter := x.resumeAfter()
 	silence.await(resumeAfter)
-	x.inDoubt.Add(1)
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	silence.arrived()
 	if failure != nil {
 		x.sending.failed(failure)
-		if !failure.MaybeSent {
-			x.inDoubt.Add(-1)
-		}
-		return false, x.handleNoResponse(ctx, requestNumber, failure)
+		x.handleNoResponse(ctx, requestNumber, failure)
+		return false
 	}
 	defer resp.Body.Close()
 	class := x.h.Dialect.Classify(resp, x.meta.AttemptID)
@@ -113,13 +103,12 @@
 	x.h.passOnNotice(grant, resp, class, x.sentAt)
 	switch class {
 	case Declined:
-		x.inDoubt.Add(-1)
 		x.handleDeclined(requestNumber, resp)
-		return false, false
+		return false
 	case Untrusted:
 		x.logBroken(errUntrusted)
 		x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
-		return false, true
+		return false
 	case Failed:
 		return x.handleFailed(ctx, requestNumber, resp, silence)
 	}
@@ -130,12 +119,12 @@
 }
 
 // relayOpened relays a response that has begun before its attempt.
-func (x *callerRequest) relayOpened(ctx context.Context, requestNumber uint64, opened *openedResponse, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) relayOpened(ctx context.Context, requestNumber uint64, opened *openedResponse, silence *replacement) (done bool) {
 	if opened.whole != nil {
 		x.answered(requestNumber)
 		x.buffers.adopt(&opened.buffers)
 		x.writeResponse(opened.whole)
-		return true, true
+		return true
 	}
 	return x.relayStream(ctx, requestNumber, opened.resp, opened.events, silence)
 }
@@ -179,17 +168,17 @@
 		return steering.Abandoned
 	}
 	if x.targetBroke(ctx, x.grant.Target, x.began.Load(), x.sentAt) {
-		x.history.brokenBegins++
+		x.sends.BrokeBeforeBegin()
 	}
 	x.failAttempt(requestNumber, steering.ResponseBroken, result.AnswerCut)
 	return steering.ResponseBroken
 }
 
-// handleNoResponse records an attempt without a response. It reports whether the
-// target may have run the request.
-func (x *callerRequest) handleNoResponse(ctx context.Context, requestNumber uint64, failure *upstream.Error) (mayHaveRun bool) {
+// handleNoResponse records an attempt without a response.
+func (x *callerRequest) handleNoResponse(ctx context.Context, requestNumber uint64, failure *upstream.Error) {
 	switch {
 	case !failure.MaybeSent:
+		x.endSendWith(resend.NotWritten)
 		x.failAttempt(requestNumber, steering.Unreachable, result.EngineUnavailable)
 	default:
 		x.failBroken(ctx, requestNumber)
@@ -198,11 +187,18 @@
 		x.h.Metrics.Count("answers_over_bounds")
 	}
 	x.withBreak(x.attemptLog().With("sent", failure.MaybeSent), failure.Cause).Info("no answer from the target")
-	return failure.MaybeSent
 }
 
-// handleDeclined records that the target did not run the request. It reads a short
-// body so that the connection can be used again.
+// refusalEvidence returns what a response that Classify calls Declined proves.
+func (x *callerRequest) refusalEvidence(resp *http.Response) resend.Evidence {
+	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest {
+		return resend.NamedRefusal
+	}
+	return resend.UnnamedRefusal
+}
+
+// handleDeclined records a response by which the target did not run the request. It reads a
+// short body so that the connection can be used again.
 func (x *callerRequest) handleDeclined(requestNumber uint64, resp *http.Response) {
 	timer := time.AfterFunc(maxDeclineTime, func() { _ = resp.Body.Close() })
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDeclineBytes)
@@ -213,25 +209,27 @@
 	if wrongTarget {
 		outcome = steering.WrongIncarnation
 	} else {
-		x.rejectedBy = append(x.rejectedBy, x.targetID)
+		x.sends.Rejected()
 	}
+	evidence := x.refusalEvidence(resp)
+	mayHaveRun := x.endSendWith(evidence)
 	x.failAttempt(requestNumber, outcome, result.QueueFull)
 	x.attemptLog().With("status", resp.StatusCode).With("version", x.adapterVersion).With("retry_after_ms", retryAfter.Milliseconds()).
-		With("named", x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest).Info("the target declined")
+		With("named", evidence == resend.NamedRefusal).With("believed", !mayHaveRun).Info("the target declined")
 }
 
 // handleFailed records a failure response of the target. The response is kept
 // and goes to the caller if no other target succeeds.
-func (x *callerRequest) handleFailed(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) handleFailed(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done bool) {
 	whole, err := x.readResponse(resp, silence)
 	if err != nil {
 		x.failBroken(ctx, requestNumber)
-		return false, true
+		return false
 	}
 	x.h.Containment.Answered(x.identity)
 	x.failAttempt(requestNumber, steering.Answered, result.EngineFailed)
 	x.history.failureResponse = whole
-	return false, true
+	return false
 }
 
 // readResponse reads a response to its end. It returns an error if the response
@@ -277,15 +275,15 @@
 }
 
 // relayWhole reads a response that is not a stream and sends it to the caller.
-func (x *callerRequest) relayWhole(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) relayWhole(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done bool) {
 	whole, err := x.readResponse(resp, silence)
 	if err != nil {
 		x.failBroken(ctx, requestNumber)
-		return false, true
+		return false
 	}
 	x.answered(requestNumber)
 	x.writeResponse(whole)
-	return true, true
+	return true
 }
 
 // answered records that the target has sent the whole answer.
@@ -300,7 +298,7 @@
 
 // relayStream sends the events of a stream to the caller as they arrive. It sends
 // whole events only, so that the stream can continue at another target.
-func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, events *eventReader, silence *replacement) (done, mayHaveRun bool) {
+func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, events *eventReader, silence *replacement) (done bool) {
 	// beganAt is when the first event arrived, and survived is true once the containment
 	// knows that the target outlives the request.
 	beganAt, survived := time.Now(), false
@@ -331,7 +329,7 @@
 		if err == io.EOF {
 			x.answered(requestNumber)
 			x.endStream(resp, events.preceding)
-			return true, true
+			return true
 		}
 		if x.failBroken(ctx, requestNumber) == steering.ResponseBroken {
 			if errors.Is(err, upstream.ErrOverBounds) {
@@ -339,7 +337,7 @@
 			}
 			x.logStreamBroke(ctx, err)
 		}
-		return false, true
+		return false
 	}
 }
 
--- a/internal/relay/containment.go
+++ b/internal/relay/containment.go
@@ -41,7 +41,7 @@
 		return "", &steering.Refused{Code: result.RequestSuspected, RetryAfter: retryAfter}
 	}
 	turn := x.h.Containment.Turn(x.identity, x.poolName)
-	if turn.Once && x.history.possibleRuns > 0 {
+	if turn.Once && x.sends.MayHaveRun() {
 		return "", &steering.Refused{Code: result.RequestQuarantined}
 	}
 	if turn.NeedsPermit {
@@ -75,7 +75,7 @@
 		x.requestLog().With("digest", cause.Digest).Info("refused as a quarantined request")
 	}
 	retryAfter := time.Duration(0)
-	if x.history.possibleRuns == 0 {
+	if !x.sends.MayHaveRun() {
 		retryAfter = callerRetryAfter(quarantineRetryAfter, x.remaining(), rand.Float64())
 	}
 	x.writeRefusal(result.Refuse(code, retryAfter, detail))
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
+	"agatelanding.example/agatelanding/internal/decide/resend"
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
@@ -35,12 +37,12 @@
 // newReplacement returns the search for a target that replaces a silent one of the
 // present attempt. ctx is that of the request.
 func (x *callerRequest) newReplacement(ctx context.Context, endAttempt func()) *replacement {
-	history, tried, silentTarget := x.history, x.triedTargets, x.targetID
+	sends, silentTarget := x.sends, x.targetID
 	return &replacement{
-		ctx: ctx, timeout: attemptTimeout(x.route, &x.history), maxOverlap: maxOverlap(x.route), endAttempt: endAttempt, release: x.release,
-		mayReplace: func(failed sendCounts) bool { return history.mayReplace(x.route, x.remaining(), failed) },
+		ctx: ctx, timeout: attemptTimeout(x.route, x.sends.Counts().PossibleRuns), maxOverlap: maxOverlap(x.route), endAttempt: endAttempt, release: x.release,
+		mayReplace: func(failed resend.Counts) bool { return sends.MayReplace(x.remaining(), failed) },
 		open: func(searchCtx context.Context, resumeAfter string, failed []string, sent func()) openOutcome {
-			excluded := append(append([]string(nil), tried...), failed...)
+			excluded := append(slices.Clone(sends.Excluded()), failed...)
 			return x.openElsewhere(ctx, searchCtx, resumeAfter, silentTarget, excluded, sent)
 		},
 	}
@@ -113,11 +115,9 @@
 		return steering.Abandoned, false
 	}
 	sentAt := time.Now()
-	x.inDoubt.Add(1)
 	resp, failure := x.h.Upstream.Do(o.ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	switch {
 	case failure != nil && !failure.MaybeSent:
-		x.inDoubt.Add(-1)
 		return steering.Unreachable, false
 	case failure != nil && o.ctx.Err() != nil:
 		return steering.Abandoned, true
@@ -129,11 +129,11 @@
 	x.h.passOnNotice(grant, resp, class, sentAt)
 	switch class {
 	case Declined:
-		x.inDoubt.Add(-1)
+		mayHaveRun = x.sends.Policy().MayHaveRun(x.refusalEvidence(resp), false)
 		if wrongTarget, _ := x.h.Dialect.ParseDecline(resp); wrongTarget {
-			return steering.WrongIncarnation, false
+			return steering.WrongIncarnation, mayHaveRun
 		}
-		return steering.Declined, false
+		return steering.Declined, mayHaveRun
 	case Untrusted:
 		return steering.ResponseBroken, true
 	case Failed:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/resend"
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
@@ -93,15 +94,14 @@
 	body     []byte
 	// bodyRoom and headRoom are the room that body and head take, nil for none. dropped is true once
 	// the connection is to be closed because the body was not read to its end.
-	bodyRoom     *openBody
-	headRoom     *openBody
-	dropped      bool
-	arrived      time.Time
-	deadline     time.Time
-	history      history
-	triedTargets []string
-	// rejectedBy lists those of them that have rejected the request without running it.
-	rejectedBy []string
+	bodyRoom *openBody
+	headRoom *openBody
+	dropped  bool
+	arrived  time.Time
+	deadline time.Time
+	history  history
+	// sends holds the sends of the request so far. Until the route is known there are none.
+	sends resend.Sends
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
 	streamStats streamStats
@@ -133,10 +133,8 @@
 	// grant is the last grant: the target and the load report behind its choice.
 	grant  steering.Grant
 	caller caller
-	// refund gives back what the request was charged, nil if nothing was. inDoubt counts the
-	// sends after which a target may have run it.
-	refund  func()
-	inDoubt atomic.Int32
+	// refund gives back what the request was charged, nil if nothing was.
+	refund func()
 }
 
 // ServeHTTP implements http.Handler.
@@ -194,6 +192,7 @@
 		return result.Refuse(code, keysRetryAfter, "")
 	}
 	x.route, x.body, x.lastEventID, x.configVersion = route, body, x.meta.LastEventID, view.Config.Version
+	x.sends = resend.New(resend.Policy{Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts})
 	x.poolName = route.Pick(rand.Float64())
 	x.identity = Identity{PromptParts: x.meta.PromptParts, Digest: sync.OnceValue(x.digest), Content: sync.OnceValue(x.content)}
 	x.deadline = x.arrived.Add(timeout)
@@ -235,7 +234,7 @@
 	defer x.settleCharge()
 	x.h.RetryBudget.CountRequest(time.Now(), x.poolName)
 	// A panic ends an attempt without a result.
-	defer x.endSend(false, true)
+	defer x.endSend(false)
 	var next *grantedTarget
 	for {
 		if next == nil {
@@ -253,14 +252,11 @@
 			x.refuseKey(code)
 			return
 		}
-		done, mayHaveRun, replacement := x.attempt(ctx, next)
-		x.endSend(done, mayHaveRun)
+		done, replacement := x.attempt(ctx, next)
+		x.endSend(done)
 		if done {
 			return
 		}
-		if mayHaveRun {
-			x.history.possibleRuns++
-		}
 		if x.r.Context().Err() != nil {
 			if replacement != nil {
 				x.release(replacement)
@@ -274,7 +270,7 @@
 			x.giveUp()
 			return
 		}
-		if replacement == nil && (x.quarantined.Load() != nil || !x.history.canRetry(x.route, x.remaining(), mayHaveRun) && !x.history.mayReturn(x.route, x.remaining())) {
+		if replacement == nil && (x.quarantined.Load() != nil || !x.sends.MaySendAgain(x.remaining()) && !x.sends.MayReturn(x.remaining())) {
 			x.giveUp()
 			return
 		}
@@ -310,13 +306,13 @@
 		x.refuseQuarantined(*cause)
 		return
 	}
-	if x.endedByStop() && x.history.possibleRuns == 0 {
+	if x.endedByStop() && !x.sends.MayHaveRun() {
 		x.writeRefusal(result.Refuse(result.EntryLeaving, stoppingRetryAfter, ""))
 		return
 	}
-	code := x.history.refusalCode(x.remaining() < minAttemptTime)
+	code := refusalCode(x.sends.MayHaveRun(), x.history.lastCode, x.remaining() < resend.MinTime)
 	retryAfter := time.Duration(0)
-	if x.history.possibleRuns == 0 {
+	if !x.sends.MayHaveRun() {
 		retryAfter = callerRetryAfter(x.history.requestedDelay, x.remaining(), rand.Float64())
 	}
 	x.writeRefusal(result.Refuse(code, retryAfter, ""))
@@ -329,7 +325,7 @@
 	header := x.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.h.Dialect.SetRefusalHeaders(header, x.meta.AttemptID, refusal.RetryAfter)
-	status := httpStatus(refusal.Code, x.history.possibleRuns > 0)
+	status := httpStatus(refusal.Code, x.sends.MayHaveRun())
 	x.w.WriteHeader(status)
 	_, _ = io.WriteString(x.w, refusal.Error()+"\n")
 	x.logEnd(refusal.Code, status)
@@ -370,8 +366,8 @@
 
 // requestLog returns a logger with the present state of the request.
 func (x *callerRequest) requestLog() *telemetry.Logger {
-	return x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", x.requestNumber).With("route", x.route.Name).With("target", x.targetID).With("sends", x.history.sends).
-		With("ran", x.history.possibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds())
+	return x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("number", x.requestNumber).With("route", x.route.Name).With("target", x.targetID).With("sends", x.sends.Counts().Sends).
+		With("ran", x.sends.Counts().PossibleRuns).With("cause", x.history.lastCode).With("ms", time.Since(x.arrived).Milliseconds())
 }
 
 // withSoftwareVersion adds the software version of the target to a line on a stream and, if
@@ -392,7 +388,7 @@
 // logEnd writes the line that summarizes a request after its response or refusal.
 func (x *callerRequest) logEnd(code result.Code, status int) {
 	line := x.h.Log.With("id", x.meta.AttemptID).With("entry", x.h.EntryName).With("code", int(code)).With("reason", code).With("status", status).
-		With("target", x.targetID).With("sends", x.history.sends).With("ran", x.history.possibleRuns).
+		With("target", x.targetID).With("sends", x.sends.Counts().Sends).With("ran", x.sends.Counts().PossibleRuns).
 		With("waited_ms", x.waited.Milliseconds()).With("ms", time.Since(x.arrived).Milliseconds())
 	if x.route != nil {
 		if x.caller.workspace != nil {
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/resend"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 )
 
@@ -55,7 +56,7 @@
 	maxOverlap time.Duration
 	// mayReplace reports whether the request may go to another target, after failed
 	// ones.
-	mayReplace func(failed sendCounts) bool
+	mayReplace func(failed resend.Counts) bool
 	// open sends the request to another target than those tried and waits until it
 	// begins to answer. It calls sent just before the send. It returns nil if there is none
 	// or it failed.
@@ -80,7 +81,7 @@
 	granted *grantedTarget
 	ended   bool
 	// failed and tried are the sends to other targets that failed.
-	failed sendCounts
+	failed resend.Counts
 	tried  []string
 	// searching is held by the search in progress.
 	searching sync.WaitGroup
@@ -160,8 +161,8 @@
 		r.endAttempt()
 	}
 	failed := r.failed
-	failed.sends++
-	failed.possibleRuns++
+	failed.Sends++
+	failed.PossibleRuns++
 	if r.endedAttempt || r.mayReplace(failed) {
 		r.overlapTimer = time.AfterFunc(r.timeout, r.endSearch)
 	}
@@ -215,19 +216,19 @@
 	cancel()
 	if found.tried != "" {
 		r.tried = append(r.tried, found.tried)
-		r.failed.sends++
+		r.failed.Sends++
 		if found.mayHaveRun {
-			r.failed.possibleRuns++
+			r.failed.PossibleRuns++
 		}
 		if found.brokeBeforeBegin {
-			r.failed.brokenBegins++
+			r.failed.BrokenBegins++
 		}
 	}
 	switch {
 	case cancelled && found.target != nil:
 		r.tried = append(r.tried, found.target.grant.Target.ID)
-		r.failed.sends++
-		r.failed.possibleRuns++
+		r.failed.Sends++
+		r.failed.PossibleRuns++
 		r.release(found.target)
 		return
 	case cancelled:
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -18,15 +18,6 @@
 	// another target is searched for. It is below minAbandonTimeout, the earliest
 	// time at which callers abandon a stream.
 	streamStallTimeout = 1300 * time.Millisecond
-	// maxExtraSends is how many more targets than the route's MaxAttempts get
-	// the request if targets decline without running it.
-	maxExtraSends = 2
-	// maxBrokenBegins is the number of targets that may end the connection of one
-	// request before the first event: the request may be why they ended.
-	maxBrokenBegins = 2
-	// minAttemptTime is the time left to the deadline below which another
-	// attempt is useless.
-	minAttemptTime = 40 * time.Millisecond
 	// Callers abandon a stream that sends no event for the longest of
 	// minAbandonTimeout, abandonLatencyFactor times the latency target and
 	// abandonPauseFactor times the pause target.
@@ -39,20 +30,8 @@
 	targetWaitShare = 0.7
 )
 
-// history records the attempts of a request so far.
+// history records what the attempts of a request have led to so far.
 type history struct {
-	// sends counts the attempts, possibleRuns those whose target may have run
-	// the request.
-	sends        int
-	possibleRuns int
-	// brokenBegins counts the attempts whose target ended the connection before the
-	// first event.
-	brokenBegins int
-	// silentTarget is the target of the last attempt that was ended because it was silent
-	// while another one had the stream, empty if there is none. returned is true once the
-	// request was sent to such a target again.
-	silentTarget string
-	returned     bool
 	// streamStarted is true once the header of a stream went to the caller.
 	streamStarted bool
 	// failureResponse is the last failure response of a target.
@@ -72,63 +51,14 @@
 	body   [][]byte
 }
 
-// canRetry reports whether a request may go to another target after its last
-// attempt. It does not check the retry budget.
-func (h *history) canRetry(route *catalog.Route, remaining time.Duration, lastAttemptMayHaveRun bool) bool {
-	return h.retryStop(route, remaining, lastAttemptMayHaveRun) == ""
-}
-
-// retryStop returns why canRetry is false, empty if it is true.
-func (h *history) retryStop(route *catalog.Route, remaining time.Duration, lastAttemptMayHaveRun bool) string {
-	switch {
-	case (lastAttemptMayHaveRun || h.possibleRuns > 0) && !route.Repeatable():
-		return "may_have_run"
-	case remaining < minAttemptTime:
-		return "no_time"
-	case h.possibleRuns >= route.MaxAttempts:
-		return "attempts_used"
-	case h.sends >= route.MaxAttempts+maxExtraSends:
-		return "sends_used"
-	case h.brokenBegins >= maxBrokenBegins:
-		return "targets_broke"
-	}
-	return ""
-}
-
-// sendCounts counts attempts that failed while another one went on.
-type sendCounts struct {
-	sends, possibleRuns, brokenBegins int
-}
-
-// add counts failed attempts.
-func (h *history) add(failed sendCounts) {
-	h.sends += failed.sends
-	h.possibleRuns += failed.possibleRuns
-	h.brokenBegins += failed.brokenBegins
-}
-
-// mayReplace reports whether a request may go to another target during the present
-// attempt, which may have run it.
-func (h *history) mayReplace(route *catalog.Route, remaining time.Duration, failed sendCounts) bool {
-	after := *h
-	after.add(failed)
-	after.possibleRuns++
-	return after.canRetry(route, remaining, true)
-}
-
-// mayReturn reports whether a stream that no further target may get can be sent once more to
-// the one whose attempt was ended for silence. It adds no target to those that had it.
-func (h *history) mayReturn(route *catalog.Route, remaining time.Duration) bool {
-	return h.silentTarget != "" && !h.returned && route.Repeatable() && remaining >= minAttemptTime && h.brokenBegins < maxBrokenBegins
-}
-
 // refusalCode returns the code of a request that ends without a response from a
-// target. A request that may have run is never reported as not run.
-func (h *history) refusalCode(deadlineReached bool) result.Code {
+// target. lastCode is that of the last failure. A request that may have run is never
+// reported as not run.
+func refusalCode(mayHaveRun bool, lastCode result.Code, deadlineReached bool) result.Code {
 	switch {
-	case h.possibleRuns == 0 && h.lastCode != result.OK:
-		return h.lastCode
-	case h.possibleRuns == 0:
+	case !mayHaveRun && lastCode != result.OK:
+		return lastCode
+	case !mayHaveRun:
 		return result.DeadlinePassed
 	case deadlineReached:
 		return result.Cancelled
@@ -137,10 +67,10 @@
 }
 
 // attemptTimeout returns how long one attempt may go without a whole response, or
-// a stream without an event, before another target is searched for. It returns 0 for
-// no timeout if the request may not be sent again.
-func attemptTimeout(route *catalog.Route, h *history) time.Duration {
-	if !route.Repeatable() || h.possibleRuns+1 >= route.MaxAttempts {
+// a stream without an event, before another target is searched for. possibleRuns includes
+// the attempt. It returns 0 for no timeout if the request may not be sent again.
+func attemptTimeout(route *catalog.Route, possibleRuns int) time.Duration {
+	if !route.Repeatable() || possibleRuns >= route.MaxAttempts {
 		return 0
 	}
 	if route.Kind == catalog.Stream {
--- a/internal/relay/sendrecord.go
+++ b/internal/relay/sendrecord.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"agatelanding.example/agatelanding/internal/decide/resend"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/upstream"
 )
@@ -30,7 +31,7 @@
 	target := x.grant.Target
 	fields := make(telemetry.Fields, maxSendFields)
 	fields["id"], fields["entry"], fields["number"], fields["route"] = x.meta.AttemptID, x.h.EntryName, x.requestNumber, x.route.Name
-	fields["target"], fields["target_started_ms"], fields["send"] = target.ID, target.StartedAtMS, x.history.sends
+	fields["target"], fields["target_started_ms"], fields["send"] = target.ID, target.StartedAtMS, x.sends.Counts().Sends
 	x.sending = &sendRecord{fields: fields}
 }
 
@@ -64,8 +65,17 @@
 	}
 }
 
+// endSendWith records what the present attempt has left. It reports whether its target may
+// have run the request.
+func (x *callerRequest) endSendWith(e resend.Evidence) (mayHaveRun bool) {
+	if x.sending != nil {
+		x.sending.fields["evidence"] = e.String()
+	}
+	return x.sends.End(e)
+}
+
 // endSend logs the record of the present attempt, if it has one that was not logged yet.
-func (x *callerRequest) endSend(done, mayHaveRun bool) {
+func (x *callerRequest) endSend(done bool) {
 	r := x.sending
 	if r == nil {
 		return
@@ -75,10 +85,10 @@
 	switch {
 	case done || r.answered:
 		believed = "answered"
-	case mayHaveRun:
+	case x.sends.LastMayHaveRun():
 		believed = "may_have_run"
 	}
-	stop := x.sendStop(done || r.answered, mayHaveRun)
+	stop := x.sendStop(done || r.answered)
 	fields := r.fields
 	if r.usage.Connection != 0 {
 		fields["connection"], fields["kept"], fields["carried"] = r.usage.Connection, r.usage.Kept(), r.usage.Carried
@@ -91,7 +101,7 @@
 }
 
 // sendStop returns why the request is not sent once more, empty if it may be.
-func (x *callerRequest) sendStop(answered, mayHaveRun bool) string {
+func (x *callerRequest) sendStop(answered bool) string {
 	switch {
 	case answered:
 		return "answered"
@@ -102,7 +112,7 @@
 	case x.quarantined.Load() != nil:
 		return "quarantined"
 	}
-	return x.history.retryStop(x.route, x.remaining(), mayHaveRun)
+	return x.sends.Stop(x.remaining())
 }
 
 // recordSendAgain logs the decision to send a request that may run once to one more target.
@@ -111,7 +121,7 @@
 		return
 	}
 	x.h.Log.Record("to be sent again", telemetry.Fields{
-		"id": x.meta.AttemptID, "entry": x.h.EntryName, "number": x.requestNumber, "target": x.targetID, "send": x.history.sends,
-		"ran": x.history.possibleRuns, "reason": x.history.lastCode.String(), "left_ms": x.remaining().Milliseconds(),
+		"id": x.meta.AttemptID, "entry": x.h.EntryName, "number": x.requestNumber, "target": x.targetID, "send": x.sends.Counts().Sends,
+		"ran": x.sends.Counts().PossibleRuns, "reason": x.history.lastCode.String(), "left_ms": x.remaining().Milliseconds(),
 	})
 }
--- a/internal/relay/workspaces.go
+++ b/internal/relay/workspaces.go
@@ -120,7 +120,7 @@
 
 // settleCharge gives back what the request was charged if no target can have run it.
 func (x *callerRequest) settleCharge() {
-	if x.refund != nil && x.inDoubt.Load() == 0 {
+	if x.refund != nil && !x.sends.MayHaveRun() {
 		x.refund()
 	}
 }
