upstream: a connection does not carry a request again that it has refused

A caller that sends an attempt again with its ID after 503 got 503 once more for a call that ran, or the call ran at a second target: the entry sent it on the kept connection on which the first send was refused, and the target wrote that refusal again. It names the attempt, so that it counted as the response to the second send.

What becomes of a response without a name after a refusal is decided at the same place (resend.Refusals.Received).

--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -3,7 +3,7 @@
 //
 // A request that may run once is sent again only while each of its sends is known not to have
 // run. A response proves that only if it can be the response to that one send: the target had
-// the request once.
+// the request once, and the connection did not refuse it before (Refusals).
 package resend
 
 import (
--- a/internal/decide/resend/resend_suite_test.go
+++ b/internal/decide/resend/resend_suite_test.go
@@ -142,3 +142,41 @@
 		Entry("not if it may run once", once, func(s *resend.Sends) { s.Silent() }, time.Second, false),
 	)
 })
+
+var _ = Describe("The refusals of a connection", func() {
+	It("keep it from carrying a refused request again", func() {
+		var r resend.Refusals
+		Expect(r.MayCarry("a")).To(BeTrue())
+		Expect(r.Received("a", resend.ThisRequest, true)).To(Equal(resend.Accept))
+		Expect(r.MayCarry("a")).To(BeFalse())
+		Expect(r.MayCarry("b")).To(BeTrue())
+	})
+
+	It("do not count answers", func() {
+		var r resend.Refusals
+		Expect(r.Received("a", resend.ThisRequest, false)).To(Equal(resend.Accept))
+		Expect(r.MayCarry("a")).To(BeTrue())
+	})
+
+	It("are bounded, by an end of the connection's use", func() {
+		var r resend.Refusals
+		for i := range 10 * resend.MaxRefusals {
+			r.Received(fmt.Sprint(i), resend.ThisRequest, true)
+			Expect(r.Full()).To(Equal(i >= resend.MaxRefusals-1))
+		}
+		Expect(r.MayCarry("b")).To(BeFalse())
+	})
+
+	// Guards against the repetition of a refusal that is taken for the next response.
+	DescribeTable("decide on a later response", func(first resend.Match, refusal bool, second resend.Match, want resend.Use) {
+		var r resend.Refusals
+		r.Received("a", first, refusal)
+		Expect(r.Received("b", second, true)).To(Equal(want))
+	},
+		Entry("without a name, after a refusal", resend.ThisRequest, true, resend.NoRequest, resend.Distrust),
+		Entry("without a name, after a refusal of another request", resend.OtherRequest, true, resend.NoRequest, resend.Distrust),
+		Entry("without a name, after an answer", resend.ThisRequest, false, resend.NoRequest, resend.Accept),
+		Entry("that names another request", resend.ThisRequest, true, resend.OtherRequest, resend.Skip),
+		Entry("that names the request", resend.ThisRequest, true, resend.ThisRequest, resend.Accept),
+	)
+})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -144,7 +144,7 @@
 	fields := UpstreamFields{Target: grant.Target.ID, Remaining: x.remaining(), Version: grant.Version, Priority: -1, LastEventID: lastEventID, KeysInUse: x.caller.keysInUse, Workspace: x.caller.name()}
 	id := x.meta.AttemptID
 	return &upstream.Request{
-		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body,
+		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body, ID: id,
 		MatchesAnswer: func(resp *http.Response) upstream.Match { return x.h.Dialect.MatchesRequest(resp, id) },
 		Usage:         x.sending.connection(),
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/resend"
 )
 
 const (
@@ -57,6 +59,7 @@
 // roundTrip is one request and the response to it.
 type roundTrip struct {
 	req *http.Request
+	id  string
 	// matches returns whether a response belongs to the request.
 	matches  func(*http.Response) Match
 	response chan responseOrError
@@ -99,8 +102,9 @@
 	host *host
 	// head bounds what br reads while a head is read. Only readLoop uses it.
 	head headLimiter
-	// refused is true after a refusal that names its request. Only readLoop uses it.
-	refused bool
+	// refusals are those so far. Only readLoop changes them, while the connection is not
+	// idle.
+	refusals resend.Refusals
 
 	mu sync.Mutex
 	// usage is that of the next request.
@@ -235,14 +239,12 @@
 		return false
 	}
 	match := rt.matches(resp)
-	if match == NoRequest && c.refused {
-		// The response may be a repetition of that refusal.
+	switch c.refusals.Received(rt.id, match, isRefusal(resp.StatusCode)) {
+	case resend.Distrust:
 		c.close()
 		rt.response <- responseOrError{err: errUnexpectedBytes}
 		return false
-	}
-	c.refused = c.refused || isRefusal(resp.StatusCode)
-	if match == OtherRequest {
+	case resend.Skip:
 		return c.skipExtra(rt, resp)
 	}
 	if timeout := keepAlive(resp); !resp.Close && timeout > 0 && match == ThisRequest {
@@ -263,6 +265,9 @@
 		// The target would take the rest of the body for the next request.
 		return false
 	}
+	if c.refusals.Full() {
+		return false
+	}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,8 +12,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/resend"
 )
 
 // DialTimeout bounds the time to connect. Within a region a connection takes a
@@ -22,19 +25,19 @@
 const DialTimeout = 150 * time.Millisecond
 
 // Match is whether a response belongs to a request.
-type Match uint8
+type Match = resend.Match
 
 // Values of Match.
 const (
 	// ThisRequest is named by the response, and no other.
-	ThisRequest Match = iota + 1
+	ThisRequest = resend.ThisRequest
 	// OtherRequest is named, or several are. The response is passed over.
-	OtherRequest
+	OtherRequest = resend.OtherRequest
 	// NoRequest is named. The response is that to the pending request, and its connection is
 	// not used again, because a repetition of it could not be told from the response to the
-	// next request. After a refusal that named its request the connection is closed instead,
-	// and the request counts as sent.
-	NoRequest
+	// next request. After a refusal the connection is closed instead, and the request counts
+	// as sent.
+	NoRequest = resend.NoRequest
 )
 
 // Request is a request as it is sent to a target.
@@ -45,6 +48,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is that by which responses name the request. A connection that has refused a request
+	// does not carry it again. It may be empty: then that does not hold.
+	ID string
 	// MatchesAnswer returns whether a response belongs to this request.
 	MatchesAnswer func(*http.Response) Match
 	// Usage is set by Do to the connection on which the request was sent, unless it is nil.
@@ -107,15 +113,19 @@
 // countSkipped counts a skipped extra response.
 func (h *host) countSkipped() { h.pool.counter.Count("extra_answers_skipped") }
 
-// take returns the most recently used idle connection that may be reused, or
-// nil. It closes those that may not.
-func (h *host) take(now time.Time) *conn {
+// take returns the most recently used idle connection that may carry a request, or nil. It
+// closes those that have expired.
+func (h *host) take(now time.Time, id string) *conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
-		if c.reusable(now) {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		reusable := c.reusable(now)
+		if reusable && !c.refusals.MayCarry(id) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		if reusable {
 			return c
 		}
 		go c.close()
@@ -158,10 +168,10 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, *Error) {
 	h := p.host(address)
 	rt := &roundTrip{
-		req: &http.Request{Method: r.Method}, matches: r.MatchesAnswer,
+		req: &http.Request{Method: r.Method}, id: r.ID, matches: r.MatchesAnswer,
 		response: make(chan responseOrError, 1), bodyDone: make(chan struct{}), written: make(chan struct{}),
 	}
-	c := h.take(time.Now())
+	c := h.take(time.Now(), r.ID)
 	if c == nil || !c.begin(rt) {
 		var err error
 		if c, err = h.connect(ctx); err != nil {
