relay: a refusal that does not name the request is no reason to send it again

Any response with Not-Executed or 421 that names no request counted as "not run" of the request that waited, unless its connection had shown a refusal before. A target that sends "additional bytes after a complete response" is enough, on a kept or a new connection; so is a refusal that is cut in its head, which takes the ID from the head of the answer that follows.

For a request that may run once a refusal proves nothing unless it names the request and its head holds no status line. Such a request ends with 502. Repeatable requests are sent elsewhere as before.

The property of package resend fails without any one of the three rules.

--- /dev/null
+++ b/internal/decide/resend/property_test.go
@@ -0,0 +1,150 @@
+package resend_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"agatelanding.example/agatelanding/internal/decide/resend"
+	_ "agatelanding.example/agatelanding/internal/rapidseed"
+)
+
+// response is one that a target writes: the request that it names, empty for none, and whether
+// it says that the request was not run.
+type response struct {
+	id      string
+	refusal bool
+}
+
+// connection is an idle connection to a target, with the refusals that were written on it.
+type connection struct {
+	refusals resend.Refusals
+	written  []response
+}
+
+// faultyTarget runs or refuses requests, and may write any earlier refusal of a connection
+// again, or one without a name, before a response.
+type faultyTarget struct {
+	idle []*connection
+	runs map[string]int
+}
+
+// serve returns what the target writes for a request. It has run the request or not, whatever
+// it writes.
+func (f *faultyTarget) serve(t *rapid.T, c *connection, id string) (responses []response, closes bool) {
+	for range rapid.IntRange(0, 3).Draw(t, "stray responses") {
+		switch {
+		case len(c.written) > 0 && rapid.Bool().Draw(t, "repeats"):
+			responses = append(responses, rapid.SampledFrom(c.written).Draw(t, "repeated"))
+		case rapid.Bool().Draw(t, "unnamed"):
+			responses = append(responses, response{refusal: true})
+		}
+	}
+	if rapid.Bool().Draw(t, "refuses") {
+		refusal := response{id: id, refusal: true}
+		if rapid.IntRange(0, 4).Draw(t, "named") == 0 {
+			refusal.id = ""
+		}
+		c.written = append(c.written, refusal)
+		return append(responses, refusal), rapid.IntRange(0, 4).Draw(t, "closes") == 0
+	}
+	f.runs[id]++
+	switch rapid.IntRange(0, 3).Draw(t, "end") {
+	case 0:
+		return nil, true
+	case 1:
+		return responses, true
+	}
+	return append(responses, response{id: id}), false
+}
+
+// send sends a request on a connection and returns what the send has left, and whether the
+// target answered.
+func (f *faultyTarget) send(t *rapid.T, id string) (evidence resend.Evidence, answered bool) {
+	if rapid.IntRange(0, 5).Draw(t, "refuses connections") == 0 {
+		return resend.NotWritten, false
+	}
+	c := &connection{}
+	if i := slices.IndexFunc(f.idle, func(c *connection) bool { return c.refusals.MayCarry(id) }); i >= 0 && rapid.IntRange(0, 3).Draw(t, "kept") > 0 {
+		c = f.idle[i]
+		f.idle = slices.Delete(f.idle, i, i+1)
+	}
+	responses, closes := f.serve(t, c, id)
+	for _, r := range responses {
+		match := resend.OtherRequest
+		switch r.id {
+		case "":
+			match = resend.NoRequest
+		case id:
+			match = resend.ThisRequest
+		}
+		switch c.refusals.Received(id, match, r.refusal) {
+		case resend.Skip:
+			continue
+		case resend.Distrust:
+			return resend.Inconclusive, false
+		}
+		if match == resend.ThisRequest && !closes {
+			f.idle = append(f.idle, c)
+		}
+		switch {
+		case !r.refusal:
+			return resend.Inconclusive, true
+		case match == resend.ThisRequest:
+			return resend.NamedRefusal, false
+		}
+		return resend.UnnamedRefusal, false
+	}
+	return resend.Inconclusive, false
+}
+
+// Guards against evidence of one send, or of one request, that is used for another: a request
+// that may run once then runs twice, or is said not to have run.
+func TestRequestsRunOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "targets")]
+		runs, targets := make(map[string]int), make(map[string]*faultyTarget)
+		for _, name := range names {
+			targets[name] = &faultyTarget{runs: runs}
+		}
+		refused := []string(nil)
+		for n := range rapid.IntRange(1, 12).Draw(t, "requests") {
+			id := fmt.Sprint(n)
+			if len(refused) > 0 && rapid.Bool().Draw(t, "comes again") {
+				// A caller that was told that the request has not run sends it again.
+				id = rapid.SampledFrom(refused).Draw(t, "refused")
+				refused = slices.DeleteFunc(refused, func(other string) bool { return other == id })
+			}
+			s := resend.New(resend.Policy{MaxAttempts: rapid.SampledFrom([]int{1, 2, 5}).Draw(t, "attempts")})
+			answered := false
+			for !answered && (s.Counts().Sends == 0 || s.MaySendAgain(time.Second)) {
+				usable := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+					return slices.Contains(s.Excluded(), name) && !slices.Contains(s.Returnable(), name)
+				})
+				if len(usable) == 0 {
+					break
+				}
+				name := rapid.SampledFrom(usable).Draw(t, "target")
+				before := runs[id]
+				s.Begin(name)
+				var evidence resend.Evidence
+				evidence, answered = targets[name].send(t, id)
+				if evidence != resend.Inconclusive && evidence != resend.NotWritten {
+					s.Rejected()
+				}
+				if !s.End(evidence) && runs[id] > before {
+					t.Fatalf("request %s ran at %s, and %v counts as not run", id, name, evidence)
+				}
+			}
+			if !s.MayHaveRun() {
+				refused = append(refused, id)
+			}
+			if runs[id] > 1 {
+				t.Fatalf("request %s ran %d times", id, runs[id])
+			}
+		}
+	})
+}
--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -2,8 +2,9 @@
 // be sent again, and to which targets.
 //
 // A request that may run once is sent again only while each of its sends is known not to have
-// run. A response proves that only if it can be the response to that one send: the target had
-// the request once, and the connection did not refuse it before (Refusals).
+// run. A response proves that only if it can be the response to that one send: it names the
+// request, the target had the request once, and the connection did not refuse it before
+// (Refusals).
 package resend
 
 import (
@@ -62,13 +63,16 @@
 }
 
 // MayHaveRun reports whether the target of a send that has left some evidence may have run the
-// request. hadBefore is true if the target had the request before that send.
+// request. hadBefore is true if the target had the request before that send. If the request is
+// repeatable, a refusal counts without a name: taking it for another one's costs a second run.
 func (p Policy) MayHaveRun(e Evidence, hadBefore bool) bool {
 	switch e {
 	case NotWritten:
 		return false
-	case NamedRefusal, UnnamedRefusal:
+	case NamedRefusal:
 		return !p.Repeatable && hadBefore
+	case UnnamedRefusal:
+		return !p.Repeatable
 	}
 	return true
 }
--- a/internal/decide/resend/resend_suite_test.go
+++ b/internal/decide/resend/resend_suite_test.go
@@ -39,6 +39,7 @@
 	},
 		Entry("never if it may run once and may have run", once, false, resend.Inconclusive),
 		Entry("if it may run once and was refused by name", once, true, resend.NamedRefusal),
+		Entry("not if it may run once and the refusal names no request", once, false, resend.UnnamedRefusal),
 		Entry("if it may run once and nothing was written", once, true, resend.NotWritten),
 		Entry("not after two more refused sends than the route's attempts", once, false, resend.NamedRefusal, resend.NamedRefusal, resend.NamedRefusal),
 		Entry("not if it may run once and may have run before it was refused", resend.Policy{MaxAttempts: 5}, false, resend.Inconclusive, resend.NamedRefusal),
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
@@ -191,12 +193,23 @@
 
 // refusalEvidence returns what a response that Classify calls Declined proves.
 func (x *callerRequest) refusalEvidence(resp *http.Response) resend.Evidence {
-	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest {
+	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest && !holdsStatusLine(resp.Header) {
 		return resend.NamedRefusal
 	}
 	return resend.UnnamedRefusal
 }
 
+// holdsStatusLine reports whether a header field holds the begin of another response: the head
+// of the first one was cut, and the rest, with its ID, is that of the other.
+func holdsStatusLine(h http.Header) bool {
+	for _, values := range h {
+		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, "HTTP/1.") }) {
+			return true
+		}
+	}
+	return false
+}
+
 // handleDeclined records a response by which the target did not run the request. It reads a
 // short body so that the connection can be used again.
 func (x *callerRequest) handleDeclined(requestNumber uint64, resp *http.Response) {
