--- a/entry/edge/memory.go
+++ b/entry/edge/memory.go
@@ -17,6 +17,8 @@
 	// requests if the settings name no memory.
 	defaultBodyBytes = 64 << 20
 	maxBufferedBytes = 16 << 20
+	// maxAnswerHeadBytes bounds what the large heads of answers take together.
+	maxAnswerHeadBytes = 8 << 20
 	// defaultHeads is the number of heads of many lines that are read at once without it.
 	defaultHeads = 32
 )
@@ -28,17 +30,20 @@
 	// bodies and answers are bytes for bodies and for answers that are read whole, and
 	// connections the number of open connections of callers, 0 for no limit.
 	bodies, answers int64
-	connections     int
+	// answerHeads is bytes for the large heads of answers.
+	answerHeads int64
+	connections int
 	// heads is the number of heads of many lines that are read at once.
 	heads int
 }
 
 // sharesOf returns the shares for the settings of a VM.
 func sharesOf(s platform.Settings) memoryShares {
-	shares := memoryShares{bodies: defaultBodyBytes, answers: maxBufferedBytes, heads: defaultHeads}
+	shares := memoryShares{bodies: defaultBodyBytes, answers: maxBufferedBytes, answerHeads: maxAnswerHeadBytes, heads: defaultHeads}
 	if s.MemoryBytes > 0 {
 		shares.bodies = s.MemoryBytes / 6
 		shares.answers = min(maxBufferedBytes, s.MemoryBytes/9)
+		shares.answerHeads = min(maxAnswerHeadBytes, s.MemoryBytes/16)
 		shares.heads = max(1, int(s.MemoryBytes/16/headBytes))
 		shares.connections = int(s.MemoryBytes / 3 / connectionBytes)
 	}
--- a/internal/crowd/faulty_target_test.go
+++ b/internal/crowd/faulty_target_test.go
@@ -109,6 +109,7 @@
 		{"many header lines, slowly", callPath, sends(shortLines(largestHead), "", "x:\r\n", tricklePause)},
 		{"many header lines before a body", callPath, sends(shortLines(largestHead)+chunkedBody, "", chunk("x"), tricklePause)},
 		{"a long header line before a body", callPath, sends("X: "+text(largestHead)+"\r\n"+chunkedBody, "", chunk("x"), tricklePause)},
+		{"as many header lines as are read before a body", callPath, sends(shortLines(1600)+chunkedBody, "", chunk("x"), tricklePause)},
 		{"many header lines of a stream", streamPath, sends(shortLines(largestHead)+chunkedBody, chunk("id: 1\ndata: x\n\n"), chunk(": x\n\n"), tricklePause)},
 		{"events without an end", streamPath, sends(chunkedBody, chunk("id: 1\ndata: "+text(largestEvent)), chunk("x"), tricklePause)},
 		{"comments before an event without an end", streamPath, sends(chunkedBody, chunk(": "+text(largestEvent)+"\n\nid: 1\ndata: "+text(largestEvent)), chunk("x"), tricklePause)},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,8 +29,6 @@
 	// it may keep some MB of each. Within a region they do not limit the rate.
 	receiveBufferBytes = 64 << 10
 	sendBufferBytes    = 128 << 10
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
 	// maxInterimResponses bounds the responses with a status below 200, and
 	// maxExtraResponses those to earlier requests, before the one that is awaited.
 	maxInterimResponses = 8
@@ -114,8 +112,8 @@
 		_ = tcp.SetReadBuffer(receiveBufferBytes)
 		_ = tcp.SetWriteBuffer(sendBufferBytes)
 	}
-	c := &conn{nc: nc, host: h, idleTimeout: defaultIdleTimeout, head: headLimiter{nc: nc}}
-	c.br = bufio.NewReaderSize(&c.head, 8<<10)
+	c := &conn{nc: nc, host: h, idleTimeout: defaultIdleTimeout, head: headLimiter{nc: nc, room: &h.pool.headRoom}}
+	c.br = bufio.NewReaderSize(&c.head, freeHeadBytes)
 	go c.readLoop()
 	return c
 }
@@ -212,8 +210,9 @@
 // body has been read. It returns false if the connection cannot be used any more.
 func (c *conn) readResponse(rt *roundTrip) bool {
 	var resp *http.Response
+	defer c.head.release()
 	err := c.readInTime(rt, func() (err error) {
-		c.head.start()
+		c.head.start(c.br)
 		resp, err = http.ReadResponse(c.br, rt.req)
 		return c.head.end(err)
 	})
@@ -306,39 +305,6 @@
 	return false
 }
 
-// headLimiter reads from a connection and bounds the bytes of a head. The bytes that a
-// bufio.Reader holds when a head starts are not counted.
-type headLimiter struct {
-	nc net.Conn
-	// active is true while a head is read, remaining the number of bytes left for it.
-	active    bool
-	remaining int
-}
-
-func (l *headLimiter) start() { l.active, l.remaining = true, maxHeadBytes }
-
-// end removes the bound. It returns ErrOverBounds instead of err if that was exceeded.
-func (l *headLimiter) end(err error) error {
-	l.active = false
-	if err != nil && l.remaining <= 0 {
-		return ErrOverBounds
-	}
-	return err
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.active {
-		return l.nc.Read(p)
-	}
-	if l.remaining <= 0 {
-		return 0, ErrOverBounds
-	}
-	n, err := l.nc.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 // keepAlive returns how long an idle connection may be reused: half of the
 // timeout that the target sends, because the target started to count earlier.
 func keepAlive(resp *http.Response) time.Duration {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -73,13 +74,24 @@
 // Pool holds the connections to all targets.
 type Pool struct {
 	counter Counter
-	mu      sync.Mutex
-	hosts   map[string]*host
+	// headRoom is what is left of the room of large heads.
+	headRoom atomic.Int64
+	mu       sync.Mutex
+	hosts    map[string]*host
 }
 
 // NewPool returns an empty pool.
 func NewPool(counter Counter) *Pool {
-	return &Pool{counter: counter, hosts: make(map[string]*host)}
+	p := &Pool{counter: counter, hosts: make(map[string]*host)}
+	p.headRoom.Store(defaultHeadRoom)
+	return p
+}
+
+// WithHeadRoom bounds the bytes that the heads of all responses take together, beyond the
+// first 8 KiB of each. It is called before the first use of the pool.
+func (p *Pool) WithHeadRoom(bytes int64) *Pool {
+	p.headRoom.Store(bytes)
+	return p
 }
 
 // host holds the connections to one address.
