--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -123,7 +123,7 @@
 	if x.route.Kind != catalog.Stream {
 		return x.relayWhole(ctx, requestNumber, resp, silence)
 	}
-	return x.relayStream(ctx, requestNumber, resp, newEventReader(resp, resumeAfter), silence)
+	return x.relayStream(ctx, requestNumber, resp, newEventReader(resp, resumeAfter, x.h.Buffers, x.targetID), silence)
 }
 
 // relayOpened relays a response that has begun before its attempt.
@@ -296,6 +296,7 @@
 // relayStream sends the events of a stream to the caller as they arrive. It sends
 // whole events only, so that the stream can continue at another target.
 func (x *callerRequest) relayStream(ctx context.Context, requestNumber uint64, resp *http.Response, events *eventReader, silence *replacement) (done, mayHaveRun bool) {
+	defer events.close()
 	// beganAt is when the first event arrived, and survived is true once the containment
 	// knows that the target outlives the request.
 	beganAt, survived := time.Now(), false
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -30,12 +30,20 @@
 	// as comments. It is passed on with the next event: alone it shows no progress, and a
 	// stream that continues at another target must not contain it.
 	preceding []byte
+	// room is what the present event and what precedes it take.
+	room *targetRead
 }
 
-func newEventReader(resp *http.Response, after string) *eventReader {
-	return &eventReader{after: after, resp: resp, reader: bufio.NewReaderSize(resp.Body, 4<<10)}
+func newEventReader(resp *http.Response, after string, pool *BufferPool, target string) *eventReader {
+	return &eventReader{
+		after: after, resp: resp, reader: bufio.NewReaderSize(resp.Body, 4<<10),
+		room: pool.startRead(target, func() { _ = resp.Body.Close() }),
+	}
 }
 
+// close gives back the room.
+func (e *eventReader) close() { e.room.end(false) }
+
 // peek reads the next event, which next then returns.
 func (e *eventReader) peek() error {
 	event, err := e.next()
@@ -57,10 +65,13 @@
 		return nil, errNoContinuation
 	}
 	e.preceding = nil
+	e.room.keep(0)
 	for {
-		event, err := readEvent(e.reader)
+		event, err := e.readEvent()
 		id := eventID(event)
 		switch {
+		case err != nil && e.room.interrupted():
+			return nil, upstream.ErrOverBounds
 		case err == io.EOF && (len(event) > 0 || !e.began && endsWithConnection(e.resp)):
 			return nil, io.ErrUnexpectedEOF
 		case err == io.EOF && e.after != "" && !e.began:
@@ -112,13 +123,13 @@
 
 // readEvent returns the next event with the empty line that ends it. At the
 // end of the stream it returns the remaining bytes and io.EOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+func (e *eventReader) readEvent() ([]byte, error) {
 	var event []byte
 	for {
-		line, err := r.ReadSlice('\n')
+		line, err := e.reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case len(event) > maxEventBytes:
+		case len(event) > maxEventBytes || !e.room.keep(2*(len(e.preceding)+len(event))):
 			return event, upstream.ErrOverBounds
 		case err == bufio.ErrBufferFull:
 			continue
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -29,6 +29,9 @@
 	if o.resp != nil {
 		_ = o.resp.Body.Close()
 	}
+	if o.events != nil {
+		o.events.close()
+	}
 	o.buffers.release()
 }
 
@@ -141,7 +144,7 @@
 	}
 	var err error
 	if x.route.Kind == catalog.Stream {
-		o.events = newEventReader(resp, resumeAfter)
+		o.events = newEventReader(resp, resumeAfter, x.h.Buffers, grant.Target.ID)
 		err = o.events.peek()
 	} else {
 		var body [][]byte
