--- a/internal/crowd/faulty_engine_test.go
+++ b/internal/crowd/faulty_engine_test.go
@@ -39,6 +39,7 @@
 		answer faultyAnswer
 	}{
 		{"reports of many empty models", whole(fill(reportBytes, `{"models":[{}`, `,{}`, `]}`))},
+		{"reports of as many empty models as are read", whole(fill(4+3*65_000, `{"models":[{}`, `,{}`, `]}`))},
 		{"reports of many empty runs", whole(fill(reportBytes, `{"runs":[[]`, `,[]`, `]}`))},
 		{"reports of one long run", whole(fill(reportBytes, `{"runs":[[1`, `,1`, `]]}`))},
 		{"reports of runs of objects", whole(fill(reportBytes, `{"runs":[[{}`, `,{}`, `]]}`))},
