--- a/internal/crowd/faulty_store_test.go
+++ b/internal/crowd/faulty_store_test.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,6 +49,19 @@
 	storeAnswer(`{"items":[`+strings.TrimSuffix(items.String(), ",")+`],"more_pages":true,"store_revision":200}`)(c, uri)
 }
 
+// newItems answers each watch with targets that no answer before had.
+func newItems() faultyAnswer {
+	var revision atomic.Int64
+	revision.Store(1000)
+	return func(c net.Conn, uri string) {
+		var events strings.Builder
+		for range 6000 {
+			fmt.Fprintf(&events, `{"key":"servers/s%d","rev":%d,"value":"%s"},`, revision.Load(), revision.Add(1), strings.Repeat("AAAA", 64))
+		}
+		storeAnswer(fmt.Sprintf(`{"events":[%s],"store_revision":%d}`, strings.TrimSuffix(events.String(), ","), revision.Load()))(c, uri)
+	}
+}
+
 // TestFaultyStore lets the platform's store send bytes without end, and answers that are short
 // and take much memory, to an entry that has its configuration. It guards against an entry that
 // exceeds its memory or its descriptors, ends, or no longer answers ordinary requests.
@@ -63,6 +77,7 @@
 		{"watches byte by byte", sends("Store-Era: 1\r\n"+chunkedBody, "", chunk(" "), time.Millisecond)},
 		{"watches with an encoding", sends("Store-Era: 1\r\nContent-Encoding: gzip\r\n\r\n", compressed(), "", time.Millisecond)},
 		{"watches of a string without an end", sends("Store-Era: 1\r\n\r\n", `{"events":[{"key":"`, text(64<<10), 0)},
+		{"watches of new items without an end", newItems()},
 		{"lists of many empty items", onList(storeAnswer(fill(answerBytes, `{"items":[{}`, `,{}`, `]}`)))},
 		{"lists of many short items", onList(storeAnswer(fill(answerBytes, `{"items":[{"key":"k"}`, `,{"key":"k"}`, `]}`)))},
 		{"lists whose pages do not end", onList(risingPage)},
