--- a/entry/edge/stray_bytes_suite_test.go
+++ b/entry/edge/stray_bytes_suite_test.go
@@ -46,6 +46,12 @@
 		Entry("a refusal that is cut after the name of a header, kept connection", refusal+"Retry-After: ", 1),
 		Entry("a refusal that is cut after the name of a header, new connection", refusal+"Retry-After: ", 0),
 		Entry("a misdirected one that is cut after the name of a header", "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ", 1),
+		Entry("a refusal that is cut before an interim response with the ID", refusal+"Retry-After: HTTP/1.1 103 Early Hints\r\nAttempt-Id: ID\r\n\r\n", 1),
+		Entry("a refusal that is cut before an error without a signature", refusal+"Retry-After: HTTP/1.1 500 Error\r\nAttempt-Id: ID\r\nContent-Length: 0\r\n\r\n", 1),
+		Entry("a status line of 503 that is cut after its code", "HTTP/1.1 503 ", 1),
+		Entry("a status line of 429 that is cut in its reason", "HTTP/1.1 429 Too Ma", 1),
+		Entry("a status line of 421 that is cut in its reason", "HTTP/1.1 421 Misdi", 1),
+		Entry("a status line of 421, new connection", "HTTP/1.1 421 Misdi", 0),
 		Entry("a refusal that is cut after a line", refusal, 1),
 		Entry("a refusal that is cut in the name of a header", refusal+"Retry-Af", 1),
 		Entry("a refusal that is cut in its body", refusal+"Content-Length: 400\r\n\r\nfull", 1),
@@ -58,3 +64,28 @@
 		Entry("an answer without an ID", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1),
 	)
 })
+
+var _ = Describe("A signed answer with the status of a refusal and without a promise", func() {
+	// Guards against callers who are told that a request has not run which a target ran.
+	DescribeTable("is not passed on to the caller with its status", func(status int) {
+		f, ran := newFleet(0, 0), &runCount{}
+		t := &scriptedTarget{script: func(nc net.Conn, r *http.Request, n int) bool {
+			if !readBody(r) {
+				return false
+			}
+			ran.add(requestIDOf(r))
+			_, err := io.WriteString(nc, head(status, requestIDOf(r), "Content-Length: 0\r\n\r\n"))
+			return err == nil
+		}}
+		f.startScripted(t)
+		f.configureOnce(2)
+		f.start()
+		a := f.call(context.Background(), 0, "POST", "/call/1", nil, "x")
+		Expect(ran.of(a.id)).To(Equal(1))
+		ran.expectOnce(a)
+	},
+		Entry("503", 503),
+		Entry("429", 429),
+		Entry("408", 408),
+	)
+})
