relay: a status line that is cut and joins with another one names no request

Callers saw a request that may run once run twice: a target's 421 whose status line is cut joins with the status line of the answer that follows ("421 MisdiHTTP/1.1 200 OK"), and so has the ID of that answer's request. A refusal is not believed if its reason holds a status line, as with its header fields.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -193,17 +193,22 @@
 
 // refusalEvidence returns what a response that Classify calls Declined proves.
 func (x *callerRequest) refusalEvidence(resp *http.Response) resend.Evidence {
-	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest && !holdsStatusLine(resp.Header) {
+	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest && !holdsStatusLine(resp) {
 		return resend.NamedRefusal
 	}
 	return resend.UnnamedRefusal
 }
 
-// holdsStatusLine reports whether a header field holds the begin of another response: the head
-// of the first one was cut, and the rest, with its ID, is that of the other.
-func holdsStatusLine(h http.Header) bool {
-	for _, values := range h {
-		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, "HTTP/1.") }) {
+// holdsStatusLine reports whether the reason or a header field of a response holds the begin of
+// another response: the head of the first one was cut, and the rest, with its ID, is that of the
+// other.
+func holdsStatusLine(resp *http.Response) bool {
+	const protocol = "HTTP/1."
+	if strings.Contains(resp.Status, protocol) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, protocol) }) {
 			return true
 		}
 	}
