relay: a target's own 503 does not tell the caller of a call that ran that it has not run

Callers got 503, 429 or 408 for a request that may run once and ran: a target that runs a request and answers it with such a status, signed and without Not-Executed, is a failure by Classify, and its response was passed on as it is. To the caller these statuses promise that the request has not run.

For a request that may run once such a response is withheld, and it ends with 502, as any other that may have run. Repeatable requests get the target's response as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -237,7 +237,8 @@
 }
 
 // handleFailed records a failure response of the target. The response is kept
-// and goes to the caller if no other target succeeds.
+// and goes to the caller if no other target succeeds, unless it would tell the caller of a
+// request that may run once that it has not run.
 func (x *callerRequest) handleFailed(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done bool) {
 	whole, err := x.readResponse(resp, silence)
 	if err != nil {
@@ -246,7 +247,9 @@
 	}
 	x.h.Containment.Answered(x.identity)
 	x.failAttempt(requestNumber, steering.Answered, result.EngineFailed)
-	x.history.failureResponse = whole
+	if x.route.Repeatable() || !promisesNotRun(whole.status) {
+		x.history.failureResponse = whole
+	}
 	return false
 }
 
