upstream: a head that joins with the next one ends its connection

Only refusals of requests that may run once were checked, in relay. A response whose reason or header fields hold a status line ends its connection now, whatever it means.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
-	"strings"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
@@ -193,28 +191,12 @@
 
 // refusalEvidence returns what a response that Classify calls Declined proves.
 func (x *callerRequest) refusalEvidence(resp *http.Response) resend.Evidence {
-	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest && !holdsStatusLine(resp) {
+	if x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest {
 		return resend.NamedRefusal
 	}
 	return resend.UnnamedRefusal
 }
 
-// holdsStatusLine reports whether the reason or a header field of a response holds the begin of
-// another response: the head of the first one was cut, and the rest, with its ID, is that of the
-// other.
-func holdsStatusLine(resp *http.Response) bool {
-	const protocol = "HTTP/1."
-	if strings.Contains(resp.Status, protocol) {
-		return true
-	}
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, protocol) }) {
-			return true
-		}
-	}
-	return false
-}
-
 // handleDeclined records a response by which the target did not run the request. It reads a
 // short body so that the connection can be used again.
 func (x *callerRequest) handleDeclined(requestNumber uint64, resp *http.Response) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -217,6 +217,9 @@
 		resp, err = http.ReadResponse(c.br, rt.req)
 		return c.head.end(err)
 	})
+	if err == nil && holdsStatusLine(resp) {
+		err = errUnexpectedBytes
+	}
 	if err == nil && resp.StatusCode < 200 {
 		if rt.interim++; rt.interim <= maxInterimResponses {
 			return true
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -3,6 +3,10 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
 	"sync/atomic"
 )
 
@@ -96,3 +100,23 @@
 	}
 	return n, err
 }
+
+// protocolName begins the status lines that statusLine matches.
+const protocolName = "HTTP/1."
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// holdsStatusLine reports whether the reason or a header field of a response holds a status
+// line. Then the head of the response was cut, and the rest, with its ID, is that of another one.
+func holdsStatusLine(resp *http.Response) bool {
+	holds := func(text string) bool { return strings.Contains(text, protocolName) && statusLine.MatchString(text) }
+	if holds(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, holds) {
+			return true
+		}
+	}
+	return false
+}
