clients: a redirection does not make a call that ran count as not run

A service that answers a call of the project's own interface with a redirection has run it. net/http followed it, and a dial that failed there was reported as engine_unavailable, "not run". The redirection is the response now.

--- a/internal/clients/service.go
+++ b/internal/clients/service.go
@@ -20,7 +20,10 @@
 
 // NewService returns a client of the service at a base URL.
 func NewService(base string) *Service {
-	return &Service{base: strings.TrimSuffix(base, "/"), client: newClient()}
+	client := newClient()
+	// A redirection that cannot be followed would look like a call that was not sent.
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Service{base: strings.TrimSuffix(base, "/"), client: client}
 }
 
 // Call sends a request once. It fails with result.EngineUnavailable if no
