upstream: a connection records each refusal that callers of the pool believe

A named 400 or 500 with Not-Executed counted as "not run", but the connection recorded only 408, 421, 429 and 503: if it was written again for the same attempt, the caller got 503 for a request that ran. The pool is told what a refusal is by the codec that decides it (Request.Refuses).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -58,6 +58,8 @@
 type roundTrip struct {
 	req *http.Request
 	id  string
+	// refuses is that of the Request, nil for none.
+	refuses func(*http.Response) bool
 	// matches returns whether a response belongs to the request.
 	matches  func(*http.Response) Match
 	response chan responseOrError
@@ -92,6 +94,11 @@
 	})
 }
 
+// isRefusal reports whether a response says that its request was not run.
+func (rt *roundTrip) isRefusal(resp *http.Response) bool {
+	return resend.PromisesNotRun(resp.StatusCode) || rt.refuses != nil && rt.refuses(resp)
+}
+
 // conn is one connection to a target. One goroutine reads from it until it is
 // closed, so that a close or unexpected bytes are noticed while it is idle.
 type conn struct {
@@ -232,7 +239,7 @@
 		return false
 	}
 	match := rt.matches(resp)
-	switch c.refusals.Received(rt.id, match, resend.PromisesNotRun(resp.StatusCode)) {
+	switch c.refusals.Received(rt.id, match, rt.isRefusal(resp)) {
 	case resend.Distrust:
 		c.close()
 		rt.response <- responseOrError{err: errUnexpectedBytes}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,6 +52,9 @@
 	// ID is that by which responses name the request. A connection that has refused a request
 	// does not carry it again. It may be empty: then that does not hold.
 	ID string
+	// Refuses reports whether a response says that its request was not run. Without it that
+	// is told by the status alone.
+	Refuses func(*http.Response) bool
 	// MatchesAnswer returns whether a response belongs to this request.
 	MatchesAnswer func(*http.Response) Match
 	// Usage is set by Do to the connection on which the request was sent, unless it is nil.
@@ -180,7 +183,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, *Error) {
 	h := p.host(address)
 	rt := &roundTrip{
-		req: &http.Request{Method: r.Method}, id: r.ID, matches: r.MatchesAnswer,
+		req: &http.Request{Method: r.Method}, id: r.ID, matches: r.MatchesAnswer, refuses: r.Refuses,
 		response: make(chan responseOrError, 1), bodyDone: make(chan struct{}), written: make(chan struct{}),
 	}
 	c := h.take(time.Now(), r.ID)
