upstream: a new connection that is closed at once ends its request at once

A request with a body of more than 32 KiB waited for its deadline if the target closed the new connection before the request was assigned to it: nobody was left to report the end. Nothing is written then, so it counts as not sent.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -192,7 +192,10 @@
 		if c, err = h.connect(ctx); err != nil {
 			return nil, &Error{Cause: err}
 		}
-		c.begin(rt)
+		if !c.begin(rt) {
+			// The target has closed it already.
+			return nil, &Error{Cause: net.ErrClosed}
+		}
 	}
 	if r.Usage != nil {
 		*r.Usage = rt.usage
