--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -210,6 +210,11 @@
 		e.t.Error("the process has ended")
 	default:
 	}
+	e.checkPeaks()
+}
+
+// checkPeaks checks the most that the process has used until now.
+func (e *entry) checkPeaks() {
 	peak, descriptors := e.peakMemory.Load(), e.peakDescriptors.Load()
 	e.t.Logf("peak: %d MB, %d descriptors", peak>>20, descriptors)
 	if peak > memoryMB<<20 {
--- a/internal/crowd/faulty_target_test.go
+++ b/internal/crowd/faulty_target_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -82,6 +83,8 @@
 	largestHead   = 63 << 10
 	largestEvent  = 120 << 10
 	belowOneShare = 200 << 10
+	// callersLeave is the case in which a first crowd leaves in the middle of its answers.
+	callersLeave = "bodies whose callers leave before others come"
 )
 
 // TestFaultyTarget lets a target send bytes without end to many requests at once. It guards
@@ -100,6 +103,7 @@
 		{"bodies that end with the connection only", callPath, sends("\r\n", "", text(64<<10), 0)},
 		{"bodies in bursts", callPath, sends(chunkedBody, "", chunk(text(64<<10)), burstPause)},
 		{"bodies with an encoding", callPath, sends("Content-Encoding: gzip\r\n"+chunkedBody, "", chunk(text(64<<10)), 0)},
+		{callersLeave, callPath, sends(chunkedBody, chunk(text(belowOneShare)), chunk("x"), tricklePause)},
 		{"a length beyond 64 bits", callPath, sends("Content-Length: 18446744073709551617\r\n\r\n", "", text(64<<10), 0)},
 		{"chunk extensions", callPath, sends(chunkedBody+"1;", "", text(16<<10), 0)},
 		{"chunk extensions, slowly", callPath, sends(chunkedBody+"1;", "", "x", tricklePause)},
@@ -117,6 +121,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			skipListed(t)
 			e := startBeside(t, binDir, http.HandlerFunc(answer), serveFaulty(t, c.answer))
+			if c.name == callersLeave {
+				runCrowd(e, faultyCallers, leaving(c.path), func() {})
+			}
 			runCrowd(e, faultyCallers, callFaulty(c.path), func() {
 				// The targets go on to send for a while before others need the room.
 				time.Sleep(holdTime)
@@ -132,6 +139,44 @@
 	}
 }
 
+// TestFaultyTargetAtStop stops an entry while a target sends bytes without end. It guards against
+// an entry that exceeds its memory meanwhile or does not end.
+func TestFaultyTargetAtStop(t *testing.T) {
+	binDir := build(t, "agate-entry")
+	for _, c := range []struct {
+		name, path string
+		answer     faultyAnswer
+	}{
+		{"bodies that stop below their bound", callPath, sends(chunkedBody, chunk(text(belowOneShare)), chunk("x"), tricklePause)},
+		{"a header line, in bursts", callPath, sends("X: ", text(largestHead), "x", burstPause)},
+		{"events without an end", streamPath, sends(chunkedBody, chunk("id: 1\ndata: "+text(largestEvent)), chunk("x"), tricklePause)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			skipListed(t)
+			e := startBeside(t, binDir, http.HandlerFunc(answer), serveFaulty(t, c.answer))
+			runCrowd(e, faultyCallers, callFaulty(c.path), func() {
+				_ = syscall.Kill(e.pid, syscall.SIGTERM)
+				select {
+				case <-e.ended:
+				case <-time.After(startTime):
+					t.Error("the process has not ended")
+				}
+			})
+			e.checkPeaks()
+		})
+	}
+}
+
+// leaving sends a request to the faulty target and leaves a little later.
+func leaving(path string) caller {
+	call := callFaulty(path)
+	return func(e *entry, c net.Conn, finishes bool) {
+		call(e, c, finishes)
+		time.Sleep(tricklePause)
+		_ = c.Close()
+	}
+}
+
 // callFaulty sends a request to the faulty target and reads what it gets. Each tenth caller
 // reads nothing.
 func callFaulty(path string) caller {
