entry/edge: specs of repeated refusals wait for the shares by requests that may run again

The wait sent a request that may run once, and ended when a target that had refused it ran it. If such a request never goes back to a target, that wait would never end. Idempotent requests at a route of their own take its place. Eight cases are added in which the next target runs the request on a connection that has refused others, so that the table also tests an entry that sends no request back.

--- a/entry/edge/returned_refusal_suite_test.go
+++ b/entry/edge/returned_refusal_suite_test.go
@@ -42,9 +42,18 @@
 	f.store.Put("servers/"+id, map[string]any{"service": service, "address": address, "zone": "z1", "slots": 1, "state": "ready", "born": 5 * starts, "seq": starts})
 }
 
-// awaitShares waits until an entry sends requests to targets again that have rejected them.
-func (f *fleet) awaitShares(entry int, path string) {
-	Eventually(func() int { return f.call(context.Background(), entry, "POST", path+probe, nil, "x").status }).Within(8*time.Second).Should(Equal(200), path)
+// probeRoute returns a route to a service for requests that may go to targets again which have
+// rejected them.
+func probeRoute(service string) map[string]any {
+	return route(probe+"-"+service, "/"+probe+"-"+service+"/", "idempotent", service, map[string]any{"max_attempts": 5, "timeout_ms": 5500})
+}
+
+// awaitShares waits until an entry sends requests to targets of a service again that have rejected
+// them.
+func (f *fleet) awaitShares(entry int, service string) {
+	Eventually(func() int {
+		return f.call(context.Background(), entry, "POST", "/"+probe+"-"+service+"/"+probe, nil, "x").status
+	}).Within(8*time.Second).Should(Equal(200), service)
 }
 
 var _ = Describe("A target that gets a request again which it refused", func() {
@@ -112,7 +121,7 @@
 			continue
 		}
 		s, r := c.start(f, fmt.Sprintf("raw%d", i))
-		x.targets[i], routes = s, append(routes, r)
+		x.targets[i], routes = s, append(routes, r, probeRoute(r["service"].(string)))
 		services = append(services, map[string]any{"name": r["service"]})
 	}
 	f.configure(2, map[string]any{"services": services}, routes...)
@@ -123,15 +132,15 @@
 		if x.cases[i].unbound != unbound {
 			return response{}
 		}
-		path := fmt.Sprintf("/raw%d/", i)
+		service := fmt.Sprintf("raw%d", i)
 		for entry := range entries {
 			if !unbound {
-				f.awaitShares(entry, path)
+				f.awaitShares(entry, service)
 			}
 		}
 		for _, concurrent := range []int{1, 2} {
 			x.responses[i] = append(x.responses[i], callEach(concurrent*entries, func(n int) response {
-				return f.call(context.Background(), n%entries, "POST", path+"1", nil, "x")
+				return f.call(context.Background(), n%entries, "POST", "/"+service+"/1", nil, "x")
 			})...)
 		}
 		return response{}
@@ -181,6 +190,14 @@
 		{"408 with its ID after 503, without Not-Executed", 1, 2, 1, false, full, once(plain(timedOut), runningID), "", nil},
 		{"421 with its ID after 503", 1, 2, 1, false, full, once(misdirected, runningID), "", nil},
 		{"421 with its ID after 503, five attempts", 1, 5, 1, false, full, once(misdirected, runningID), "", nil},
+		{"503 with another ID, at the next target", 2, 2, 1, false, full, other, "", nil},
+		{"503 with another ID, at the third target, five attempts", 3, 5, 2, false, full, late(other, 50*time.Millisecond), "", nil},
+		{"503 with both IDs, at the next target", 2, 2, 1, false, full, once(full, func(running, other string) []string { return []string{other, running} }), "", nil},
+		{"503 without an ID, at the next target", 2, 2, 1, false, full, none, "", nil},
+		{"503 without an ID, at the third target, after 0.8 s", 3, 2, 2, false, full, late(none, 800*time.Millisecond), "", nil},
+		{"503 without an ID, at the next target, shares that do not bind", 2, 2, 1, true, full, times(none, 5), "", nil},
+		{"429 without an ID, at the next target", 2, 1, 1, false, tooMany, once(tooMany, noID), "", nil},
+		{"421 without an ID, at the next target", 2, 5, 1, false, full, once(misdirected, noID), "", nil},
 		{"421 without an ID after 503", 1, 2, 1, false, full, once(misdirected, noID), "", nil},
 	}
 	x := &repeatedCases{cases: cases}
