--- a/entry/edge/returned_refusal_suite_test.go
+++ b/entry/edge/returned_refusal_suite_test.go
@@ -75,6 +75,7 @@
 	},
 		Entry("at two targets", 2),
 		Entry("at one target", 1),
+		Entry("at three targets", 3),
 	)
 })
 
