--- a/entry/edge/returned_refusal_suite_test.go
+++ b/entry/edge/returned_refusal_suite_test.go
@@ -42,10 +42,18 @@
 	f.store.Put("servers/"+id, map[string]any{"service": service, "address": address, "zone": "z1", "slots": 1, "state": "ready", "born": 5 * starts, "seq": starts})
 }
 
-// awaitShares waits until an entry sends repeatable requests to targets again that have rejected
+// probeRoute returns a route to a service for requests that may go to targets again which have
+// rejected them.
+func probeRoute(service string) map[string]any {
+	return route(probe+"-"+service, "/"+probe+"-"+service+"/", "idempotent", service, map[string]any{"max_attempts": 5, "timeout_ms": 5500})
+}
+
+// awaitShares waits until an entry sends requests to targets of a service again that have rejected
 // them.
-func (f *fleet) awaitShares(entry int, path string) {
-	Eventually(func() int { return f.call(context.Background(), entry, "POST", path+probe+"/", nil, "x").status }).Within(8*time.Second).Should(Equal(200), path)
+func (f *fleet) awaitShares(entry int, service string) {
+	Eventually(func() int {
+		return f.call(context.Background(), entry, "POST", "/"+probe+"-"+service+"/"+probe, nil, "x").status
+	}).Within(8*time.Second).Should(Equal(200), service)
 }
 
 var _ = Describe("A target that gets a request again which it refused", func() {
@@ -67,6 +75,7 @@
 	},
 		Entry("at two targets", 2),
 		Entry("at one target", 1),
+		Entry("at three targets", 3),
 	)
 })
 
@@ -84,18 +93,15 @@
 	change *targetChange
 }
 
-// start starts the targets of a case and returns the routes to them: that of the requests that
-// may run once, and that of the probes.
-func (c repeatedCase) start(f *fleet, service string) (s *refusingTargets, once, probes map[string]any) {
+// start starts the targets of a case and returns the route to them.
+func (c repeatedCase) start(f *fleet, service string) (s *refusingTargets, to map[string]any) {
 	s = &refusingTargets{refusal: c.first, refusals: c.refusals, again: c.again, runTime: 20 * time.Millisecond}
 	s.register(f, service, c.targets)
 	if c.change != nil {
 		s.notify = c.change.apply(f, service)
 	}
 	fields := map[string]any{"max_attempts": c.maxAttempts, "timeout_ms": 5500, "resumable": false}
-	once = route(service, "/"+service+"/", cmp.Or(c.kind, "non_idempotent"), service, fields)
-	probes = route(service+"-probe", "/"+service+"/"+probe+"/", "idempotent", service, map[string]any{"max_attempts": 5, "timeout_ms": 5500})
-	return s, once, probes
+	return s, route(service, "/"+service+"/", cmp.Or(c.kind, "non_idempotent"), service, fields)
 }
 
 // repeatedCases are cases that run at once, each with a service of its own.
@@ -115,9 +121,9 @@
 		if c.unbound != unbound {
 			continue
 		}
-		s, once, probes := c.start(f, fmt.Sprintf("raw%d", i))
-		x.targets[i], routes = s, append(routes, once, probes)
-		services = append(services, map[string]any{"name": once["service"]})
+		s, r := c.start(f, fmt.Sprintf("raw%d", i))
+		x.targets[i], routes = s, append(routes, r, probeRoute(r["service"].(string)))
+		services = append(services, map[string]any{"name": r["service"]})
 	}
 	f.configure(2, map[string]any{"services": services}, routes...)
 	for range entries {
@@ -127,15 +133,15 @@
 		if x.cases[i].unbound != unbound {
 			return response{}
 		}
-		path := fmt.Sprintf("/raw%d/", i)
+		service := fmt.Sprintf("raw%d", i)
 		for entry := range entries {
 			if !unbound {
-				f.awaitShares(entry, path)
+				f.awaitShares(entry, service)
 			}
 		}
 		for _, concurrent := range []int{1, 2} {
 			x.responses[i] = append(x.responses[i], callEach(concurrent*entries, func(n int) response {
-				return f.call(context.Background(), n%entries, "POST", path+"1", nil, "x")
+				return f.call(context.Background(), n%entries, "POST", "/"+service+"/1", nil, "x")
 			})...)
 		}
 		return response{}
@@ -185,6 +191,14 @@
 		{"408 with its ID after 503, without Not-Executed", 1, 2, 1, false, full, once(plain(timedOut), runningID), "", nil},
 		{"421 with its ID after 503", 1, 2, 1, false, full, once(misdirected, runningID), "", nil},
 		{"421 with its ID after 503, five attempts", 1, 5, 1, false, full, once(misdirected, runningID), "", nil},
+		{"503 with another ID, at the next target", 2, 2, 1, false, full, other, "", nil},
+		{"503 with another ID, at the third target, five attempts", 3, 5, 2, false, full, late(other, 50*time.Millisecond), "", nil},
+		{"503 with both IDs, at the next target", 2, 2, 1, false, full, once(full, func(running, other string) []string { return []string{other, running} }), "", nil},
+		{"503 without an ID, at the next target", 2, 2, 1, false, full, none, "", nil},
+		{"503 without an ID, at the third target, after 0.8 s", 3, 2, 2, false, full, late(none, 800*time.Millisecond), "", nil},
+		{"503 without an ID, at the next target, shares that do not bind", 2, 2, 1, true, full, times(none, 5), "", nil},
+		{"429 without an ID, at the next target", 2, 1, 1, false, tooMany, once(tooMany, noID), "", nil},
+		{"421 without an ID, at the next target", 2, 5, 1, false, full, once(misdirected, noID), "", nil},
 		{"421 without an ID after 503", 1, 2, 1, false, full, once(misdirected, noID), "", nil},
 	}
 	x := &repeatedCases{cases: cases}
