--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -98,7 +98,8 @@
 type Sends struct {
 	policy Policy
 	counts Counts
-	// targets lists the target of each send, rejectedBy those that rejected the last one.
+	// targets lists the target of each send, rejectedBy the targets that rejected the last
+	// send that they got.
 	targets, rejectedBy []string
 	// silentTarget is the target of the last send that was ended because it was silent while
 	// another one had the stream, empty if there is none. returned is true once the request
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -51,7 +51,7 @@
 	x.sends.Begin(grant.Target.ID)
 	x.began.Store(false)
 	x.sentAt = time.Now()
-	x.beginSend()
+	x.beginSendRecord()
 	requestCtx := ctx
 	ctx, end := context.WithCancelCause(ctx)
 	opened := target.opened
@@ -84,7 +84,7 @@
 // send sends the request to the target of an attempt and relays its response.
 func (x *callerRequest) send(ctx context.Context, grant steering.Grant, requestNumber uint64, silence *replacement) (done bool) {
 	if !x.sentTo(grant.Target) {
-		x.endSendWith(resend.NotWritten)
+		x.recordEvidence(resend.NotWritten)
 		x.failAttempt(requestNumber, steering.Abandoned, result.StreamVersionGone)
 		return false
 	}
@@ -179,7 +179,7 @@
 func (x *callerRequest) handleNoResponse(ctx context.Context, requestNumber uint64, failure *upstream.Error) {
 	switch {
 	case !failure.MaybeSent:
-		x.endSendWith(resend.NotWritten)
+		x.recordEvidence(resend.NotWritten)
 		x.failAttempt(requestNumber, steering.Unreachable, result.EngineUnavailable)
 	default:
 		x.failBroken(ctx, requestNumber)
@@ -213,7 +213,7 @@
 		x.sends.Rejected()
 	}
 	evidence := x.refusalEvidence(resp)
-	mayHaveRun := x.endSendWith(evidence)
+	mayHaveRun := x.recordEvidence(evidence)
 	x.failAttempt(requestNumber, outcome, result.QueueFull)
 	x.attemptLog().With("status", resp.StatusCode).With("version", x.adapterVersion).With("retry_after_ms", retryAfter.Milliseconds()).
 		With("named", evidence == resend.NamedRefusal).With("believed", !mayHaveRun).Info("the target declined")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -234,7 +234,7 @@
 	defer x.settleCharge()
 	x.h.RetryBudget.CountRequest(time.Now(), x.poolName)
 	// A panic ends an attempt without a result.
-	defer x.endSend(false)
+	defer x.logSend(false)
 	var next *grantedTarget
 	for {
 		if next == nil {
@@ -253,7 +253,7 @@
 			return
 		}
 		done, replacement := x.attempt(ctx, next)
-		x.endSend(done)
+		x.logSend(done)
 		if done {
 			return
 		}
--- a/internal/relay/sendrecord.go
+++ b/internal/relay/sendrecord.go
@@ -22,9 +22,9 @@
 	answered bool
 }
 
-// beginSend begins the record of the present attempt. Repeatable requests have none: two
+// beginSendRecord begins the record of the present attempt. Repeatable requests have none: two
 // attempts at one may run beside each other.
-func (x *callerRequest) beginSend() {
+func (x *callerRequest) beginSendRecord() {
 	if x.route.Repeatable() {
 		return
 	}
@@ -65,17 +65,17 @@
 	}
 }
 
-// endSendWith records what the present attempt has left. It reports whether its target may
+// recordEvidence records what the present attempt has left as evidence. It reports whether its target may
 // have run the request.
-func (x *callerRequest) endSendWith(e resend.Evidence) (mayHaveRun bool) {
+func (x *callerRequest) recordEvidence(e resend.Evidence) (mayHaveRun bool) {
 	if x.sending != nil {
 		x.sending.fields["evidence"] = e.String()
 	}
 	return x.sends.End(e)
 }
 
-// endSend logs the record of the present attempt, if it has one that was not logged yet.
-func (x *callerRequest) endSend(done bool) {
+// logSend logs the record of the present attempt, if it has one that was not logged yet.
+func (x *callerRequest) logSend(done bool) {
 	r := x.sending
 	if r == nil {
 		return
--- a/internal/relay/sendrecord_test.go
+++ b/internal/relay/sendrecord_test.go
@@ -30,7 +30,7 @@
 	It("is kept for requests that may run once only", func() {
 		for route, want := range map[*catalog.Route]bool{nonIdempotentRoute: true, streamRoute: true, idempotentRoute: false, resumableRoute: false} {
 			x := sendingRequest(route)
-			x.beginSend()
+			x.beginSendRecord()
 			Expect(x.sending != nil).To(Equal(want))
 			Expect(x.sending.connection() != nil).To(Equal(want))
 		}
@@ -55,10 +55,10 @@
 			x := sendingRequest(route)
 			response := &http.Response{StatusCode: 200}
 			for b.Loop() {
-				x.beginSend()
+				x.beginSendRecord()
 				x.sending.responded(response, Succeeded, true)
 				x.sending.complete()
-				x.endSend(true)
+				x.logSend(true)
 			}
 		})
 	}
