resend: a refusal that names no request counts as a possible run of any request

One connection was reset, one target wrote a refusal without an ID while it ran the request, refused the next send and ran the one after it. Refusals without a name did not use up attempts of repeatable requests, so that targets which write them may run one more often than the route allows.

Only a named refusal counts as not run now, whatever the request.

--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -63,16 +63,14 @@
 }
 
 // MayHaveRun reports whether the target of a send that has left some evidence may have run the
-// request. hadBefore is true if the target had the request before that send. If the request is
-// repeatable, a refusal counts without a name: taking it for another one's costs a second run.
+// request. hadBefore is true if the target had the request before that send: then a refusal may
+// be the repetition of an earlier one, which costs a repeatable request no more than a run.
 func (p Policy) MayHaveRun(e Evidence, hadBefore bool) bool {
 	switch e {
 	case NotWritten:
 		return false
 	case NamedRefusal:
 		return !p.Repeatable && hadBefore
-	case UnnamedRefusal:
-		return !p.Repeatable
 	}
 	return true
 }
--- a/internal/decide/resend/resend_suite_test.go
+++ b/internal/decide/resend/resend_suite_test.go
@@ -44,7 +44,8 @@
 		Entry("not after two more refused sends than the route's attempts", once, false, resend.NamedRefusal, resend.NamedRefusal, resend.NamedRefusal),
 		Entry("not if it may run once and may have run before it was refused", resend.Policy{MaxAttempts: 5}, false, resend.Inconclusive, resend.NamedRefusal),
 		Entry("if it is repeatable and failed", repeatable, true, resend.Inconclusive),
-		Entry("if it is repeatable and the refusal names no request", repeatable, true, resend.UnnamedRefusal, resend.UnnamedRefusal),
+		Entry("if it is repeatable and the refusal names no request", repeatable, true, resend.UnnamedRefusal),
+		Entry("not beyond the route's attempts if refusals name no request", repeatable, false, resend.UnnamedRefusal, resend.UnnamedRefusal),
 		Entry("not beyond the route's attempts", repeatable, false, resend.Inconclusive, resend.Inconclusive),
 	)
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,9 @@
 	// 6: an entry cut streams whose engine had been silent for 1.3 s. Later it refused a
 	// request that ran: a target wrote its refusal of the same request once more.
 	6,
+	// 3047: an idempotent request ran three times, because a refusal without an ID from a
+	// target that ran it counted as not run.
+	3047,
 }
 
 // soak is one run: a fleet, its callers and the faults.
