--- a/entry/edge/edge_suite_test.go
+++ b/entry/edge/edge_suite_test.go
@@ -96,7 +96,9 @@
 	return f
 }
 
-func (f *fleet) engineIP(i int) string { return fmt.Sprintf("127.%d.%d.%d", 1+f.subnet/256, f.subnet%256, i+1) }
+func (f *fleet) engineIP(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+f.subnet/256, f.subnet%256, i+1)
+}
 
 func (f *fleet) addEngine(i int) {
 	r := standin.NewReplica(fmt.Sprintf("e-%d", i), "m", 2)
