--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -93,13 +93,13 @@
 	resp, failure := x.h.Upstream.Do(ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	silence.arrived()
 	if failure != nil {
-		x.sending.failed(failure)
+		x.sendRecord.failed(failure)
 		x.handleNoResponse(ctx, requestNumber, failure)
 		return false
 	}
 	defer resp.Body.Close()
 	class := x.h.Dialect.Classify(resp, x.meta.AttemptID)
-	x.sending.responded(resp, class, x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest)
+	x.sendRecord.responded(resp, class, x.h.Dialect.MatchesRequest(resp, x.meta.AttemptID) == upstream.ThisRequest)
 	x.h.passOnNotice(grant, resp, class, x.sentAt)
 	switch class {
 	case Declined:
@@ -147,7 +147,7 @@
 		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body, ID: id,
 		Refuses:       func(resp *http.Response) bool { return x.h.Dialect.Classify(resp, id) == Declined },
 		MatchesAnswer: func(resp *http.Response) upstream.Match { return x.h.Dialect.MatchesRequest(resp, id) },
-		Usage:         x.sending.connection(),
+		Usage:         x.sendRecord.connection(),
 	}
 }
 
@@ -292,7 +292,7 @@
 
 // answered records that the target has sent the whole answer.
 func (x *callerRequest) answered(requestNumber uint64) {
-	x.sending.complete()
+	x.sendRecord.complete()
 	if !x.began.Load() {
 		x.beganAnswer()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,7 +129,7 @@
 	// buffers holds the responses that were read whole.
 	buffers buffers
 	// sending is the record of the present attempt, nil if it has none.
-	sending *sendRecord
+	sendRecord *sendRecord
 	// grant is the last grant: the target and the load report behind its choice.
 	grant  steering.Grant
 	caller caller
--- a/internal/relay/sendrecord.go
+++ b/internal/relay/sendrecord.go
@@ -32,7 +32,7 @@
 	fields := make(telemetry.Fields, maxSendFields)
 	fields["id"], fields["entry"], fields["number"], fields["route"] = x.meta.AttemptID, x.h.EntryName, x.requestNumber, x.route.Name
 	fields["target"], fields["target_started_ms"], fields["send"] = target.ID, target.StartedAtMS, x.sends.Counts().Sends
-	x.sending = &sendRecord{fields: fields}
+	x.sendRecord = &sendRecord{fields: fields}
 }
 
 // connection returns where the connection of the send is recorded, nil for nowhere.
@@ -68,19 +68,19 @@
 // recordEvidence records what the present attempt has left as evidence. It reports whether its target may
 // have run the request.
 func (x *callerRequest) recordEvidence(e resend.Evidence) (mayHaveRun bool) {
-	if x.sending != nil {
-		x.sending.fields["evidence"] = e.String()
+	if x.sendRecord != nil {
+		x.sendRecord.fields["evidence"] = e.String()
 	}
 	return x.sends.End(e)
 }
 
 // logSend logs the record of the present attempt, if it has one that was not logged yet.
 func (x *callerRequest) logSend(done bool) {
-	r := x.sending
+	r := x.sendRecord
 	if r == nil {
 		return
 	}
-	x.sending = nil
+	x.sendRecord = nil
 	believed := "not_run"
 	switch {
 	case done || r.answered:
--- a/internal/relay/sendrecord_test.go
+++ b/internal/relay/sendrecord_test.go
@@ -31,8 +31,8 @@
 		for route, want := range map[*catalog.Route]bool{nonIdempotentRoute: true, streamRoute: true, idempotentRoute: false, resumableRoute: false} {
 			x := sendingRequest(route)
 			x.beginSendRecord()
-			Expect(x.sending != nil).To(Equal(want))
-			Expect(x.sending.connection() != nil).To(Equal(want))
+			Expect(x.sendRecord != nil).To(Equal(want))
+			Expect(x.sendRecord.connection() != nil).To(Equal(want))
 		}
 	})
 })
@@ -56,8 +56,8 @@
 			response := &http.Response{StatusCode: 200}
 			for b.Loop() {
 				x.beginSendRecord()
-				x.sending.responded(response, Succeeded, true)
-				x.sending.complete()
+				x.sendRecord.responded(response, Succeeded, true)
+				x.sendRecord.complete()
 				x.logSend(true)
 			}
 		})
