permits: a permit belongs to the ask of this process and comes from the entry that was asked

What callers saw: after a restart an entry could take a permit that was meant for an ask of the process before, or one that another entry sent, and send a request to a target in need without one. The rate that the target names (LIMIT) is then exceeded by that request. Fix: numbers begin at random in each process, and a permit counts only if it comes from the entry that was asked (permits_of_other_owners counts the others).

--- a/entry/permits/permits.go
+++ b/entry/permits/permits.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -49,7 +50,9 @@
 	mu      sync.Mutex
 	sharing *ratelimit.Sharing
 	// pending holds the asks of this entry without a reply, by their numbers.
-	pending    map[uint64]*pendingAsk
+	pending map[uint64]*pendingAsk
+	// lastNumber begins at random, so that a permit for an ask of an earlier process of this
+	// entry matches none.
 	lastNumber uint64
 	// askOf holds the number of the pending ask of each request.
 	askOf map[uint64]uint64
@@ -75,6 +78,7 @@
 // Start prepares the exchange. It must be called before the other methods.
 func (e *Exchange) Start() {
 	e.sharing = ratelimit.NewSharing(time.Now(), e.Address)
+	e.lastNumber = rand.Uint64()
 	e.pending, e.askOf, e.limits = make(map[uint64]*pendingAsk), make(map[uint64]uint64), make(map[ratelimit.Key]knownLimit)
 }
 
@@ -214,6 +218,10 @@
 		})
 	}
 	for _, p := range x.Permits {
+		if ask, ok := e.pending[p.Number]; ok && ask.owner != from {
+			e.Metrics.Count("permits_of_other_owners")
+			continue
+		}
 		if !e.finish(p.Number, p.Granted, wire.Age(p.RetryAfterMS)) && p.Granted {
 			e.Metrics.Count("permits_unused")
 		}
