steering: a reservation that another incarnation at the address holds is not released

What callers saw: with an engine listed under two IDs at one address the reservation of a granted request is released while the request runs, so that the engine takes more than its share at once. Cause: both incarnations have one target process, and the broker passes its messages on for each; the one without the request took the reply for that of a request that had ended. A reply was attributed by the address.

--- a/internal/decide/steering/events.go
+++ b/internal/decide/steering/events.go
@@ -69,9 +69,19 @@
 	return r
 }
 
+// isSharedReservation reports whether a reservation is held for another incarnation at the
+// address of t: both have one target process, whose messages reach both.
+func (s *Steering) isSharedReservation(t *target, id wire.AttemptID) bool {
+	r, ok := s.requests[id.Request.Number]
+	return ok && s.attemptID(r) == id && r.target != nil && r.target != t && r.target.Address == t.Address
+}
+
 func (s *Steering) reservationAccepted(t *target, m *wire.Reserved) {
 	r := s.findReserving(t, m.ID)
 	if r == nil {
+		if s.isSharedReservation(t, m.ID) {
+			return
+		}
 		// The request has ended or has tried another target.
 		s.emit(Send{Target: t.ID, Message: &wire.Release{ID: m.ID}})
 		return
--- a/internal/decide/steering/shared_address_suite_test.go
+++ b/internal/decide/steering/shared_address_suite_test.go
@@ -25,4 +25,21 @@
 			Expect(s.Message).NotTo(BeAssignableToTypeOf(&wire.Release{}), "sent to %s", s.Target)
 		}
 	})
+
+	// Guards against a reservation that is kept for a request which another process has.
+	It("release the reservation of a request that waits at another address", func() {
+		list := targets(2)
+		e := newEntry(engines(), list...)
+		e.connect("t0", "t1")
+		e.want(1, "a7")
+		first := e.reserves(1)
+		Expect(first).To(HaveLen(1))
+		other := "t0"
+		if first[0] == other {
+			other = "t1"
+		}
+		e.accept(1, other, 5)
+		Expect(e.sent[len(e.sent)-1].Message).To(BeAssignableToTypeOf(&wire.Release{}))
+		Expect(e.sent[len(e.sent)-1].Target).To(Equal(other))
+	})
 })
