--- a/internal/soak/engine_faults_test.go
+++ b/internal/soak/engine_faults_test.go
@@ -15,6 +15,8 @@
 	crashingPause = 250 * time.Millisecond
 	// An engine is silent for minSilence to maxSilence.
 	minSilence, maxSilence = time.Second, 1500 * time.Millisecond
+	// maxRepeatedAnswers is how many answers to reports and orders an engine repeats at most.
+	maxRepeatedAnswers = 20
 	// silenceCheck is the name of checkSilence in KNOWN-RED.txt.
 	silenceCheck = "soak a stream outlives the silence of its engine"
 )
@@ -61,5 +63,9 @@
 	for _, server := range s.engineServers {
 		crashes += len(server.Crashes())
 	}
-	s.t.Logf("%d crashes of engines, %d streams while engines were silent", crashes, streams)
+	repeated := 0
+	for _, r := range s.engines {
+		repeated += r.RepeatedAnswers()
+	}
+	s.t.Logf("%d crashes of engines, %d streams while engines were silent, %d answers to reports and orders repeated", crashes, streams, repeated)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,6 +77,9 @@
 	// faults of keyRng. crowds are the further callers that fill the services.
 	refusalRng *rand.Rand
 	crowds     sync.WaitGroup
+	// answerRng draws engines that repeat answers to reports and orders, which were added
+	// after the faults of refusalRng.
+	answerRng *rand.Rand
 	// causedCrashes counts the crashes of services under no request.
 	causedCrashes atomic.Int64
 	// lastTerm is when a process last got SIGTERM.
@@ -130,7 +133,7 @@
 func run(t *testing.T, binDir string, seed int64, network int, faultTime time.Duration) {
 	s := &soak{
 		fleet: newFleet(t, binDir, network), rng: rand.New(rand.NewSource(seed)), laterRng: rand.New(rand.NewSource(^seed)), partRng: rand.New(rand.NewSource(seed + 1<<32)), limitRng: rand.New(rand.NewSource(seed + 1<<33)),
-		lossRng: rand.New(rand.NewSource(seed + 1<<34)), keyRng: rand.New(rand.NewSource(seed + 1<<37)), refusalRng: rand.New(rand.NewSource(seed + 1<<38)), withdrawals: make(map[string]time.Time), kinds: make(map[string]string),
+		lossRng: rand.New(rand.NewSource(seed + 1<<34)), keyRng: rand.New(rand.NewSource(seed + 1<<37)), refusalRng: rand.New(rand.NewSource(seed + 1<<38)), answerRng: rand.New(rand.NewSource(seed + 1<<39)), withdrawals: make(map[string]time.Time), kinds: make(map[string]string),
 		client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}},
 	}
 	for _, p := range s.procs() {
@@ -258,6 +261,9 @@
 			s.withdrawKey()
 		}
 		s.injectRefusalFault(healAfter)
+		if s.answerRng.Intn(3) == 0 {
+			s.engines[s.answerRng.Intn(engineCount)].RepeatAnswers(1 + s.answerRng.Intn(maxRepeatedAnswers))
+		}
 		time.Sleep(time.Duration(50+s.rng.Intn(400)) * time.Millisecond)
 	}
 	pending.Wait()
