upstream: no request goes on a connection with bytes that were not read

Cause: a connection became idle with the end of a response's body, also if more bytes lay behind it in the read buffer. A request that took the connection at once was sent, and the bytes that had come before it were read as the response to it.

Callers saw: a refusal that came with the response to another request counted as the refusal of a request that was sent later and ran. It needs a target that writes the refusal of one connection on another one, since a connection does not carry a request again that it refused.

Evidence: "is not used while bytes lie on it that were not read" fails without the fix with 297 and more of 300 requests answered 503 by bytes from before their send (3 of 3 runs, go test ./internal/upstream -ginkgo.focus "bytes lie on it"), and passes with it. The other specs (sends given up at the deadline, by the caller, within the head of the refusal, as it comes) pass without it: such connections are closed.

Fix: a connection whose read buffer holds bytes behind a response is closed. Bytes that the kernel still holds end it as before, if no request has taken it meanwhile.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -265,7 +265,8 @@
 		// The target would take the rest of the body for the next request.
 		return false
 	}
-	if c.refusals.Full() {
+	if c.refusals.Full() || c.br.Buffered() > 0 {
+		// What follows the response was not asked for by the next request.
 		return false
 	}
 	c.mu.Lock()
