resend, upstream: a connection does not carry a request that any refusal on it has named

Cause: Refusals recorded the ID of a refusal only if it was that of the pending request. One that named another request, or several, was passed over without its IDs. The connection could carry such a request later, and one more copy counted as the refusal of that send.

Callers saw: a request that ran counts as not run. It needs a target that writes the refusal of one connection on another one, and a request that goes to the target again: one that may be repeated, or one whose caller sends the ID again.

Fix: Received records all IDs that a refusal names, up to MaxRefusals.

--- a/internal/decide/resend/property_test.go
+++ b/internal/decide/resend/property_test.go
@@ -26,10 +26,12 @@
 }
 
 // faultyTarget runs or refuses requests, and may write any earlier refusal of a connection
-// again, or one without a name, before a response.
+// again, one of another connection that names a request which is not under way, or one without
+// a name, before a response.
 type faultyTarget struct {
-	idle []*connection
-	runs map[string]int
+	idle     []*connection
+	refusals []response
+	runs     map[string]int
 }
 
 // serve returns what the target writes for a request. It has run the request or not, whatever
@@ -39,6 +41,11 @@
 		switch {
 		case len(c.written) > 0 && rapid.Bool().Draw(t, "repeats"):
 			responses = append(responses, rapid.SampledFrom(c.written).Draw(t, "repeated"))
+		case len(f.refusals) > 0 && rapid.Bool().Draw(t, "of another connection"):
+			refusal := rapid.SampledFrom(f.refusals).Draw(t, "repeated")
+			if refusal.id != id {
+				responses, c.written = append(responses, refusal), append(c.written, refusal)
+			}
 		case rapid.Bool().Draw(t, "unnamed"):
 			responses = append(responses, response{refusal: true})
 		}
@@ -48,7 +55,7 @@
 		if rapid.IntRange(0, 4).Draw(t, "named") == 0 {
 			refusal.id = ""
 		}
-		c.written = append(c.written, refusal)
+		c.written, f.refusals = append(c.written, refusal), append(f.refusals, refusal)
 		return append(responses, refusal), rapid.IntRange(0, 4).Draw(t, "closes") == 0
 	}
 	f.runs[id]++
@@ -74,14 +81,14 @@
 	}
 	responses, closes := f.serve(t, c, id)
 	for _, r := range responses {
-		match := resend.OtherRequest
+		match, named := resend.OtherRequest, []string{r.id}
 		switch r.id {
 		case "":
-			match = resend.NoRequest
+			match, named = resend.NoRequest, nil
 		case id:
 			match = resend.ThisRequest
 		}
-		switch c.refusals.Received(id, match, r.refusal) {
+		switch c.refusals.Received(id, match, r.refusal, named...) {
 		case resend.Skip:
 			continue
 		case resend.Distrust:
--- a/internal/decide/resend/refusals.go
+++ b/internal/decide/resend/refusals.go
@@ -48,15 +48,15 @@
 // requestSeed is that of the hashes of request IDs.
 var requestSeed = maphash.MakeSeed()
 
-// Refusals keeps which requests a connection has refused, and decides which requests it may
-// carry and what becomes of its responses. A target may write a refusal again where the
-// response to a later request is due, so that the connection must not carry a request again
-// that it has refused: the repetition would count as the later response. The zero value is
-// that of a new connection. It is not safe for concurrent use.
+// Refusals keeps which requests the refusals of a connection have named, and decides which
+// requests it may carry and what becomes of its responses. A target may write a refusal again
+// where the response to a later request is due, so that the connection must not carry a request
+// that a refusal on it has named: the repetition would count as the later response. The zero
+// value is that of a new connection. It is not safe for concurrent use.
 type Refusals struct {
 	// requests holds the hashes of their IDs.
 	requests []uint64
-	// unnamed is true after a refusal that does not name the request that waited.
+	// unnamed is true after a refusal that names no request.
 	unnamed bool
 }
 
@@ -70,21 +70,33 @@
 }
 
 // Received records a response, and decides what becomes of it. refusal is true if it says that
-// its request was not run; id is that of the request that waits.
-func (r *Refusals) Received(id string, match Match, refusal bool) Use {
+// its request was not run; id is that of the request that waits, named those in the response.
+func (r *Refusals) Received(id string, match Match, refusal bool, named ...string) Use {
 	if match == NoRequest && (r.unnamed || len(r.requests) > 0) {
 		// The response may be the repetition of a refusal.
 		return Distrust
 	}
-	switch {
-	case !refusal:
-	case match == ThisRequest && id != "" && !r.Full():
-		r.requests = append(r.requests, maphash.String(requestSeed, id))
-	default:
-		r.unnamed = true
+	if refusal {
+		if match == ThisRequest && id != "" {
+			named = append(named, id)
+		}
+		r.add(named)
 	}
 	if match == OtherRequest {
 		return Skip
 	}
 	return Accept
 }
+
+// add records a refusal that names requests.
+func (r *Refusals) add(named []string) {
+	if len(named) == 0 {
+		r.unnamed = true
+	}
+	for _, id := range named {
+		hash := maphash.String(requestSeed, id)
+		if !r.Full() && !slices.Contains(r.requests, hash) {
+			r.requests = append(r.requests, hash)
+		}
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -147,6 +147,7 @@
 		Method: x.r.Method, URI: x.requestURI(), Host: x.r.Host, Header: x.h.Dialect.UpstreamHeader(x.r.Header, fields), Body: x.body, ID: id,
 		Refuses:       func(resp *http.Response) bool { return x.h.Dialect.Classify(resp, id) == Declined },
 		MatchesAnswer: func(resp *http.Response) upstream.Match { return x.h.Dialect.MatchesRequest(resp, id) },
+		NamedIDs:      x.h.Dialect.NamedIDs,
 		Usage:         x.sendRecord.connection(),
 	}
 }
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -118,6 +118,8 @@
 	CallerHeader(h http.Header) http.Header
 	// MatchesRequest returns whether a response belongs to the request with the ID.
 	MatchesRequest(resp *http.Response, id string) upstream.Match
+	// NamedIDs returns the IDs of the requests that a response names.
+	NamedIDs(resp *http.Response) []string
 	// Classify returns the class of the response to the request with the ID.
 	Classify(resp *http.Response, id string) ResponseClass
 	// ParseDecline reports whether another incarnation uses the address, and the
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -58,8 +58,9 @@
 type roundTrip struct {
 	req *http.Request
 	id  string
-	// refuses is that of the Request, nil for none.
-	refuses func(*http.Response) bool
+	// refuses and namedIDs are those of the Request, nil for none.
+	refuses  func(*http.Response) bool
+	namedIDs func(*http.Response) []string
 	// matches returns whether a response belongs to the request.
 	matches  func(*http.Response) Match
 	response chan responseOrError
@@ -99,6 +100,14 @@
 	return resend.PromisesNotRun(resp.StatusCode) || rt.refuses != nil && rt.refuses(resp)
 }
 
+// named returns the IDs that a response names, as far as they are known.
+func (rt *roundTrip) named(resp *http.Response) []string {
+	if rt.namedIDs == nil {
+		return nil
+	}
+	return rt.namedIDs(resp)
+}
+
 // conn is one connection to a target. One goroutine reads from it until it is
 // closed, so that a close or unexpected bytes are noticed while it is idle.
 type conn struct {
@@ -239,7 +248,7 @@
 		return false
 	}
 	match := rt.matches(resp)
-	switch c.refusals.Received(rt.id, match, rt.isRefusal(resp)) {
+	switch c.refusals.Received(rt.id, match, rt.isRefusal(resp), rt.named(resp)...) {
 	case resend.Distrust:
 		c.close()
 		rt.response <- responseOrError{err: errUnexpectedBytes}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -49,9 +49,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is that by which responses name the request. A connection that has refused a request
-	// does not carry it again. It may be empty: then that does not hold.
+	// ID is that by which responses name the request. A connection on which a refusal has named
+	// a request does not carry it. It may be empty: then that does not hold.
 	ID string
+	// NamedIDs returns the IDs that a response names. Without it only refusals of the pending
+	// request count as naming one.
+	NamedIDs func(*http.Response) []string
 	// Refuses reports whether a response says that its request was not run. Without it that
 	// is told by the status alone.
 	Refuses func(*http.Response) bool
@@ -183,7 +186,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, *Error) {
 	h := p.host(address)
 	rt := &roundTrip{
-		req: &http.Request{Method: r.Method}, id: r.ID, matches: r.MatchesAnswer, refuses: r.Refuses,
+		req: &http.Request{Method: r.Method}, id: r.ID, matches: r.MatchesAnswer, refuses: r.Refuses, namedIDs: r.NamedIDs,
 		response: make(chan responseOrError, 1), bodyDone: make(chan struct{}), written: make(chan struct{}),
 	}
 	c := h.take(time.Now(), r.ID)
--- a/internal/upstream/refusals_suite_test.go
+++ b/internal/upstream/refusals_suite_test.go
@@ -18,7 +18,13 @@
 // named returns a request whose refusals are told by the IDs that they name.
 func named(id string) *upstream.Request {
 	r := request(id)
-	r.ID = id
+	r.ID, r.NamedIDs = id, func(resp *http.Response) []string { return resp.Header.Values("Id") }
+	r.MatchesAnswer = func(resp *http.Response) upstream.Match {
+		if len(resp.Header.Values("Id")) > 1 {
+			return upstream.OtherRequest
+		}
+		return matches(id)(resp)
+	}
 	return r
 }
 
@@ -127,3 +133,26 @@
 		Expect(believed).To(BeZero(), "of %d runs", ran.Load())
 	})
 })
+
+var _ = Describe("A refusal that names another request than the pending one", func() {
+	// Guards against the copy of a refusal of another connection that counts as that of its own
+	// request later on.
+	DescribeTable("keeps its request from the connection", func(copyOf string) {
+		p := upstream.NewPool(&counter{})
+		t := newTarget(respondToEach(func(nc net.Conn, r *http.Request) {
+			id := r.Header.Get("Id")
+			if id == "b" {
+				_, _ = io.WriteString(nc, copyOf)
+			}
+			reply(nc, id, "ok")
+		}))
+		Expect(status(context.Background(), p, t, "b")).To(Equal(200))
+		Expect(t.conns.Load()).To(BeEquivalentTo(1))
+		Expect(status(context.Background(), p, t, "a")).To(Equal(200))
+		Expect(t.conns.Load()).To(BeEquivalentTo(2))
+	},
+		Entry("alone", "HTTP/1.1 503 X\r\nId: a\r\nContent-Length: 0\r\n\r\n"),
+		Entry("beside others", "HTTP/1.1 503 X\r\nId: c\r\nId: a\r\nContent-Length: 0\r\n\r\n"),
+		Entry("beside the pending one", "HTTP/1.1 429 X\r\nId: b\r\nId: a\r\nContent-Length: 0\r\n\r\n"),
+	)
+})
