resend: a repeated refusal of a repeatable request uses up one attempt of its route

Cause: a repeatable request goes back to a target that rejected it, on another connection. A second refusal by name counted as no run at all, although it may be the copy of the first one if a target writes it on another connection, too (another handler, a proxy).

Fix: such refusals are counted (Counts.RepeatedRefusals). They use up the route's attempts and prevent a refund.

--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -64,7 +64,8 @@
 
 // MayHaveRun reports whether the target of a send that has left some evidence may have run the
 // request. hadBefore is true if the target had the request before that send: then a refusal may
-// be the repetition of an earlier one, which costs a repeatable request no more than a run.
+// be the repetition of an earlier one. That of a repeatable request is believed nevertheless, but
+// counted (Counts.RepeatedRefusals).
 func (p Policy) MayHaveRun(e Evidence, hadBefore bool) bool {
 	switch e {
 	case NotWritten:
@@ -80,6 +81,10 @@
 	// Sends counts all of them, PossibleRuns those whose target may have run the request or
 	// may still run it.
 	Sends, PossibleRuns int
+	// RepeatedRefusals counts the refusals of a repeatable request by targets that had it
+	// before. Each may be the repetition of an earlier one, while the target runs the request:
+	// callers are told that it has not run, but it uses up one of the route's attempts.
+	RepeatedRefusals int
 	// BrokenBegins counts the sends whose target ended the connection before the first
 	// event.
 	BrokenBegins int
@@ -88,6 +93,7 @@
 func (c *Counts) add(other Counts) {
 	c.Sends += other.Sends
 	c.PossibleRuns += other.PossibleRuns
+	c.RepeatedRefusals += other.RepeatedRefusals
 	c.BrokenBegins += other.BrokenBegins
 }
 
@@ -120,6 +126,10 @@
 // MayHaveRun reports whether any target may have run the request or may still run it.
 func (s *Sends) MayHaveRun() bool { return s.counts.PossibleRuns > 0 }
 
+// ProvenNotRun reports whether each send is known not to have run, also under the assumption
+// that a target which had the request twice has refused only one send.
+func (s *Sends) ProvenNotRun() bool { return s.counts.PossibleRuns+s.counts.RepeatedRefusals == 0 }
+
 // Begin records a send. Its target may run the request unless End proves the contrary.
 func (s *Sends) Begin(target string) {
 	s.targets = append(s.targets, target)
@@ -133,9 +143,13 @@
 // request.
 func (s *Sends) End(e Evidence) (mayHaveRun bool) {
 	last := len(s.targets) - 1
-	if s.policy.MayHaveRun(e, slices.Contains(s.targets[:last], s.targets[last])) {
+	hadBefore := slices.Contains(s.targets[:last], s.targets[last])
+	if s.policy.MayHaveRun(e, hadBefore) {
 		return true
 	}
+	if e == NamedRefusal && hadBefore {
+		s.counts.RepeatedRefusals++
+	}
 	s.counts.PossibleRuns--
 	s.lastMayHaveRun = false
 	return false
@@ -184,7 +198,7 @@
 		return "may_have_run"
 	case remaining < MinTime:
 		return "no_time"
-	case s.counts.PossibleRuns >= s.policy.MaxAttempts:
+	case s.counts.PossibleRuns+s.counts.RepeatedRefusals >= s.policy.MaxAttempts:
 		return "attempts_used"
 	case s.counts.Sends >= s.policy.MaxAttempts+maxExtraSends:
 		return "sends_used"
--- a/internal/decide/resend/resend_suite_test.go
+++ b/internal/decide/resend/resend_suite_test.go
@@ -92,6 +92,23 @@
 		Entry("not if it may run once", resend.Policy{MaxAttempts: 5}, false),
 	)
 
+	// Guards against more targets than the route's attempts, and against a refund of a run, by a
+	// target that writes its refusal of the first send again on another connection.
+	It("that one target has refused twice counts as one attempt, and is refused to its caller", func() {
+		s := resend.New(resend.Policy{Repeatable: true, MaxAttempts: 1})
+		s.Begin("a")
+		Expect(s.End(resend.NamedRefusal)).To(BeFalse())
+		s.Rejected()
+		Expect(s.ProvenNotRun()).To(BeTrue())
+		Expect(s.MaySendAgain(time.Second)).To(BeTrue())
+		s.Begin("a")
+		Expect(s.End(resend.NamedRefusal)).To(BeFalse())
+		s.Rejected()
+		Expect(s.Stop(time.Second)).To(Equal("attempts_used"))
+		Expect(s.MayHaveRun()).To(BeFalse())
+		Expect(s.ProvenNotRun()).To(BeFalse())
+	})
+
 	// Guards against a request that ends engine after engine because its route allows
 	// many attempts.
 	It("may not be sent again after two targets ended the connection before the first event", func() {
--- a/internal/relay/workspaces.go
+++ b/internal/relay/workspaces.go
@@ -120,7 +120,7 @@
 
 // settleCharge gives back what the request was charged if no target can have run it.
 func (x *callerRequest) settleCharge() {
-	if x.refund != nil && !x.sends.MayHaveRun() {
+	if x.refund != nil && x.sends.ProvenNotRun() {
 		x.refund()
 	}
 }
