telemetry: the fields that identify a line come first

The fields that tell which request, send or reservation a line is about come first in a fixed order, all others by name. Names of fields and texts are the same.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -3,12 +3,14 @@
 package telemetry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,8 +93,26 @@
 
 func (l *Logger) line(text string) string { return l.part + ": " + text }
 
-// lineHandler writes one line per record: time, level, text, fields sorted by
-// name.
+// leadingFields are written first, in this order: a line that is cut short still tells which
+// request, send or reservation it is about, and what became of it.
+var leadingFields = []string{
+	"id", "entry", "number", "send", "target", "connection", "status", "believed", "named", "sent", "evidence", "error", "reason", "route", "sends", "ran", "stop",
+}
+
+// compareFields orders the fields of a line: leadingFields first, then the others by name.
+func compareFields(a, b string) int {
+	return cmp.Or(cmp.Compare(fieldRank(a), fieldRank(b)), strings.Compare(a, b))
+}
+
+func fieldRank(name string) int {
+	if i := slices.Index(leadingFields, name); i >= 0 {
+		return i
+	}
+	return len(leadingFields)
+}
+
+// lineHandler writes one line per record: time, level, text, fields in the order of
+// compareFields.
 type lineHandler struct {
 	mu sync.Mutex
 	w  io.Writer
@@ -112,7 +132,7 @@
 			write = reserving.WriteReserved
 		}
 	}
-	slices.Sort(names)
+	slices.SortFunc(names, compareFields)
 	for _, name := range names {
 		b = append(append(append(b, ' '), name...), '=')
 		b = appendValue(b, e.Fields[name])
--- a/internal/telemetry/reserved_test.go
+++ b/internal/telemetry/reserved_test.go
@@ -35,7 +35,7 @@
 		Expect(w.Dropped()).To(BeNumerically(">", 1000))
 		Expect(w.DroppedReserved()).To(BeZero())
 		for i := range 100 {
-			Expect(out.String()).To(ContainSubstring(fmt.Sprintf(`info  relay: send ended entry="e" id="%d"`+"\n", i)))
+			Expect(out.String()).To(ContainSubstring(fmt.Sprintf(`info  relay: send ended id="%d" entry="e"`+"\n", i)))
 		}
 		Expect(out.String()).To(MatchRegexp(`log: lines were left out count="\d+" kind="ordinary" since="20`))
 		Expect(metrics.String()).To(MatchRegexp(`agate_log_lines_dropped_total\{kind="ordinary"\} [1-9]\d{3}`))
