relay: a refusal after sends has a line and a counter

Cause: of a request that may run once, was sent and was then answered "not run", the answer stood only in `request ended`, an ordinary line that a flood of others drops, and nothing counted how often such a promise rests on evidence of a send.

`relay: refused after a send` is reserved and names, beside id, entry, status and route, each send with target, incarnation, connection and evidence, and whether the answer went out with a length or in chunks: who has only the caller's answer finds the ID, and the sends that counted as not run, in one line. The counter promised_after_send_total{status,evidence} counts these sends.

Without the line there is nothing to find.

--- a/entry/edge/send_record_suite_test.go
+++ b/entry/edge/send_record_suite_test.go
@@ -146,6 +146,29 @@
 			[]string{`send="1"`, `sent="true"`, `error="EOF"`, `believed="may_have_run"`, `again="false"`, `stop="may_have_run"`}),
 	)
 
+	// Guards against a refusal of a request that ran which cannot be found from its answer: its
+	// line was dropped, and no line names the sends that counted as not run.
+	It("has a refusal after sends, with their evidence, although other lines exceed the bound", func() {
+		f := newFleet(0, 0)
+		s := &refusingTargets{refusal: full, refusals: 1000}
+		s.register(f, "raw", 2)
+		f.configure(2, map[string]any{"services": []map[string]any{{"name": "raw"}}},
+			route("call", "/call/", "non_idempotent", "raw", map[string]any{"max_attempts": 2}), route("read", "/read/", "idempotent", "raw", nil))
+		f.start()
+		out, w := floodLog()
+		Eventually(w.Dropped).Should(BeNumerically(">", 50))
+		f.call(context.Background(), 0, "GET", "/read/1", nil, "")
+		a := f.call(context.Background(), 0, "POST", "/call/1", nil, "x")
+		Expect(a.status).To(Equal(503))
+		Expect(a.header.Get("Content-Length")).NotTo(BeEmpty())
+		promised := func() []string { return out.linesWith("relay: refused after a send") }
+		Eventually(promised).Should(HaveLen(1))
+		Expect(promised()[0]).To(MatchRegexp(
+			` id="%s" entry="entry-0" number="\d+" status="503" reason="no_target" route="call" sends="(raw-\d@5#\d+:named_refusal,?){2}" form="length" ms="\d+"`, a.id))
+		Expect(w.DroppedReserved()).To(BeZero())
+		Expect(f.counter(0, `promised_after_send_total{status="503",evidence="named_refusal"}`)).To(Equal("2"))
+	})
+
 	It("has no line of a request that may run again", func() {
 		f := newFleet(0, 0)
 		serve(f, declined)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -128,8 +128,10 @@
 	configVersion int64
 	// buffers holds the responses that were read whole.
 	buffers buffers
-	// sending is the record of the present attempt, nil if it has none.
+	// sendRecord is the record of the present attempt, nil if it has none. pastSends are those
+	// that were logged, of a request that may run once.
 	sendRecord *sendRecord
+	pastSends  []pastSend
 	// grant is the last grant: the target and the load report behind its choice.
 	grant  steering.Grant
 	caller caller
@@ -322,13 +324,14 @@
 func (x *callerRequest) writeRefusal(err error) {
 	refusal := result.From(err)
 	x.h.Metrics.Refused(refusal.Code)
-	header := x.w.Header()
+	header, text := x.w.Header(), refusal.Error()+"\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.h.Dialect.SetRefusalHeaders(header, x.meta.AttemptID, refusal.RetryAfter)
 	status := httpStatus(refusal.Code, x.sends.MayHaveRun())
 	x.w.WriteHeader(status)
-	_, _ = io.WriteString(x.w, refusal.Error()+"\n")
+	_, _ = io.WriteString(x.w, text)
 	x.logEnd(refusal.Code, status)
+	x.recordPromise(refusal.Code, status, len(text))
 }
 
 // writeResponse sends a whole response of a target to the caller.
@@ -351,6 +354,7 @@
 	}
 	x.h.Metrics.Observe("answer_ms", time.Since(x.arrived).Milliseconds())
 	x.logEnd(result.OK, whole.status)
+	x.recordPromise(x.history.lastCode, whole.status, whole.size())
 }
 
 // requestURI returns the path and query as the caller sent them.
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -51,6 +51,14 @@
 	body   [][]byte
 }
 
+// size returns the length of the body.
+func (w *wholeResponse) size() (bytes int) {
+	for _, part := range w.body {
+		bytes += len(part)
+	}
+	return bytes
+}
+
 // refusalCode returns the code of a request that ends without a response from a
 // target. lastCode is that of the last failure. A request that may have run is never
 // reported as not run.
--- a/internal/relay/sendrecord.go
+++ b/internal/relay/sendrecord.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/resend"
+	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/upstream"
 )
@@ -12,16 +15,36 @@
 // maxSendFields is the number of fields of a record, with the one that marks it.
 const maxSendFields = 20
 
+// maxBufferedBody is the length up to which net/http sends a body with Content-Length rather
+// than in chunks.
+const maxBufferedBody = 2048
+
 // sendRecord holds what is logged of one send of a request that may run once.
 type sendRecord struct {
 	// usage is filled by upstream.Pool.Do.
 	usage upstream.Usage
 	// fields are those that are known so far.
 	fields telemetry.Fields
+	// evidence is what the send has left, Inconclusive until recordEvidence.
+	evidence resend.Evidence
 	// answered is true once the whole answer has arrived.
 	answered bool
 }
 
+// pastSend is what recordPromise tells of a send.
+type pastSend struct {
+	target     string
+	startedMS  int64
+	connection uint64
+	evidence   resend.Evidence
+}
+
+// String returns the send in the form TARGET@STARTED#CONNECTION:EVIDENCE. A connection of 0
+// means none.
+func (s pastSend) String() string {
+	return fmt.Sprintf("%s@%d#%d:%s", s.target, s.startedMS, s.connection, s.evidence)
+}
+
 // beginSendRecord begins the record of the present attempt. Repeatable requests have none: two
 // attempts at one may run beside each other.
 func (x *callerRequest) beginSendRecord() {
@@ -69,6 +92,7 @@
 // have run the request.
 func (x *callerRequest) recordEvidence(e resend.Evidence) (mayHaveRun bool) {
 	if x.sendRecord != nil {
+		x.sendRecord.evidence = e
 		x.sendRecord.fields["evidence"] = e.String()
 	}
 	return x.sends.End(e)
@@ -97,6 +121,7 @@
 	if stop != "" {
 		fields["stop"] = stop
 	}
+	x.pastSends = append(x.pastSends, pastSend{x.targetID, x.grant.Target.StartedAtMS, r.usage.Connection, r.evidence})
 	x.h.Log.Record("send ended", fields)
 }
 
@@ -115,6 +140,27 @@
 	return x.sends.Stop(x.remaining())
 }
 
+// recordPromise counts and logs that a caller was told that its request, which may run once,
+// has not run, although it was sent.
+func (x *callerRequest) recordPromise(code result.Code, status, bodyBytes int) {
+	if len(x.pastSends) == 0 || !resend.PromisesNotRun(status) {
+		return
+	}
+	sends := make([]string, len(x.pastSends))
+	for i, s := range x.pastSends {
+		sends[i] = s.String()
+		x.h.Metrics.PromisedAfterSend(status, s.evidence.String())
+	}
+	form := "length"
+	if bodyBytes > maxBufferedBody {
+		form = "chunks"
+	}
+	x.h.Log.Record("refused after a send", telemetry.Fields{
+		"id": x.meta.AttemptID, "entry": x.h.EntryName, "number": x.requestNumber, "status": status, "sends": strings.Join(sends, ","),
+		"reason": code.String(), "route": x.route.Name, "form": form, "ms": time.Since(x.arrived).Milliseconds(),
+	})
+}
+
 // recordSendAgain logs the decision to send a request that may run once to one more target.
 func (x *callerRequest) recordSendAgain() {
 	if x.route.Repeatable() {
--- a/internal/relay/sendrecord_test.go
+++ b/internal/relay/sendrecord_test.go
@@ -59,6 +59,7 @@
 				x.sendRecord.responded(response, Succeeded, true)
 				x.sendRecord.complete()
 				x.logSend(true)
+				x.pastSends = x.pastSends[:0]
 			}
 		})
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -83,6 +83,12 @@
 // NotRetried counts a failed attempt that was not retried, by the reason.
 func (m *Metrics) NotRetried(stop retry.StopReason) { m.counter(notRetriedName(stop)).Inc(1) }
 
+// PromisedAfterSend counts a send of a request that may run once whose caller was told, by a
+// status, that the request has not run. evidence is what the send has left.
+func (m *Metrics) PromisedAfterSend(status int, evidence string) {
+	m.counter(fmt.Sprintf("promised_after_send_total{status=\"%d\",evidence=%q}", status, evidence)).Inc(1)
+}
+
 // Count adds one to the counter with this name and the suffix "_total".
 func (m *Metrics) Count(name string) { m.counter(name + "_total").Inc(1) }
 
