ctl: trace reads excerpts of logs, and finds a request by what is left of its ID

Cause: excerpts have lines without a date, and cut at both ends. trace passed over lines without a date ("no line of request in 0 lines") and said "not sent" of a send whose line had lost its response.

Lines without a date or a time are placed by the line before them. What a cut line has lost is not claimed. A request is also found by ENTRY/NUMBER of a reservation, as lines of target processes name it, and by the begin or end of its ID if only one request has it. The summary has the refusal after the sends.

--- a/internal/ctl/sends.go
+++ b/internal/ctl/sends.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -13,6 +14,7 @@
 // Texts of log lines that the summary of a trace reads.
 const (
 	sendEndedText = "relay: send ended"
+	promisedText  = "relay: refused after a send"
 	leftOutText   = "log: lines were left out"
 )
 
@@ -20,17 +22,31 @@
 // dropped, if the report does not say since when.
 const leftOutInterval = time.Second
 
-// printSends prints a summary of the sends of a request, one line each.
+// printSends prints a summary of the sends of a request, one line each, and what its caller
+// was promised.
 func printSends(cmd *cobra.Command, lines []logLine) {
 	title := "\nsends:\n"
 	for _, l := range lines {
-		if l.text == sendEndedText {
-			printf(cmd, "%s%s\n", title, sendSummary(l.fields))
-			title = ""
+		summary := ""
+		switch l.text {
+		case sendEndedText:
+			summary = sendSummary(l.fields)
+		case promisedText:
+			summary = promiseSummary(l.fields)
+		default:
+			continue
 		}
+		printf(cmd, "%s%s\n", title, summary)
+		title = ""
 	}
 }
 
+// promiseSummary returns one line on the answer to a request that was sent and then refused.
+func promiseSummary(fields map[string]string) string {
+	return fmt.Sprintf("refused by %s with %s (%s, body with %s) after the sends %s", fields["entry"], fields["status"],
+		fields["reason"], fields["form"], strings.ReplaceAll(fields["sends"], ",", ", "))
+}
+
 // leftOut is the number of lines of one kind that a process left out.
 type leftOut struct {
 	source, kind string
@@ -64,16 +80,20 @@
 	}
 }
 
-// sendSummary returns one line with the fields of a send.
+// sendSummary returns one line with the fields of a send. It claims nothing of fields that a
+// line has lost because it was cut short.
 func sendSummary(fields map[string]string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s from %s to %s", fields["send"], fields["entry"], fields["target"])
+	fmt.Fprintf(&b, "%s from %s to %s", cmp.Or(fields["send"], "?"), cmp.Or(fields["entry"], "?"), cmp.Or(fields["target"], "?"))
 	if started := fields["target_started_ms"]; started != "" && started != "0" {
 		fmt.Fprintf(&b, " (started %s)", started)
 	}
 	switch {
+	case fields["connection"] == "" && fields["sent"] == "" && fields["evidence"] == "":
 	case fields["connection"] == "":
 		b.WriteString(", no connection")
+	case fields["kept"] == "":
+		fmt.Fprintf(&b, ", connection %s", fields["connection"])
 	case fields["kept"] == "true":
 		fmt.Fprintf(&b, ", kept connection %s after %s requests", fields["connection"], fields["carried"])
 	default:
@@ -81,24 +101,32 @@
 	}
 	switch {
 	case fields["status"] != "":
-		named := "names the request"
-		if fields["named"] != "true" {
-			named = "does not name the request"
+		fmt.Fprintf(&b, ": %s", strings.TrimSpace(fields["status"]+" "+fields["response"]))
+		switch fields["named"] {
+		case "":
+		case "true":
+			b.WriteString(", names the request")
+		default:
+			b.WriteString(", does not name the request")
 		}
-		fmt.Fprintf(&b, ": %s %s, %s", fields["status"], fields["response"], named)
 	case fields["error"] != "":
 		sent := "maybe sent"
 		if fields["sent"] != "true" {
 			sent = "not sent"
 		}
 		fmt.Fprintf(&b, ": %s, %s", fields["error"], sent)
-	default:
+	case fields["evidence"] == "not_written":
 		b.WriteString(": not sent")
+	default:
+		b.WriteString(": response not in the line")
+	}
+	if believed := fields["believed"]; believed != "" {
+		fmt.Fprintf(&b, "; believed %s", believed)
 	}
-	fmt.Fprintf(&b, "; believed %s", fields["believed"])
 	switch stop := fields["stop"]; {
 	case fields["again"] == "true":
 		b.WriteString(", may be sent again")
+	case stop == "":
 	case stop == fields["believed"]:
 		b.WriteString(", not sent again")
 	default:
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -25,33 +26,48 @@
 	source string
 }
 
-// A line may have words before its time, such as the name of its VM.
+// A line may have words before its time, such as the name of its VM. In excerpts of logs the date,
+// or the begin or the end of a line, may be missing.
 var (
-	logLinePattern  = regexp.MustCompile(`(\d{4}-\d\d-\d\dT[0-9:.]+Z)\s+(debug|info|warn|error|fatal)\s+(.*)$`)
+	logLinePattern  = regexp.MustCompile(`(?:(\d{4}-\d\d-\d\d)T)?(\d\d:\d\d:\d\d(?:\.\d+)?)Z?\s+(?:debug|info|warn|error|fatal)\s+(.*)$`)
+	cutLinePattern  = regexp.MustCompile(`(?:\b(?:debug|info|warn|error|fatal)\s+)?(\w+: .*)$`)
 	logFieldPattern = regexp.MustCompile(`(\w+)="((?:[^"\\]|\\.)*)"`)
 )
 
 // maxLogLineBytes is the largest length of a log line.
 const maxLogLineBytes = 64 << 10
 
-// parseLog parses one line of a file. It returns false for a line in another format.
-func parseLog(path, raw string) (logLine, bool) {
-	m := logLinePattern.FindStringSubmatch(raw)
-	if m == nil {
-		return logLine{}, false
+// parseLog parses one line of a file. It returns false for a line in another format. A line
+// without a time has that of the line before it, a time without a date the date of that line.
+func parseLog(path, raw string, before time.Time) (logLine, bool) {
+	line := logLine{time: before, fields: make(map[string]string), raw: raw, source: path}
+	rest, hasTime := "", false
+	if m := logLinePattern.FindStringSubmatch(raw); m != nil {
+		date := m[1]
+		if date == "" {
+			date = before.Format(time.DateOnly)
+		}
+		at, err := time.Parse(time.RFC3339Nano, date+"T"+m[2]+"Z")
+		if err != nil {
+			return logLine{}, false
+		}
+		line.time, rest, hasTime = at, m[3], true
+		if words := strings.Fields(raw[:strings.Index(raw, m[0])]); m[1] != "" && len(words) > 0 {
+			line.source += " " + words[len(words)-1]
+		}
+	} else if m := cutLinePattern.FindStringSubmatch(raw); m != nil {
+		rest = m[1]
 	}
-	at, err := time.Parse(time.RFC3339Nano, m[1])
-	if err != nil {
+	first := logFieldPattern.FindStringIndex(rest)
+	switch {
+	case first != nil:
+		line.text = strings.TrimSpace(rest[:first[0]])
+	case hasTime:
+		line.text = strings.TrimSpace(rest)
+	default:
 		return logLine{}, false
 	}
-	line := logLine{time: at, text: m[3], fields: make(map[string]string), raw: raw, source: path}
-	if words := strings.Fields(raw[:strings.Index(raw, m[0])]); len(words) > 0 {
-		line.source += " " + words[len(words)-1]
-	}
-	if first := logFieldPattern.FindStringIndex(m[3]); first != nil {
-		line.text = strings.TrimSpace(m[3][:first[0]])
-	}
-	for _, f := range logFieldPattern.FindAllStringSubmatch(m[3], -1) {
+	for _, f := range logFieldPattern.FindAllStringSubmatch(rest, -1) {
 		line.fields[f[1]] = f[2]
 	}
 	return line, true
@@ -71,21 +87,68 @@
 			return nil, fmt.Errorf("%s: %w", path, err)
 		}
 	}
+	dateLines(lines)
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.time.Compare(b.time) })
 	return lines, nil
 }
 
+// dateLines gives lines without a date the first date that another line has.
+func dateLines(lines []logLine) {
+	dated := slices.IndexFunc(lines, func(l logLine) bool { return !l.undated() })
+	if dated < 0 {
+		return
+	}
+	day := lines[dated].time.Truncate(24 * time.Hour)
+	for i, l := range lines {
+		if l.undated() {
+			lines[i].time = day.Add(l.time.Sub(time.Time{}))
+		}
+	}
+}
+
+// undated reports whether neither the line nor one before it in its file has a date.
+func (l logLine) undated() bool { return l.time.Year() <= 1 }
+
 func scanLog(path string, r io.Reader, lines *[]logLine) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 4096), maxLogLineBytes)
+	var before time.Time
 	for scanner.Scan() {
-		if line, ok := parseLog(path, scanner.Text()); ok {
-			*lines = append(*lines, line)
+		if line, ok := parseLog(path, scanner.Text(), before); ok {
+			*lines, before = append(*lines, line), line.time
 		}
 	}
 	return scanner.Err()
 }
 
+// minIDPart is the shortest part of an ID by which requestID finds a request.
+const minIDPart = 6
+
+// requestID returns the ID of the request that name stands for: an ID, the entry and number of
+// one of its reservations in the form ENTRY/NUMBER, or the begin or end of an ID that no other
+// request has. It returns name if there is no such request.
+func requestID(lines []logLine, name string) string {
+	entry, number, isReservation := strings.Cut(name, "/")
+	found := ""
+	for _, l := range lines {
+		id := l.fields["id"]
+		switch {
+		case id == "" || id == found:
+			continue
+		case id == name:
+			return name
+		case isReservation && l.fields["entry"] == entry && l.fields["number"] == number:
+			return id
+		case len(name) < minIDPart || !strings.HasPrefix(id, name) && !strings.HasSuffix(id, name):
+			continue
+		case found != "":
+			return name
+		}
+		found = id
+	}
+	return cmp.Or(found, name)
+}
+
 // requestLines returns the lines of one request: those with its id, and lines of
 // target processes with the entry and reservation number of one of the former.
 // Lines of target processes have no request id. A reservation number is unique only
@@ -111,17 +174,19 @@
 		Use:   "trace ID FILE...",
 		Short: "Print the log lines of one request from all processes, in order",
 		Long: "trace prints the lines of one request and those of the quarantine that belong to it: crashes of\n" +
-			"its targets, and verdicts on its parts. ID may also be a part of prompts. A summary of the sends\n" +
-			"of a request that may run once follows, and the number of lines that processes left out during\n" +
-			"the request.\n\n" + exitText,
+			"its targets, and verdicts on its parts. ID may also be ENTRY/NUMBER of a reservation, the begin or\n" +
+			"end of an ID, a part of prompts or a digest. A summary of the sends of a request that may run once\n" +
+			"follows, and the number of lines that processes left out during the request. The files may be\n" +
+			"excerpts, with lines that are cut short or have no date.\n\n" + exitText,
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			lines, err := readLogs(args[1:])
 			if err != nil {
 				return unreadableError(err)
 			}
-			ofRequest := requestLines(lines, args[0])
-			matched := withQuarantine(lines, ofRequest, args[0])
+			id := requestID(lines, args[0])
+			ofRequest := requestLines(lines, id)
+			matched := withQuarantine(lines, ofRequest, id)
 			if len(matched) == 0 {
 				printLeftOut(cmd, lines)
 				return &failure{ExitFaults, []error{fmt.Errorf("no line of request %s in %d lines", args[0], len(lines))}}
