telemetry: a flood of one kind of line leaves room for the others

Cause: all ordinary lines of a process share 300 lines and 96 KB a second. Target processes write a line for each reservation that they refuse, hundreds a second in a crowd, so that changes of state in the same second (`target gone`, `the engine does not answer`) were dropped, and the report of dropped lines did not tell which: a missing line could not be told from one that was never written.

Lines of one text have at most three quarters of the ordinary budget. The report names the four texts that were dropped most, with their counts (`texts`).

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -1,8 +1,12 @@
 package telemetry
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +22,13 @@
 	// ReservedLinesPerSecond and ReservedBytesPerSecond bound its reserved lines.
 	ReservedLinesPerSecond = 300
 	ReservedBytesPerSecond = 192 << 10
+	// One text may use textShareNum/textShareDen of the budget of ordinary lines, so that a flood
+	// of one kind of line leaves room for the others.
+	textShareNum, textShareDen = 3, 4
+	// maxCountedTexts bounds the texts of dropped lines that are counted one by one, and
+	// maxReportedTexts those that a report names.
+	maxCountedTexts  = 32
+	maxReportedTexts = 4
 	// maxQueuedLines bounds the lines of each class that wait for a stalled underlying
 	// writer.
 	maxQueuedLines = 1024
@@ -29,6 +40,8 @@
 type lineClass struct {
 	name   string
 	budget Budget
+	// perText is the budget of the lines of one text.
+	perText Budget
 	// queued counts the lines in the queue.
 	queued atomic.Int64
 	// dropped counts all dropped lines.
@@ -39,29 +52,45 @@
 	// the first of them was dropped.
 	unreported   int
 	firstDropped time.Time
+	// droppedTexts counts them by text. Lines without a text are not in it.
+	droppedTexts map[string]int
 	// windowStart is the start of the current second of the budget.
 	windowStart time.Time
-	usedLines   int
-	usedBytes   int
+	used        Budget
+	usedByText  map[string]Budget
 }
 
-// admit reports whether a line of this size is within the budget of the current
-// second, and takes it from the budget if so.
-func (c *lineClass) admit(size int, now time.Time) bool {
+func newLineClass(name string, budget, perText Budget) lineClass {
+	return lineClass{name: name, budget: budget, perText: perText, droppedTexts: make(map[string]int), usedByText: make(map[string]Budget)}
+}
+
+// plus returns the budget used after a line of a size.
+func (b Budget) plus(size int) Budget { return Budget{b.Lines + 1, b.Bytes + size} }
+
+// within reports whether b exceeds max in nothing.
+func (b Budget) within(max Budget) bool { return b.Lines <= max.Lines && b.Bytes <= max.Bytes }
+
+// admit reports whether a line with a text, empty if it has none, is within the budgets of the
+// current second, and takes it from them if so.
+func (c *lineClass) admit(text string, size int, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.windowStart) >= time.Second {
-		c.windowStart, c.usedLines, c.usedBytes = now, 0, 0
+		c.windowStart, c.used = now, Budget{}
+		clear(c.usedByText)
 	}
-	if c.usedLines >= c.budget.Lines || c.usedBytes+size > c.budget.Bytes {
+	used, usedByText := c.used.plus(size), c.usedByText[text].plus(size)
+	if !used.within(c.budget) || text != "" && !usedByText.within(c.perText) {
 		return false
 	}
-	c.usedLines++
-	c.usedBytes += size
+	c.used = used
+	if text != "" {
+		c.usedByText[text] = usedByText
+	}
 	return true
 }
 
-func (c *lineClass) drop(now time.Time) {
+func (c *lineClass) drop(text string, now time.Time) {
 	c.dropped.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,20 +98,40 @@
 		c.firstDropped = now
 	}
 	c.unreported++
+	if _, counted := c.droppedTexts[text]; text != "" && (counted || len(c.droppedTexts) < maxCountedTexts) {
+		c.droppedTexts[text]++
+	}
+}
+
+// takeDroppedTexts returns a field with the texts that were dropped most and their counts, empty
+// if there are none, and forgets all. c.mu must be held.
+func (c *lineClass) takeDroppedTexts() string {
+	if len(c.droppedTexts) == 0 {
+		return ""
+	}
+	texts := slices.SortedFunc(maps.Keys(c.droppedTexts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.droppedTexts[b], c.droppedTexts[a]), strings.Compare(a, b))
+	})
+	texts = texts[:min(len(texts), maxReportedTexts)]
+	for i, text := range texts {
+		texts[i] = fmt.Sprintf("%s %d", text, c.droppedTexts[text])
+	}
+	clear(c.droppedTexts)
+	return fmt.Sprintf(" texts=%q", strings.Join(texts, " | "))
 }
 
 // report writes a line with the number of lines dropped since the last report, if
 // there are any.
 func (c *lineClass) report(w io.Writer, now time.Time) {
 	c.mu.Lock()
-	n, since := c.unreported, c.firstDropped
+	n, since, texts := c.unreported, c.firstDropped, c.takeDroppedTexts()
 	c.unreported = 0
 	c.mu.Unlock()
 	if n == 0 {
 		return
 	}
-	_, _ = fmt.Fprintf(w, "%s warn  log: lines were left out count=\"%d\" kind=%q since=%q\n",
-		now.UTC().Format(time.RFC3339Nano), n, c.name, since.UTC().Format(time.RFC3339Nano))
+	_, _ = fmt.Fprintf(w, "%s warn  log: lines were left out count=\"%d\" kind=%q since=%q%s\n",
+		now.UTC().Format(time.RFC3339Nano), n, c.name, since.UTC().Format(time.RFC3339Nano), texts)
 }
 
 // queuedLine is a line that waits for the underlying writer.
@@ -91,8 +140,8 @@
 	text  []byte
 }
 
-// BoundedWriter writes lines to an underlying writer in the background. Write and
-// WriteReserved never block: lines over the budget of a second, and lines that do not
+// BoundedWriter writes lines to an underlying writer in the background. Its methods never
+// block: lines over the budget of a second, and lines that do not
 // fit into the queue while the underlying writer stalls, are dropped and counted.
 // Ordinary and reserved lines take nothing from each other's budget and queue. It is
 // safe for concurrent use.
@@ -113,28 +162,39 @@
 
 // NewReservingWriter returns a writer to w with a budget for each class of lines.
 func NewReservingWriter(w io.Writer, ordinary, reserved Budget) *BoundedWriter {
-	b := &BoundedWriter{queue: make(chan queuedLine, 2*maxQueuedLines), now: time.Now, stop: make(chan struct{}), done: make(chan struct{})}
-	b.ordinary.name, b.ordinary.budget = "ordinary", ordinary
-	b.reserved.name, b.reserved.budget = "reserved", reserved
+	perText := Budget{ordinary.Lines * textShareNum / textShareDen, ordinary.Bytes * textShareNum / textShareDen}
+	b := &BoundedWriter{
+		ordinary: newLineClass("ordinary", ordinary, perText), reserved: newLineClass("reserved", reserved, reserved),
+		queue: make(chan queuedLine, 2*maxQueuedLines), now: time.Now, stop: make(chan struct{}), done: make(chan struct{}),
+	}
 	go b.run(w)
 	return b
 }
 
-// Write implements io.Writer; line is one ordinary log line. It never fails.
-func (b *BoundedWriter) Write(line []byte) (int, error) { return b.write(&b.ordinary, line) }
+// Write implements io.Writer; line is one ordinary log line without a known text. It never
+// fails.
+func (b *BoundedWriter) Write(line []byte) (int, error) { return b.write(&b.ordinary, "", line) }
+
+// WriteText writes an ordinary line. Lines with the same text share a part of the budget. It
+// never fails.
+func (b *BoundedWriter) WriteText(text string, line []byte) (int, error) {
+	return b.write(&b.ordinary, text, line)
+}
 
 // WriteReserved writes a reserved line. It never fails.
-func (b *BoundedWriter) WriteReserved(line []byte) (int, error) { return b.write(&b.reserved, line) }
+func (b *BoundedWriter) WriteReserved(line []byte) (int, error) {
+	return b.write(&b.reserved, "", line)
+}
 
-func (b *BoundedWriter) write(class *lineClass, line []byte) (int, error) {
+func (b *BoundedWriter) write(class *lineClass, text string, line []byte) (int, error) {
 	now := b.now()
-	if !class.admit(len(line), now) {
-		class.drop(now)
+	if !class.admit(text, len(line), now) {
+		class.drop(text, now)
 		return len(line), nil
 	}
 	if class.queued.Add(1) > maxQueuedLines {
 		class.queued.Add(-1)
-		class.drop(now)
+		class.drop(text, now)
 		return len(line), nil
 	}
 	b.queue <- queuedLine{class, append([]byte(nil), line...)}
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -75,4 +75,42 @@
 		w.Close(time.Second)
 		Expect(strings.Count(out.String(), "0123456789012345678")).To(Equal(2))
 	})
+
+	// Guards against a change of state that is missing in the log because reservations were
+	// refused in a crowd, and against a missing line that is taken for one that was not written.
+	It("leaves room for other lines beside a flood of one kind, and tells which it dropped", func() {
+		out := &buffer{}
+		w := telemetry.NewBoundedWriter(out, telemetry.LinesPerSecond, telemetry.BytesPerSecond)
+		Expect(telemetry.SetupLogs(w, "info")).To(Succeed())
+		defer func() { Expect(telemetry.SetupLogs(GinkgoWriter, "info")).To(Succeed()) }()
+		core, broker := telemetry.For("core"), telemetry.For("broker")
+		for i := range 1500 {
+			core.With("number", i).Info("reservation refused")
+			if i%25 == 24 {
+				broker.With("name", fmt.Sprint("i-", i)).Info("target gone")
+			}
+		}
+		w.Close(time.Second)
+		Expect(strings.Count(out.String(), "broker: target gone")).To(Equal(60))
+		Expect(strings.Count(out.String(), "core: reservation refused number")).To(BeNumerically("<=", 2*telemetry.LinesPerSecond))
+		Expect(out.String()).To(MatchRegexp(`lines were left out count="(\d+)" kind="ordinary" since="[^"]+" texts="core: reservation refused \d+"`))
+	})
+
+	DescribeTable("bounds the lines of one text", func(lines, bytes, want int) {
+		out := &buffer{}
+		w := telemetry.NewBoundedWriter(out, lines, bytes)
+		for range 50 {
+			_, _ = w.WriteText("a", []byte("a 12345678\n"))
+		}
+		for range 50 {
+			_, _ = w.WriteText("b", []byte("b 12345678\n"))
+		}
+		w.Close(time.Second)
+		Expect(strings.Count(out.String(), "a 1")).To(Equal(want))
+		Expect(strings.Count(out.String(), "b 1")).To(Equal(min(lines, bytes/11) - want))
+		Expect(out.String()).To(ContainSubstring(fmt.Sprintf(`texts="b %d | a %d"`, 50-min(lines, bytes/11)+want, 50-want)))
+	},
+		Entry("to three quarters of the lines", 20, 1<<20, 15),
+		Entry("to three quarters of the bytes", 1000, 220, 15),
+	)
 })
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -37,6 +37,11 @@
 	WriteReserved(line []byte) (int, error)
 }
 
+// textWriter is implemented by writers that bound the lines of one text.
+type textWriter interface {
+	WriteText(text string, line []byte) (int, error)
+}
+
 // boundedLog is the writer of SetupLogs, nil if that drops no lines.
 var boundedLog atomic.Pointer[BoundedWriter]
 
@@ -125,6 +130,9 @@
 	b = fmt.Appendf(b, " %-5s %s", e.Level, e.Message)
 	names := make([]string, 0, len(e.Fields))
 	write := h.w.Write
+	if w, ok := h.w.(textWriter); ok {
+		write = func(line []byte) (int, error) { return w.WriteText(e.Message, line) }
+	}
 	for name := range e.Fields {
 		if name != reservedField {
 			names = append(names, name)
