ctl: trace names the kinds of lines that processes left out

Cause: who traces a request saw how many lines were left out meanwhile and not which, so that any line could be among them. The counts by text of the reports are added up behind each process's total. The new spec failed before, as the texts were not printed, and passes.

--- a/internal/ctl/sends.go
+++ b/internal/ctl/sends.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -52,6 +53,32 @@
 	source, kind string
 	count        int
 	since, until time.Time
+	// texts counts the lines by text, as far as the reports tell.
+	texts map[string]int
+}
+
+// addTexts adds the counts of a report, which have the form "TEXT COUNT | TEXT COUNT".
+func (o *leftOut) addTexts(report string) {
+	for _, counted := range strings.Split(report, " | ") {
+		i := strings.LastIndex(counted, " ")
+		if n, err := strconv.Atoi(counted[i+1:]); err == nil && i > 0 {
+			o.texts[counted[:i]] += n
+		}
+	}
+}
+
+// mostTexts returns the texts and their counts, the most frequent ones first.
+func (o *leftOut) mostTexts() string {
+	if len(o.texts) == 0 {
+		return ""
+	}
+	texts := slices.SortedFunc(maps.Keys(o.texts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(o.texts[b], o.texts[a]), strings.Compare(a, b))
+	})
+	for i, text := range texts {
+		texts[i] = fmt.Sprintf("%d %s", o.texts[text], text)
+	}
+	return " (" + strings.Join(texts, ", ") + ")"
 }
 
 // printLeftOut prints how many lines processes left out according to some lines, so that a
@@ -68,15 +95,16 @@
 		}
 		i := slices.IndexFunc(all, func(o leftOut) bool { return o.source == l.source && o.kind == kind })
 		if i < 0 {
-			i, all = len(all), append(all, leftOut{source: l.source, kind: kind, since: leftOutSince(l)})
+			i, all = len(all), append(all, leftOut{source: l.source, kind: kind, since: leftOutSince(l), texts: make(map[string]int)})
 		}
 		// A count that cannot be read still tells that lines are missing.
 		n, _ := strconv.Atoi(l.fields["count"])
 		all[i].count += n
 		all[i].until = l.time
+		all[i].addTexts(l.fields["texts"])
 	}
 	for _, o := range all {
-		printf(cmd, "%s: left out %d %s lines from %s to %s\n", o.source, o.count, o.kind, o.since.Format(time.RFC3339Nano), o.until.Format(time.RFC3339Nano))
+		printf(cmd, "%s: left out %d %s lines from %s to %s%s\n", o.source, o.count, o.kind, o.since.Format(time.RFC3339Nano), o.until.Format(time.RFC3339Nano), o.mostTexts())
 	}
 }
 
--- a/internal/ctl/sends_test.go
+++ b/internal/ctl/sends_test.go
@@ -60,6 +60,18 @@
 		Expect(lines).To(ContainElement(entry + ": left out 2 reserved lines from 2026-08-19T21:16:17.45Z to 2026-08-19T21:16:17.6Z"))
 	})
 
+	// Guards against a line that was never written and is taken for one that was dropped.
+	It("prints the texts that were left out", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "target.log")
+		Expect(os.WriteFile(path, []byte(`2026-08-19T21:16:17Z info  core: line id="a1"
+2026-08-19T21:16:17.1Z warn  log: lines were left out count="9" kind="ordinary" since="2026-08-19T21:16:16.9Z" texts="core: order given 6 | relay: sent, and left 3"
+2026-08-19T21:16:17.2Z warn  log: lines were left out count="5" kind="ordinary" since="2026-08-19T21:16:16.9Z" texts="core: reservation refused 4"
+`), 0o600)).To(Succeed())
+		var out, errs bytes.Buffer
+		Expect(ctl.Run(nil, []string{"trace", "a1", path}, &out, &errs)).To(Equal(ctl.ExitOK))
+		Expect(out.String()).To(ContainSubstring("left out 14 ordinary lines from 2026-08-19T21:16:16.9Z to 2026-08-19T21:16:17.2Z (6 core: order given, 4 core: reservation refused, 3 relay: sent, and left)"))
+	})
+
 	It("prints all that was left out if no line has the id", func() {
 		code, lines := run("zz")
 		Expect(code).To(Equal(ctl.ExitFaults))
