--- a/internal/ctl/sends.go
+++ b/internal/ctl/sends.go
@@ -1,7 +1,9 @@
 package ctl
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +15,7 @@
 // Texts of log lines that the summary of a trace reads.
 const (
 	sendEndedText = "relay: send ended"
+	promisedText  = "relay: refused after a send"
 	leftOutText   = "log: lines were left out"
 )
 
@@ -20,22 +23,62 @@
 // dropped, if the report does not say since when.
 const leftOutInterval = time.Second
 
-// printSends prints a summary of the sends of a request, one line each.
+// printSends prints a summary of the sends of a request, one line each, and what its caller
+// was promised.
 func printSends(cmd *cobra.Command, lines []logLine) {
 	title := "\nsends:\n"
 	for _, l := range lines {
-		if l.text == sendEndedText {
-			printf(cmd, "%s%s\n", title, sendSummary(l.fields))
-			title = ""
+		summary := ""
+		switch l.text {
+		case sendEndedText:
+			summary = sendSummary(l.fields)
+		case promisedText:
+			summary = promiseSummary(l.fields)
+		default:
+			continue
 		}
+		printf(cmd, "%s%s\n", title, summary)
+		title = ""
 	}
 }
 
+// promiseSummary returns one line on the answer to a request that was sent and then refused.
+func promiseSummary(fields map[string]string) string {
+	return fmt.Sprintf("refused by %s with %s (%s, body with %s) after the sends %s", fields["entry"], fields["status"],
+		fields["reason"], fields["form"], strings.ReplaceAll(fields["sends"], ",", ", "))
+}
+
 // leftOut is the number of lines of one kind that a process left out.
 type leftOut struct {
 	source, kind string
 	count        int
 	since, until time.Time
+	// texts counts the lines by text, as far as the reports tell.
+	texts map[string]int
+}
+
+// addTexts adds the counts of a report, which have the form "TEXT COUNT | TEXT COUNT".
+func (o *leftOut) addTexts(report string) {
+	for _, counted := range strings.Split(report, " | ") {
+		i := strings.LastIndex(counted, " ")
+		if n, err := strconv.Atoi(counted[i+1:]); err == nil && i > 0 {
+			o.texts[counted[:i]] += n
+		}
+	}
+}
+
+// mostTexts returns the texts and their counts, the most frequent ones first.
+func (o *leftOut) mostTexts() string {
+	if len(o.texts) == 0 {
+		return ""
+	}
+	texts := slices.SortedFunc(maps.Keys(o.texts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(o.texts[b], o.texts[a]), strings.Compare(a, b))
+	})
+	for i, text := range texts {
+		texts[i] = fmt.Sprintf("%d %s", o.texts[text], text)
+	}
+	return " (" + strings.Join(texts, ", ") + ")"
 }
 
 // printLeftOut prints how many lines processes left out according to some lines, so that a
@@ -52,28 +95,33 @@
 		}
 		i := slices.IndexFunc(all, func(o leftOut) bool { return o.source == l.source && o.kind == kind })
 		if i < 0 {
-			i, all = len(all), append(all, leftOut{source: l.source, kind: kind, since: leftOutSince(l)})
+			i, all = len(all), append(all, leftOut{source: l.source, kind: kind, since: leftOutSince(l), texts: make(map[string]int)})
 		}
 		// A count that cannot be read still tells that lines are missing.
 		n, _ := strconv.Atoi(l.fields["count"])
 		all[i].count += n
 		all[i].until = l.time
+		all[i].addTexts(l.fields["texts"])
 	}
 	for _, o := range all {
-		printf(cmd, "%s: left out %d %s lines from %s to %s\n", o.source, o.count, o.kind, o.since.Format(time.RFC3339Nano), o.until.Format(time.RFC3339Nano))
+		printf(cmd, "%s: left out %d %s lines from %s to %s%s\n", o.source, o.count, o.kind, o.since.Format(time.RFC3339Nano), o.until.Format(time.RFC3339Nano), o.mostTexts())
 	}
 }
 
-// sendSummary returns one line with the fields of a send.
+// sendSummary returns one line with the fields of a send. It claims nothing of fields that a
+// line has lost because it was cut short.
 func sendSummary(fields map[string]string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s from %s to %s", fields["send"], fields["entry"], fields["target"])
+	fmt.Fprintf(&b, "%s from %s to %s", cmp.Or(fields["send"], "?"), cmp.Or(fields["entry"], "?"), cmp.Or(fields["target"], "?"))
 	if started := fields["target_started_ms"]; started != "" && started != "0" {
 		fmt.Fprintf(&b, " (started %s)", started)
 	}
 	switch {
+	case fields["connection"] == "" && fields["sent"] == "" && fields["evidence"] == "":
 	case fields["connection"] == "":
 		b.WriteString(", no connection")
+	case fields["kept"] == "":
+		fmt.Fprintf(&b, ", connection %s", fields["connection"])
 	case fields["kept"] == "true":
 		fmt.Fprintf(&b, ", kept connection %s after %s requests", fields["connection"], fields["carried"])
 	default:
@@ -81,24 +129,32 @@
 	}
 	switch {
 	case fields["status"] != "":
-		named := "names the request"
-		if fields["named"] != "true" {
-			named = "does not name the request"
+		fmt.Fprintf(&b, ": %s", strings.TrimSpace(fields["status"]+" "+fields["response"]))
+		switch fields["named"] {
+		case "":
+		case "true":
+			b.WriteString(", names the request")
+		default:
+			b.WriteString(", does not name the request")
 		}
-		fmt.Fprintf(&b, ": %s %s, %s", fields["status"], fields["response"], named)
 	case fields["error"] != "":
 		sent := "maybe sent"
 		if fields["sent"] != "true" {
 			sent = "not sent"
 		}
 		fmt.Fprintf(&b, ": %s, %s", fields["error"], sent)
-	default:
+	case fields["evidence"] == "not_written":
 		b.WriteString(": not sent")
+	default:
+		b.WriteString(": response not in the line")
+	}
+	if believed := fields["believed"]; believed != "" {
+		fmt.Fprintf(&b, "; believed %s", believed)
 	}
-	fmt.Fprintf(&b, "; believed %s", fields["believed"])
 	switch stop := fields["stop"]; {
 	case fields["again"] == "true":
 		b.WriteString(", may be sent again")
+	case stop == "":
 	case stop == fields["believed"]:
 		b.WriteString(", not sent again")
 	default:
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -3,12 +3,14 @@
 package telemetry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +37,11 @@
 	WriteReserved(line []byte) (int, error)
 }
 
+// textWriter is implemented by writers that bound the lines of one text.
+type textWriter interface {
+	WriteText(text string, line []byte) (int, error)
+}
+
 // boundedLog is the writer of SetupLogs, nil if that drops no lines.
 var boundedLog atomic.Pointer[BoundedWriter]
 
@@ -91,8 +98,26 @@
 
 func (l *Logger) line(text string) string { return l.part + ": " + text }
 
-// lineHandler writes one line per record: time, level, text, fields sorted by
-// name.
+// leadingFields are written first, in this order: a line that is cut short still tells which
+// request, send or reservation it is about, and what became of it.
+var leadingFields = []string{
+	"id", "entry", "number", "send", "target", "connection", "status", "believed", "named", "sent", "evidence", "error", "reason", "route", "sends", "ran", "stop",
+}
+
+// compareFields orders the fields of a line: leadingFields first, then the others by name.
+func compareFields(a, b string) int {
+	return cmp.Or(cmp.Compare(fieldRank(a), fieldRank(b)), strings.Compare(a, b))
+}
+
+func fieldRank(name string) int {
+	if i := slices.Index(leadingFields, name); i >= 0 {
+		return i
+	}
+	return len(leadingFields)
+}
+
+// lineHandler writes one line per record: time, level, text, fields in the order of
+// compareFields.
 type lineHandler struct {
 	mu sync.Mutex
 	w  io.Writer
@@ -105,6 +130,9 @@
 	b = fmt.Appendf(b, " %-5s %s", e.Level, e.Message)
 	names := make([]string, 0, len(e.Fields))
 	write := h.w.Write
+	if w, ok := h.w.(textWriter); ok {
+		write = func(line []byte) (int, error) { return w.WriteText(e.Message, line) }
+	}
 	for name := range e.Fields {
 		if name != reservedField {
 			names = append(names, name)
@@ -112,7 +140,7 @@
 			write = reserving.WriteReserved
 		}
 	}
-	slices.Sort(names)
+	slices.SortFunc(names, compareFields)
 	for _, name := range names {
 		b = append(append(append(b, ' '), name...), '=')
 		b = appendValue(b, e.Fields[name])
