relay, resend: a request is repeated only while the newest configuration allows it, too

Cause: a request kept the kind that its route had when it arrived. If a newer configuration made the route one that may run once (non_idempotent, or a stream that is not resumable), the request was sent again, replaced beside a silent target, or continued by the older kind.

Callers saw: a request ran twice on a route that is not idempotent any more (TWICE), and a 503 of its target was passed on although that is a promise for such a route (REFUSED).

The reverse change held before.

Fix: the kind in force is looked up after each failed send, after the wait for the next target and before a silent target is replaced. ForbidRepeats turns the request into one that may run once, with the sends so far; a wait that ends with a target which must not get it any more ends the request. Requests that arrived as non_idempotent stay so.

Cost: a request under way in such a change ends with 502, or its stream is broken off, if its target fails.

--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -120,6 +120,13 @@
 // Policy returns the policy of the request.
 func (s *Sends) Policy() Policy { return s.policy }
 
+// ForbidRepeats makes the request one that may run once.
+func (s *Sends) ForbidRepeats() {
+	s.policy.Repeatable = false
+	s.counts.PossibleRuns += s.counts.RepeatedRefusals
+	s.counts.RepeatedRefusals = 0
+}
+
 // Counts returns the counts of all sends.
 func (s *Sends) Counts() Counts { return s.counts }
 
@@ -187,6 +194,12 @@
 	return s.rejectedBy
 }
 
+// MaySendTo reports whether a target that was granted after a wait may get the request, under a
+// policy that may have changed meanwhile.
+func (s *Sends) MaySendTo(target string) bool {
+	return s.policy.Repeatable || !s.MayHaveRun() && !slices.Contains(s.targets, target)
+}
+
 // MaySendAgain reports whether a request may go to another target after its last send. It
 // does not check the retry budget.
 func (s *Sends) MaySendAgain(remaining time.Duration) bool { return s.Stop(remaining) == "" }
--- a/internal/decide/resend/resend_suite_test.go
+++ b/internal/decide/resend/resend_suite_test.go
@@ -109,6 +109,32 @@
 		Expect(s.ProvenNotRun()).To(BeFalse())
 	})
 
+	// Guards against a second run of a request whose route has become one that may run once.
+	DescribeTable("that no longer may run again", func(prepare func(s *resend.Sends), again bool, toFirst, toOther bool) {
+		s := resend.New(resend.Policy{Repeatable: true, MaxAttempts: 5})
+		s.Begin("a")
+		prepare(&s)
+		s.ForbidRepeats()
+		Expect(s.MaySendAgain(time.Second)).To(Equal(again))
+		Expect(s.MayHaveRun()).To(Equal(!again))
+		Expect(s.MaySendTo("a")).To(Equal(toFirst))
+		Expect(s.MaySendTo("b")).To(Equal(toOther))
+		Expect(s.Returnable()).To(BeEmpty())
+		Expect(s.MayReturn(time.Second)).To(BeFalse())
+	},
+		Entry("goes nowhere while it may run", func(s *resend.Sends) { s.Silent() }, false, false, false),
+		Entry("goes to another target after a refusal", func(s *resend.Sends) {
+			s.End(resend.NamedRefusal)
+			s.Rejected()
+		}, true, false, true),
+		Entry("goes nowhere after two refusals by one target", func(s *resend.Sends) {
+			s.End(resend.NamedRefusal)
+			s.Begin("a")
+			s.End(resend.NamedRefusal)
+			s.Rejected()
+		}, false, false, false),
+	)
+
 	// Guards against a request that ends engine after engine because its route allows
 	// many attempts.
 	It("may not be sent again after two targets ended the connection before the first event", func() {
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -55,6 +55,11 @@
 		x.giveUp()
 		return nil
 	}
+	if x.applyNewestKind(); !x.sends.MaySendTo(grant.Target.ID) {
+		x.h.Broker.Done(requestNumber, steering.Abandoned)
+		x.giveUp()
+		return nil
+	}
 	if x.sends.Counts().Sends > 0 && !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
 		x.h.Metrics.NotRetried(retry.StopBudget)
 		x.h.Broker.Done(requestNumber, steering.Abandoned)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -231,7 +231,7 @@
 	}
 	x.h.Containment.Answered(x.identity)
 	x.failAttempt(requestNumber, steering.Answered, result.EngineFailed)
-	if x.route.Repeatable() || !resend.PromisesNotRun(whole.status) {
+	if x.sends.Policy().Repeatable || !resend.PromisesNotRun(whole.status) {
 		x.history.failureResponse = whole
 	}
 	return false
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -76,6 +76,11 @@
 		x.h.Metrics.Count("silent_attempts_kept")
 		return openOutcome{}
 	}
+	if !x.mayRepeat() {
+		x.h.Broker.Done(requestNumber, steering.Abandoned)
+		x.h.Metrics.Count("silent_attempts_kept")
+		return openOutcome{}
+	}
 	if !x.h.RetryBudget.TrySpend(time.Now(), x.poolName) {
 		x.h.Metrics.NotRetried(retry.StopBudget)
 		x.h.Broker.Done(requestNumber, steering.Abandoned)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -270,6 +270,7 @@
 			x.giveUp()
 			return
 		}
+		x.applyNewestKind()
 		if replacement == nil && (x.quarantined.Load() != nil || !x.sends.MaySendAgain(x.remaining()) && !x.sends.MayReturn(x.remaining())) {
 			x.giveUp()
 			return
