resend: a refusal from an address that had the request before proves nothing

Cause: evidence was kept by target ID. A refusal by a second target at the address of the first one (a later incarnation, or one behind the same proxy) counted as the only one that the request can have got there.

Callers saw: 503 for a request that may run once and ran (REFUSED), if the first target's refusal was written again on the connection to the second.

Evidence: "does not refuse it, if it has the address of the one that did" fails before with one refusal, one run and 503 (go test ./entry/edge -run TestEdge -ginkgo.focus "on another connection, while it runs"); it ends with 502 now.

Fix: Begin takes the address; End looks for it instead of the ID. The request is still sent to a target with another ID at the address.

Cost: 502 instead of 503 where two incarnations at one address refuse one request.

--- a/entry/edge/copied_refusal_suite_test.go
+++ b/entry/edge/copied_refusal_suite_test.go
@@ -95,4 +95,24 @@
 		Expect(c.ran[a.id]).To(BeNumerically(">=", 1))
 		Expect(c.targets[a.id]).To(HaveLen(1))
 	})
+
+	// Guards against a request that may run once and counts as not run by the refusal of another
+	// target at the same address: its former incarnation, or one behind the same proxy.
+	It("does not refuse it, if it has the address of the one that did", func() {
+		c, f := newCopyingTargets(1), newFleet(0, 0)
+		t := c.target(func() {})
+		t.start()
+		DeferCleanup(t.crash)
+		f.list("raw", "raw-0", t.address, 1)
+		f.list("raw", "raw-1", t.address, 1)
+		f.configureOnce(2)
+		f.start()
+		a := f.call(context.Background(), 0, "POST", "/call/1", nil, "x")
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		GinkgoWriter.Printf("%d %s: %d refusals, %d runs\n", a.status, a.body, c.refused[a.id], c.ran[a.id])
+		Expect(c.refused[a.id]).To(Equal(1))
+		Expect(c.ran[a.id]).To(Equal(1))
+		Expect(a.status).NotTo(BeElementOf(408, 421, 429, 503), a.body)
+	})
 })
--- a/internal/decide/resend/property_test.go
+++ b/internal/decide/resend/property_test.go
@@ -136,7 +136,7 @@
 				}
 				name := rapid.SampledFrom(usable).Draw(t, "target")
 				before := runs[id]
-				s.Begin(name)
+				s.Begin(name, name)
 				var evidence resend.Evidence
 				evidence, answered = targets[name].send(t, id)
 				if evidence != resend.Inconclusive && evidence != resend.NotWritten {
--- a/internal/decide/resend/resend.go
+++ b/internal/decide/resend/resend.go
@@ -3,7 +3,7 @@
 //
 // A request that may run once is sent again only while each of its sends is known not to have
 // run. A response proves that only if it can be the response to that one send: it names the
-// request, the target had the request once, and the connection did not refuse it before
+// request, its address had the request once, and the connection did not refuse it before
 // (Refusals).
 package resend
 
@@ -63,7 +63,7 @@
 }
 
 // MayHaveRun reports whether the target of a send that has left some evidence may have run the
-// request. hadBefore is true if the target had the request before that send: then a refusal may
+// request. hadBefore is true if its address had the request before that send: then a refusal may
 // be the repetition of an earlier one. That of a repeatable request is believed nevertheless, but
 // counted (Counts.RepeatedRefusals).
 func (p Policy) MayHaveRun(e Evidence, hadBefore bool) bool {
@@ -81,7 +81,7 @@
 	// Sends counts all of them, PossibleRuns those whose target may have run the request or
 	// may still run it.
 	Sends, PossibleRuns int
-	// RepeatedRefusals counts the refusals of a repeatable request by targets that had it
+	// RepeatedRefusals counts the refusals of a repeatable request from addresses that had it
 	// before. Each may be the repetition of an earlier one, while the target runs the request:
 	// callers are told that it has not run, but it uses up one of the route's attempts.
 	RepeatedRefusals int
@@ -105,6 +105,8 @@
 	// targets lists the target of each send, rejectedBy the targets that rejected the last
 	// send that they got.
 	targets, rejectedBy []string
+	// addresses lists the address of each send.
+	addresses []string
 	// silentTarget is the target of the last send that was ended because it was silent while
 	// another one had the stream, empty if there is none. returned is true once the request
 	// was sent to such a target again.
@@ -138,8 +140,9 @@
 func (s *Sends) ProvenNotRun() bool { return s.counts.PossibleRuns+s.counts.RepeatedRefusals == 0 }
 
 // Begin records a send. Its target may run the request unless End proves the contrary.
-func (s *Sends) Begin(target string) {
+func (s *Sends) Begin(target, address string) {
 	s.targets = append(s.targets, target)
+	s.addresses = append(s.addresses, address)
 	s.rejectedBy = without(s.rejectedBy, target)
 	s.counts.Sends++
 	s.counts.PossibleRuns++
@@ -149,8 +152,8 @@
 // End records what the last send has left, and reports whether its target may have run the
 // request.
 func (s *Sends) End(e Evidence) (mayHaveRun bool) {
-	last := len(s.targets) - 1
-	hadBefore := slices.Contains(s.targets[:last], s.targets[last])
+	last := len(s.addresses) - 1
+	hadBefore := slices.Contains(s.addresses[:last], s.addresses[last])
 	if s.policy.MayHaveRun(e, hadBefore) {
 		return true
 	}
--- a/internal/decide/resend/resend_suite_test.go
+++ b/internal/decide/resend/resend_suite_test.go
@@ -26,7 +26,7 @@
 func after(policy resend.Policy, sends ...resend.Evidence) *resend.Sends {
 	s := resend.New(policy)
 	for i, e := range sends {
-		s.Begin(fmt.Sprint("target-", i))
+		s.Begin(fmt.Sprint("target-", i), fmt.Sprint("address-", i))
 		s.End(e)
 	}
 	return &s
@@ -66,7 +66,7 @@
 	It("is not sent again because targets broke", func() {
 		s := resend.New(resend.Policy{Repeatable: true, MaxAttempts: 5})
 		for range 2 {
-			s.Begin("a")
+			s.Begin("a", "a:1")
 			s.BrokeBeforeBegin()
 		}
 		Expect(s.Stop(time.Second)).To(Equal("targets_broke"))
@@ -75,7 +75,7 @@
 	// Guards against a second run by a target that writes its refusal of the first send again.
 	DescribeTable("that a target has refused may go back to it", func(policy resend.Policy, want bool) {
 		s := resend.New(policy)
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		s.End(resend.NamedRefusal)
 		s.Rejected()
 		Expect(s.Excluded()).To(Equal([]string{"a"}))
@@ -84,7 +84,7 @@
 		} else {
 			Expect(s.Returnable()).To(BeEmpty())
 		}
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		Expect(s.Returnable()).To(BeEmpty())
 		Expect(s.End(resend.NamedRefusal)).To(Equal(!want))
 	},
@@ -96,12 +96,12 @@
 	// target that writes its refusal of the first send again on another connection.
 	It("that one target has refused twice counts as one attempt, and is refused to its caller", func() {
 		s := resend.New(resend.Policy{Repeatable: true, MaxAttempts: 1})
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		Expect(s.End(resend.NamedRefusal)).To(BeFalse())
 		s.Rejected()
 		Expect(s.ProvenNotRun()).To(BeTrue())
 		Expect(s.MaySendAgain(time.Second)).To(BeTrue())
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		Expect(s.End(resend.NamedRefusal)).To(BeFalse())
 		s.Rejected()
 		Expect(s.Stop(time.Second)).To(Equal("attempts_used"))
@@ -112,7 +112,7 @@
 	// Guards against a second run of a request whose route has become one that may run once.
 	DescribeTable("that no longer may run again", func(prepare func(s *resend.Sends), again bool, toFirst, toOther bool) {
 		s := resend.New(resend.Policy{Repeatable: true, MaxAttempts: 5})
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		prepare(&s)
 		s.ForbidRepeats()
 		Expect(s.MaySendAgain(time.Second)).To(Equal(again))
@@ -129,7 +129,7 @@
 		}, true, false, true),
 		Entry("goes nowhere after two refusals by one target", func(s *resend.Sends) {
 			s.End(resend.NamedRefusal)
-			s.Begin("a")
+			s.Begin("a", "a:1")
 			s.End(resend.NamedRefusal)
 			s.Rejected()
 		}, false, false, false),
@@ -140,7 +140,7 @@
 	It("may not be sent again after two targets ended the connection before the first event", func() {
 		s := resend.New(resend.Policy{Repeatable: true, MaxAttempts: 5})
 		for n, want := range []bool{true, false} {
-			s.Begin(fmt.Sprint(n))
+			s.Begin(fmt.Sprint(n), fmt.Sprint(n))
 			s.BrokeBeforeBegin()
 			Expect(s.MaySendAgain(time.Second)).To(Equal(want))
 		}
@@ -153,13 +153,13 @@
 
 	It("that may run once is not sent elsewhere during a send", func() {
 		s := resend.New(resend.Policy{MaxAttempts: 5})
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		Expect(s.MayReplace(time.Second, resend.Counts{})).To(BeFalse())
 	})
 
 	It("that is repeatable is sent elsewhere during a send up to the route's attempts", func() {
 		s := resend.New(repeatable)
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		Expect(s.MayReplace(time.Second, resend.Counts{})).To(BeTrue())
 		Expect(s.MayReplace(time.Second, resend.Counts{Sends: 1, PossibleRuns: 1})).To(BeFalse())
 	})
@@ -168,7 +168,7 @@
 	// failed, and against a target that gets a stream again and again.
 	DescribeTable("may return to its silent target", func(policy resend.Policy, change func(s *resend.Sends), remaining time.Duration, want bool) {
 		s := resend.New(policy)
-		s.Begin("a")
+		s.Begin("a", "a:1")
 		change(&s)
 		Expect(s.MayReturn(remaining)).To(Equal(want))
 	},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,7 +48,7 @@
 func (x *callerRequest) attempt(ctx context.Context, target *grantedTarget) (done bool, next *grantedTarget) {
 	grant, requestNumber := target.grant, target.requestNumber
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
-	x.sends.Begin(grant.Target.ID)
+	x.sends.Begin(grant.Target.ID, grant.Target.Address)
 	x.began.Store(false)
 	x.sentAt = time.Now()
 	x.beginSendRecord()
