--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,7 +48,7 @@
 func (x *callerRequest) attempt(ctx context.Context, target *grantedTarget) (done bool, next *grantedTarget) {
 	grant, requestNumber := target.grant, target.requestNumber
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
-	x.sends.Begin(grant.Target.ID)
+	x.sends.Begin(grant.Target.ID, grant.Target.Address)
 	x.began.Store(false)
 	x.sentAt = time.Now()
 	x.beginSendRecord()
@@ -231,7 +231,7 @@
 	}
 	x.h.Containment.Answered(x.identity)
 	x.failAttempt(requestNumber, steering.Answered, result.EngineFailed)
-	if x.route.Repeatable() || !resend.PromisesNotRun(whole.status) {
+	if x.sends.Policy().Repeatable || !resend.PromisesNotRun(whole.status) {
 		x.history.failureResponse = whole
 	}
 	return false
