ctl: the summary of sends names a target that had the request before

Cause: that a target got a request twice, which a refusal written again makes possible, had to be found by comparing the sends of a trace. The summary says it. Values that an excerpt has cut off are printed with their begin, marked "...", and compared with nothing.

--- a/internal/ctl/excerpt_test.go
+++ b/internal/ctl/excerpt_test.go
@@ -19,6 +19,9 @@
 13:43:29.917343933 info  relay: send ended id="ed6dccf1b84d375c" entry="front-1" number="377" send="1" target="i-1" connection="12" status="503" believed="not_run" nam
 13:43:29.9174 info  relay: send ended id="ed6dccf1b84d375c" entry="front-1" number="378" send="2" target="i-2" conn
 026-12-06T13:43:29.9180Z info  relay: refused after a send id="ed6dccf1b84d375c" entry="front-1" number="379" status="503" reason="queue_full" route="r" sends="i-1@1795#12:named_refusal,i-2@0#13:named_refusal" form="length"
+13:43:30.05 info  relay: send ended id="7c0de2f0a1b2c3d4" entry="front-1" number="390" send="1" target="i-1" connection="12" status="503" response="declined" believed="not_run" named="true" again="true" carried="1" kept="true"
+13:43:30.06 info  relay: send ended id="7c0de2f0a1b2c3d4" entry="front-1" number="391" send="2" target="i-1" connection="12" status="50
+13:43:30.07 info  relay: refused after a send id="7c0de2f0a1b2c3d4" entry="front-1" number="391" status="503" reason="queue_full" route="r" sends="i-1@1795#12:named_refusal,i-1@17
 13:43:30.1 info  relay: request ended id="910beb5504f4d375c" entry="front-1" number="400" status="200"
 `
 	targetExcerpt = `343 info  core: reservation refused entry="front-1" number="379" reason="budg
@@ -50,7 +53,17 @@
 			"", "sends:",
 			"1 from front-1 to i-1, connection 12: 503; believed not_run",
 			"2 from front-1 to i-2: response not in the line",
-			"refused by front-1 with 503 (queue_full, body with length) after the sends i-1@1795#12:named_refusal, i-2@0#13:named_refusal",
+			"refused by front-1 with 503, queue_full, body with length, after the sends i-1@1795#12:named_refusal, i-2@0#13:named_refusal",
+		}))
+	})
+
+	// Guards against a return to a target that is overlooked among the sends.
+	It("names a target that had the request before, and marks values that are cut off", func() {
+		_, lines := run("7c0de2f0a1b2c3d4")
+		Expect(lines[len(lines)-3:]).To(Equal([]string{
+			"1 from front-1 to i-1, kept connection 12 after 1 requests: 503 declined, names the request; believed not_run, may be sent again",
+			"2 from front-1 to i-1, connection 12: 50...; the target had it before, in send 1",
+			"refused by front-1 with 503, queue_full, after the sends i-1@1795#12:named_refusal, i-1@17...",
 		}))
 	})
 
--- a/internal/ctl/sends.go
+++ b/internal/ctl/sends.go
@@ -26,12 +26,19 @@
 // printSends prints a summary of the sends of a request, one line each, and what its caller
 // was promised.
 func printSends(cmd *cobra.Command, lines []logLine) {
-	title := "\nsends:\n"
+	title, had := "\nsends:\n", make(map[string]string)
 	for _, l := range lines {
 		summary := ""
 		switch l.text {
 		case sendEndedText:
 			summary = sendSummary(l.fields)
+			target := l.fields["target"]
+			if earlier, ok := had[target]; ok {
+				summary += "; the target had it before, in send " + earlier
+			}
+			if target != "" && !strings.HasSuffix(target, cutMark) {
+				had[target] = l.fields["send"]
+			}
 		case promisedText:
 			summary = promiseSummary(l.fields)
 		default:
@@ -44,8 +51,14 @@
 
 // promiseSummary returns one line on the answer to a request that was sent and then refused.
 func promiseSummary(fields map[string]string) string {
-	return fmt.Sprintf("refused by %s with %s (%s, body with %s) after the sends %s", fields["entry"], fields["status"],
-		fields["reason"], fields["form"], strings.ReplaceAll(fields["sends"], ",", ", "))
+	summary := fmt.Sprintf("refused by %s with %s, %s", cmp.Or(fields["entry"], "?"), cmp.Or(fields["status"], "?"), cmp.Or(fields["reason"], "?"))
+	if form := fields["form"]; form != "" {
+		summary += ", body with " + form
+	}
+	if sends := fields["sends"]; sends != "" {
+		summary += ", after the sends " + strings.ReplaceAll(sends, ",", ", ")
+	}
+	return summary
 }
 
 // leftOut is the number of lines of one kind that a process left out.
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -31,7 +31,7 @@
 var (
 	logLinePattern  = regexp.MustCompile(`(?:(\d{4}-\d\d-\d\d)T)?(\d\d:\d\d:\d\d(?:\.\d+)?)Z?\s+(?:debug|info|warn|error|fatal)\s+(.*)$`)
 	cutLinePattern  = regexp.MustCompile(`(?:\b(?:debug|info|warn|error|fatal)\s+)?(\w+: .*)$`)
-	logFieldPattern = regexp.MustCompile(`(\w+)="((?:[^"\\]|\\.)*)"`)
+	logFieldPattern = regexp.MustCompile(`(\w+)="((?:[^"\\]|\\.)*)("|$)`)
 )
 
 // maxLogLineBytes is the largest length of a log line.
@@ -69,6 +69,9 @@
 	}
 	for _, f := range logFieldPattern.FindAllStringSubmatch(rest, -1) {
 		line.fields[f[1]] = f[2]
+		if f[3] == "" {
+			line.fields[f[1]] += cutMark
+		}
 	}
 	return line, true
 }
@@ -121,6 +124,9 @@
 	return scanner.Err()
 }
 
+// cutMark ends the value of a field that was cut off.
+const cutMark = "..."
+
 // minIDPart is the shortest part of an ID by which requestID finds a request.
 const minIDPart = 6
 
