--- a/entry/edge/send_record_suite_test.go
+++ b/entry/edge/send_record_suite_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatelanding.example/agatelanding/internal/ctl"
 	"agatelanding.example/agatelanding/internal/telemetry"
 )
 
@@ -97,6 +100,25 @@
 	return out, w
 }
 
+// traced returns what agatectl says of the sends of a request in some lines.
+func traced(name string, lines []string) (sends []string) {
+	path := filepath.Join(GinkgoT().TempDir(), "entry.log")
+	text := ""
+	for _, line := range lines {
+		text += strings.TrimSuffix(line, "\n") + "\n"
+	}
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	var out, errs bytes.Buffer
+	Expect(ctl.Run(nil, []string{"trace", name, path}, &out, &errs)).To(Equal(ctl.ExitOK), errs.String())
+	_, summary, _ := strings.Cut(out.String(), "\nsends:\n")
+	for line := range strings.Lines(summary) {
+		if !strings.Contains(line, "left out") {
+			sends = append(sends, strings.TrimSuffix(line, "\n"))
+		}
+	}
+	return sends
+}
+
 var _ = Describe("The log of the sends of a request that may run once", func() {
 	const declined, answered = "declined", "answered"
 	// serve starts two targets of one service, the first of whose requests is treated as told.
@@ -166,6 +188,24 @@
 		Expect(promised()[0]).To(MatchRegexp(
 			` id="%s" entry="entry-0" number="\d+" status="503" reason="no_target" route="call" sends="(raw-\d@5#\d+:named_refusal,?){2}" form="length" ms="\d+"`, a.id))
 		Expect(w.DroppedReserved()).To(BeZero())
+		// The targets may have run it all the same: the sends have to be found in the log, also in
+		// an excerpt of it.
+		whole, excerpt := out.linesWith(), []string(nil)
+		for _, line := range whole {
+			excerpt = append(excerpt, line[len("2006-01-02T"):min(len(line), 200)])
+		}
+		_, number, _ := strings.Cut(promised()[0], `number="`)
+		number, _, _ = strings.Cut(number, `"`)
+		for _, lines := range [][]string{whole, excerpt} {
+			for _, name := range []string{a.id, "entry-0/" + number} {
+				sends := traced(name, lines)
+				Expect(sends).To(HaveExactElements(
+					MatchRegexp(`^1 from entry-0 to raw-\d.* connection \d+.*: 503.*, names the request; believed not_run`),
+					MatchRegexp(`^2 from entry-0 to raw-\d.* connection \d+.*: 503.*, names the request; believed not_run`),
+					MatchRegexp(`^refused by entry-0 with 503, no_target, .*after the sends raw-\d@5#\d+:named_refusal`),
+				))
+			}
+		}
 		Expect(f.counter(0, `promised_after_send_total{status="503",evidence="named_refusal"}`)).To(Equal("2"))
 	})
 
