engineagent: an order's outcome is settled by the engine's own count, and a report of before is dropped

Cause: reports and orders share kept connections, and the engine's answers name no request. A repeated answer that arrives after the next request counted as its answer. Class: a response is attributed by something that doesn't identify one send.

What was seen: an order that the engine had fenced (412) counted as accepted, by the copy of the report before it, and was sent again with the same fencing number, so that its adapter was not loaded and its requests waited until they were refused; the view of the engine went back.

Why the fix works: only this process orders, and each order names the engine's count of accepted orders. A report settles the outcome (count and effect), the answer is a hint. A report on a kept connection is dropped, with its notice, if start or count go back or if it shows nothing of an order that was answered as accepted; the next one has a connection of its own, whose first answer can't be a copy. So do all calls for 5 s after such evidence or after an answer that belongs to no request (http.Transport closes the connection on it, which was not noticed), orders after one that was not accepted, and the report that ends a rate limit. A sound engine gets no connection more.

--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -72,6 +72,12 @@
 	// orderPending is true while the outcome of lastOrder is unknown.
 	orderPending bool
 	lastOrder    Order
+	// answered is the last order while no status has settled its outcome.
+	answered *answeredOrder
+	// doubtUntil is until when no answer on a kept connection is trusted, and
+	// confirmNoRate is set if the next poll needs a connection of its own.
+	doubtUntil    time.Time
+	confirmNoRate bool
 	// unloading is the adapter of the last order if that was an unload and no
 	// later poll has shown its effect: status still lists the adapter.
 	unloading Adapter
@@ -337,6 +343,10 @@
 // entries place them elsewhere.
 func (a *Agent) Notified(now time.Time, n Notice) ([]Action, bool) {
 	isNew := false
+	if n.ExtraAnswer {
+		a.rec.Count("engine_answers_extra")
+		a.doubtAnswers(now)
+	}
 	if n.Leaving && !a.engineLeaving {
 		a.engineLeaving, isNew = true, true
 		a.rec.Count("engine_leaving_by_answer")
--- a/internal/decide/engineagent/engineagent_suite_test.go
+++ b/internal/decide/engineagent/engineagent_suite_test.go
@@ -186,8 +186,12 @@
 	return wire.AttemptID{Request: wire.RequestID{Entry: "e", Incarnation: 1, Number: n}, Attempt: 1}
 }
 
+func reserveMessage(n uint64, adapter string) *wire.Reserve {
+	return &wire.Reserve{ID: id(n), Model: "m", Adapter: adapter, BudgetMS: 5000, PromptTokens: 100}
+}
+
 func (h *harness) reserve(n uint64, adapter string, change ...func(*wire.Reserve)) {
-	m := &wire.Reserve{ID: id(n), Model: "m", Adapter: adapter, BudgetMS: 5000, PromptTokens: 100}
+	m := reserveMessage(n, adapter)
 	for _, c := range change {
 		c(m)
 	}
--- a/internal/decide/engineagent/orders.go
+++ b/internal/decide/engineagent/orders.go
@@ -31,7 +31,8 @@
 func (a *Agent) startPoll(now time.Time) {
 	if a.pollStartedAt.IsZero() && !a.orderPending && !now.Before(a.pausedUntil) {
 		a.pollStartedAt = now
-		a.emit(PollEngine{})
+		a.emit(PollEngine{NewConnection: a.confirmNoRate || now.Before(a.doubtUntil)})
+		a.confirmNoRate = false
 	}
 }
 
@@ -43,9 +44,17 @@
 		// The poll has already timed out.
 		return a.takeActions()
 	}
+	if !a.Believes(status) {
+		a.rec.Count("engine_reports_outdated")
+		a.doubtAnswers(now)
+		a.needsPoll = true
+		a.startPoll(now)
+		return a.takeActions()
+	}
 	if a.hasStatus && status.StartedAtMS != a.status.StartedAtMS {
 		a.handleRestart(now)
 	}
+	a.settleOrder(now, status)
 	if !a.hasStatus || !maps.Equal(status.Held, a.status.Held) || !maps.Equal(status.Loading, a.status.Loading) {
 		a.adaptersReported = false
 	}
@@ -71,6 +80,7 @@
 // detect the broken connections and release their requests.
 func (a *Agent) handleRestart(now time.Time) {
 	a.rec.Count("engine_restarts")
+	a.answered = nil
 	a.engineLeaving, a.pausedUntil = false, time.Time{}
 	a.cached, a.adaptersReported, a.stepTimer, a.loadLimiter = nil, false, stepTimer{}, newLoadLimiter()
 	clear(a.sentAt)
@@ -123,23 +133,14 @@
 	return a.takeActions()
 }
 
-// OrderCompleted handles the outcome of the last order.
+// OrderCompleted handles the answer to the last order. A report settles the outcome.
 func (a *Agent) OrderCompleted(now time.Time, outcome OrderOutcome) []Action {
 	a.orderPending = false
 	// Each order is followed by a poll, whatever its outcome: the status shows
 	// which adapters the engine holds and how many orders it has accepted.
 	a.needsPoll = true
 	a.rec.Count("orders_" + outcome.String())
-	a.delayNextOrder(now, outcome)
-	if outcome == OrderAccepted && a.lastOrder.Kind == Load && a.lastOrder.Adapter.Name != "" {
-		a.loadLimiter.loadStarted(now, a.lastOrder.Adapter)
-	}
-	if outcome == OrderFenced {
-		a.fenceOffset += fenceStep
-	}
-	if outcome == OrderRefused && a.lastOrder.Kind == Load {
-		a.refuseWaitingFor(now, a.lastOrder.Adapter)
-	}
+	a.answered = &answeredOrder{order: a.lastOrder, outcome: outcome, startedAtMS: a.status.StartedAtMS, at: now}
 	a.advance(now)
 	return a.takeActions()
 }
@@ -176,7 +177,8 @@
 			a.unloading = order.Adapter
 			a.dropPrefixesOf(order.Adapter)
 		}
-		a.emit(SendOrder{Order: order})
+		// The reason why an order is refused again and again has to be that of its own answer.
+		a.emit(SendOrder{Order: order, NewConnection: now.Before(a.doubtUntil) || a.consecutiveRejections > 0})
 	}
 }
 
--- a/internal/decide/engineagent/ratelimit.go
+++ b/internal/decide/engineagent/ratelimit.go
@@ -90,8 +90,13 @@
 }
 
 // PollNamedNoRate handles the answer to a poll that names no rate, and reports whether
-// the engine's need has ended with it.
+// the engine's need has ended with it. An answer on a kept connection may be a copy of one
+// from before the need.
 func (a *Agent) PollNamedNoRate(now, sentAt time.Time) bool {
+	if a.status.KeptConnection && a.limiter.polled && a.limiter.limit.Rate > 0 {
+		a.confirmNoRate, a.needsPoll = true, true
+		return false
+	}
 	return a.limiter.polled && a.limiter.limit.Unnamed(sentAt, now)
 }
 
--- a/internal/decide/engineagent/types.go
+++ b/internal/decide/engineagent/types.go
@@ -24,6 +24,7 @@
 package engineagent
 
 import (
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/result"
@@ -65,6 +66,22 @@
 	// evicted, and PromptMemoryTotal all of it, in tokens; 0 if the engine does not state it.
 	PromptMemoryUsed  int
 	PromptMemoryTotal int
+	// KeptConnection is true if the connection of the poll has carried an answer before:
+	// the status may then be a copy of an earlier one.
+	KeptConnection bool
+}
+
+// shows reports whether the status shows the effect of an order.
+func (s *EngineStatus) shows(o Order) bool {
+	held, resident := s.Held[o.Adapter]
+	coming, loading := s.Loading[o.Adapter]
+	switch {
+	case o.Kind == Unload:
+		return !resident
+	case o.Adapter.Name == "":
+		return s.Busy || slices.Contains(s.Models, o.Adapter.Model)
+	}
+	return resident && held >= o.Version || loading && coming >= o.Version
 }
 
 // BatchRequest is a request in the engine's batch.
@@ -142,6 +159,9 @@
 	RateLimit float64
 	// MalformedRateLimit is true if the answer names a rate that cannot be read.
 	MalformedRateLimit bool
+	// ExtraAnswer is true if, since the answer before, the engine has sent one that
+	// belongs to no request.
+	ExtraAnswer bool
 }
 
 // Action is something that the code which uses the Agent must perform.
@@ -168,11 +188,18 @@
 
 // SendOrder sends an order to the engine. Its outcome is passed to
 // OrderCompleted.
-type SendOrder struct{ Order Order }
+type SendOrder struct {
+	Order Order
+	// NewConnection is true if the order must have a connection of its own.
+	NewConnection bool
+}
 
 // PollEngine polls the status of the engine. The result is passed to
 // PollSucceeded or PollFailed.
-type PollEngine struct{}
+type PollEngine struct {
+	// NewConnection is true if the poll must have a connection of its own.
+	NewConnection bool
+}
 
 func (Grant) isAction()      {}
 func (Refuse) isAction()     {}
--- a/target/agent/core.go
+++ b/target/agent/core.go
@@ -128,11 +128,18 @@
 		c.perform(ctx, c.receive(ctx, now, m))
 	case *pollResult:
 		c.logAvailability(m.err)
+		believed := m.err != nil || c.stateMachine.Believes(m.engineStatus)
+		if !believed {
+			c.log.With("started_at_ms", m.engineStatus.StartedAtMS).With("accepted_orders", m.engineStatus.AcceptedOrders).Warn("dropped a report of the engine: it is older than what is known")
+		}
 		if m.err != nil {
 			c.perform(ctx, c.stateMachine.PollFailed(now))
 		} else {
 			c.perform(ctx, c.stateMachine.PollSucceeded(now, m.engineStatus))
 		}
+		if !believed {
+			break
+		}
 		c.notified(ctx, now, m.notice)
 		if n := m.notice; m.err == nil && n.RateLimit == 0 && !n.MalformedRateLimit && c.stateMachine.PollNamedNoRate(now, m.sentAt) {
 			c.log.Info("the engine names no rate limit any more")
@@ -204,6 +211,9 @@
 	if isNew && (n.Leaving || n.RetryAfter > 0) {
 		c.log.With("leaving", n.Leaving).With("retry_after_ms", n.RetryAfter.Milliseconds()).Info("the engine wants no new requests")
 	}
+	if n.ExtraAnswer {
+		c.log.Warn("the engine has sent an answer that belongs to no request")
+	}
 	if isNew && n.RateLimit > 0 {
 		c.log.With("per_second", n.RateLimit).With("by", ratelimit.FromPoll).Info("the engine names a rate limit")
 	}
@@ -237,21 +247,30 @@
 				Load: wire.LoadReport{Running: c.stateMachine.Running(), Queued: c.stateMachine.Waiting(), StartDelayMS: int(a.RetryAfter.Milliseconds())},
 			})
 		case engineagent.SendOrder:
-			go c.sendOrder(ctx.ActorSystem().Root, ctx.Self(), a.Order)
+			go sendOrder(ctx.ActorSystem().Root, ctx.Self(), c.connection(a.NewConnection), a.Order)
 		case engineagent.PollEngine:
-			go c.pollEngine(ctx.ActorSystem().Root, ctx.Self())
+			go pollEngine(ctx.ActorSystem().Root, ctx.Self(), c.connection(a.NewConnection))
 		}
 	}
 }
 
-func (c *core) sendOrder(root *actor.RootContext, self *actor.PID, o engineagent.Order) {
-	outcome, notice := c.engine.Order(context.Background(), o)
+// connection returns the engine's client, one that opens a connection for each call if
+// isNew is true.
+func (c *core) connection(isNew bool) *platform.Engine {
+	if isNew {
+		return c.engine.OnNewConnections()
+	}
+	return c.engine
+}
+
+func sendOrder(root *actor.RootContext, self *actor.PID, engine *platform.Engine, o engineagent.Order) {
+	outcome, notice := engine.Order(context.Background(), o)
 	root.Send(self, &orderResult{order: o, outcome: outcome, notice: notice})
 }
 
-func (c *core) pollEngine(root *actor.RootContext, self *actor.PID) {
+func pollEngine(root *actor.RootContext, self *actor.PID, engine *platform.Engine) {
 	sentAt := time.Now()
-	engineStatus, notice, err := c.engine.ReadStatus(context.Background())
+	engineStatus, notice, err := engine.ReadStatus(context.Background())
 	root.Send(self, &pollResult{sentAt: sentAt, engineStatus: engineStatus, notice: notice, err: err})
 }
 
