--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -517,9 +517,11 @@
 // read lists the whole store if the revision of *position is 0, and otherwise waits
 // for the changes after *position. It sets *position to the one to continue from. An
 // answer of an era that was replaced is an error: it is late, or comes from a part of
-// the store that was not restored.
+// the store that was not restored. So is one of before a position that was known when the
+// question was sent.
 func (w *stateWatcher) read(ctx context.Context, position *catalog.Position) (update, error) {
 	u := update{fullList: position.Revision == 0}
+	known := w.completeCopy.Load()
 	var err error
 	if u.fullList {
 		u.items, u.complete, err = w.store.List(ctx, "")
@@ -533,6 +535,10 @@
 		w.metrics.Count("store_answers_outdated")
 		return update{}, result.Newf(result.PlatformUnreached, "the store answered with era %d, the newest known one is %d", u.complete.Era, era)
 	}
+	if known != nil && known.Era > 0 && known.Era == u.complete.Era && known.After(u.complete) {
+		w.metrics.Count("store_answers_outdated")
+		return update{}, result.Newf(result.PlatformUnreached, "the store answered with revision %d, the newest known one is %d", u.complete.Revision, known.Revision)
+	}
 	*position = u.complete
 	return u, nil
 }
--- a/entry/edge/state_watcher_test.go
+++ b/entry/edge/state_watcher_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/platform"
+	"agatelanding.example/agatelanding/platform/standin"
 )
 
 // Guards against take-ups that are refused because another entry passes on removals from before
@@ -31,3 +34,25 @@
 		}
 	}
 }
+
+// Guards against a list from before what is known, which counts as the present state.
+func TestListsOfBefore(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	w := newStateWatcher(platform.NewStore(server.Listener.Addr().String()), platform.Bounds{DrainTimeout: time.Second, ConfigApplyTimeout: time.Second}, telemetry.NewMetrics())
+	at := store.Put("op/config", 1)
+	for _, step := range []struct {
+		known catalog.Position
+		taken bool
+	}{
+		{catalog.Position{Era: 1, Revision: at + 1}, false}, {catalog.Position{Era: 1, Revision: at}, true},
+		{catalog.Position{Revision: at + 1}, true}, {catalog.Position{}, true},
+	} {
+		w.completeCopy.Store(&step.known)
+		var position catalog.Position
+		if _, err := w.read(context.Background(), &position); (err == nil) != step.taken {
+			t.Errorf("known %v, store at %d: %v", step.known, at, err)
+		}
+	}
+}
