catalog: what is kept of the store's items is bounded by the VM's memory

Cause: an entry kept the key, the value and a record of each item that the store named, also of keys that hold no target; only single answers and lists were bounded.

The catalog counts what its items take, with the values that the entry keeps for others, in two shares of an eighth of the memory: two thirds for the operator's items, a third for targets, so that neither takes the room of the other. Records of keys without a target are dropped for new ones, the oldest first. Known targets and versions are updated whatever room there is, and the configuration is always taken. New items beyond the bound are not kept: this is counted, logged once, and the store is listed again every 5 s until a list is kept whole. A state with gaps is never passed to other entries as whole, and items of other entries that are older than a dropped removal are ignored.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -162,6 +162,7 @@
 	b := e.settings.Bounds
 	e.retryBudget = retry.NewSharedBudget(time.Now(), b.RetryRatio, b.RetryAllowance, b.RetryWindow)
 	e.stateWatcher = newStateWatcher(platform.NewStore(e.settings.Store).WithinMemory(e.settings.MemoryBytes), b, e.metrics)
+	e.stateWatcher.limitMemory(e.shares.items)
 	e.mesh = &peers.Mesh{
 		Address: e.settings.PeerListen, Seeds: e.settings.Seeds, Hello: e.hello, StateAfter: e.stateWatcher.stateAfter, ReceiveState: e.stateWatcher.receiveFromPeer,
 		ViewAge: e.stateWatcher.viewAge, ReceiveViewAge: e.stateWatcher.receiveViewAge,
--- a/entry/edge/memory.go
+++ b/entry/edge/memory.go
@@ -19,6 +19,8 @@
 	maxBufferedBytes = 16 << 20
 	// maxAnswerHeadBytes bounds what the large heads of answers take together.
 	maxAnswerHeadBytes = 8 << 20
+	// maxItemBytes bounds what the items of the store take that an entry keeps.
+	maxItemBytes = 64 << 20
 	// defaultHeads is the number of heads of many lines that are read at once without it.
 	defaultHeads = 32
 )
@@ -32,6 +34,8 @@
 	bodies, answers int64
 	// answerHeads is bytes for the large heads of answers.
 	answerHeads int64
+	// items is bytes for the items of the store.
+	items       int64
 	connections int
 	// heads is the number of heads of many lines that are read at once.
 	heads int
@@ -39,11 +43,12 @@
 
 // sharesOf returns the shares for the settings of a VM.
 func sharesOf(s platform.Settings) memoryShares {
-	shares := memoryShares{bodies: defaultBodyBytes, answers: maxBufferedBytes, answerHeads: maxAnswerHeadBytes, heads: defaultHeads}
+	shares := memoryShares{bodies: defaultBodyBytes, answers: maxBufferedBytes, answerHeads: maxAnswerHeadBytes, heads: defaultHeads, items: maxItemBytes}
 	if s.MemoryBytes > 0 {
 		shares.bodies = s.MemoryBytes / 6
 		shares.answers = min(maxBufferedBytes, s.MemoryBytes/9)
 		shares.answerHeads = min(maxAnswerHeadBytes, s.MemoryBytes/16)
+		shares.items = min(maxItemBytes, s.MemoryBytes/8)
 		shares.heads = max(1, int(s.MemoryBytes/16/headBytes))
 		shares.connections = int(s.MemoryBytes / 3 / connectionBytes)
 	}
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -118,6 +118,7 @@
 	complete      catalog.Position
 	lastPeerQuery time.Time
 	malformed     malformedKeys
+	kept          keptItems
 	// toConfirm is the time for which the next view is confirmed.
 	toConfirm time.Duration
 	// recent holds the positions that were complete within the last two intervals,
@@ -175,6 +176,7 @@
 		catalog: catalog.New(), items: make(map[string]platform.StoreItem),
 	}
 	w.bounds.Store(&bounds)
+	w.limitMemory(maxItemBytes)
 	return w
 }
 
@@ -239,7 +241,7 @@
 				close(u.applied)
 			}
 		case q := <-w.queries:
-			q.reply <- peers.State{Items: w.collectItems(q.after), Complete: w.complete}
+			q.reply <- w.stateFor(q.after)
 		case <-ticker.C:
 			w.queryPeersIfNeeded()
 			if w.catalog.RemoveUnregistered(time.Now()) {
@@ -278,6 +280,9 @@
 // missed a broadcast can use the next one.
 func (w *stateWatcher) shareRead() {
 	for _, since := range w.recent[:len(w.recent)-1] {
+		if !w.hasAllAfter(since.Position) {
+			continue
+		}
 		items, size := w.collectItems(since.Position), 0
 		for _, i := range items {
 			size += len(i.Key) + len(i.Value)
@@ -344,12 +349,18 @@
 	}
 	missed := u.fullList && w.complete.Revision > 0
 	var registered []*catalog.Target
+	w.beginItems()
 	for _, e := range u.items {
 		missed = missed || w.isUnseenRemoval(e)
+		if u.fromPeer && w.mayBeForgotten(e) {
+			continue
+		}
 		if t := w.applyItem(now, e); t != nil && !t.Draining {
 			registered = append(registered, t)
 		}
 	}
+	missed = missed || w.kept.refusedTarget
+	w.endItems(u)
 	if newEra && !u.fullList {
 		w.beginEra(now, u.complete)
 		w.applyRemovals(now, w.catalog.RemovalsForEra(u.complete))
@@ -404,6 +415,13 @@
 	if err != nil {
 		w.metrics.Count("published_items_malformed")
 	}
+	admission := w.catalog.Admit(item, len(e.Value))
+	if admission != catalog.Admitted {
+		w.itemNotKept(e)
+	}
+	if admission == catalog.Refused {
+		return nil
+	}
 	if w.malformed.changed(e.Key, err != nil) && err != nil {
 		w.log.With("key", e.Key).With("era", e.Era).With("revision", e.Revision).Error(err, "an item cannot be read")
 	}
@@ -413,7 +431,7 @@
 	// is kept also if it is deferred: other entries must not miss it.
 	accepted := w.catalog.Position(e.Key) == e.Position()
 	if changed || accepted && (e.Removed || w.items[e.Key].Era < e.Era) {
-		w.items[e.Key] = e
+		w.keep(e, admission)
 	}
 	// A draining target must get no new requests.
 	if changed && item.Target != nil && item.Target.Draining {
@@ -437,7 +455,7 @@
 	for _, item := range removals {
 		w.log.With("key", item.Key).With("era", item.Era).With("revision", item.Revision).Info("target is no longer listed")
 		w.catalog.Apply(now, item)
-		w.items[item.Key] = platform.StoreItem{Key: item.Key, Era: item.Era, Revision: item.Revision, Removed: true}
+		w.keep(platform.StoreItem{Key: item.Key, Era: item.Era, Revision: item.Revision, Removed: true}, catalog.Admitted)
 	}
 }
 
@@ -448,6 +466,7 @@
 	position := catalog.Position{}
 	historyRead := false
 	for ctx.Err() == nil {
+		w.listAgain(ctx, &position)
 		began, asked := time.Now(), boottime.Now()
 		u, err := w.read(ctx, &position)
 		switch {
--- a/entry/edge/state_watcher_test.go
+++ b/entry/edge/state_watcher_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -31,3 +32,86 @@
 		}
 	}
 }
+
+// Guards against an entry that passes on a state with gaps as whole, and against one that does
+// not recover from items that it could not keep.
+func TestItemsBeyondTheMemory(t *testing.T) {
+	w := newStateWatcher(platform.NewStore("127.0.0.1:1"), platform.Bounds{DrainTimeout: time.Second, ConfigApplyTimeout: time.Second}, telemetry.NewMetrics())
+	w.limitMemory(3 * 20_000)
+	missed := 0
+	w.publish, w.broadcast = func(*catalog.View) {}, func(peers.State) {}
+	w.addPassing, w.changesMissed = func([]*catalog.Target) {}, func() { missed++ }
+	revision := uint64(0)
+	item := func(key, value string) platform.StoreItem {
+		revision++
+		return platform.StoreItem{Key: key, Revision: revision, Value: []byte(value)}
+	}
+	target := func(n int) platform.StoreItem {
+		return item(fmt.Sprintf("servers/t%d", n), `{"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready"}`)
+	}
+	read := func(fullList bool, items ...platform.StoreItem) {
+		w.applyUpdate(update{items: items, fullList: fullList, complete: catalog.Position{Revision: revision}})
+	}
+	read(true, target(0))
+	var more []platform.StoreItem
+	for n := range 100 {
+		more = append(more, target(n))
+	}
+	read(false, more...)
+	if kept := len(w.catalog.View().Targets); kept == 100 || kept == 0 || missed == 0 || len(w.items) > kept {
+		t.Errorf("%d targets and %d items kept, changes missed %d times", kept, len(w.items), missed)
+	}
+	if s := w.stateFor(catalog.Position{}); s.Complete.Revision != 0 {
+		t.Errorf("a state with gaps is passed on as whole up to %d", s.Complete.Revision)
+	}
+	config := `{"version":3,"routes":[{"name":"r","hostname":"h","prefix":"/","service":"s"}]}`
+	read(false, item("op/config", config))
+	if c := w.catalog.View().Config; c == nil || c.Version != 3 {
+		t.Error("the configuration is not in force")
+	}
+
+	// The first list makes room, the second one fills it.
+	for range 2 {
+		read(true, item("op/config", config), target(0), target(200), target(201))
+	}
+	if view := w.catalog.View(); len(view.Targets) != 3 || view.Targets["t200"] == nil {
+		t.Errorf("%d targets after the store was listed again", len(view.Targets))
+	}
+	if s := w.stateFor(catalog.Position{}); s.Complete.Revision != revision {
+		t.Errorf("the state is whole up to %d, not %d", s.Complete.Revision, revision)
+	}
+}
+
+// Guards against targets that come back by an item of another entry that is older than their
+// removal.
+func TestForgottenRemovals(t *testing.T) {
+	w := newStateWatcher(platform.NewStore("127.0.0.1:1"), platform.Bounds{DrainTimeout: time.Second, ConfigApplyTimeout: time.Second}, telemetry.NewMetrics())
+	w.limitMemory(3 * 20_000)
+	w.publish, w.broadcast = func(*catalog.View) {}, func(peers.State) {}
+	w.addPassing, w.changesMissed = func([]*catalog.Target) {}, func() {}
+	target := platform.StoreItem{Key: "servers/t", Revision: 1, Value: []byte(`{"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready"}`)}
+	read := func(fromPeer bool, revision uint64, items ...platform.StoreItem) {
+		w.applyUpdate(update{items: items, fromPeer: fromPeer, complete: catalog.Position{Revision: revision}})
+	}
+	read(false, 1, target)
+	read(false, 2, platform.StoreItem{Key: target.Key, Revision: 2, Removed: true})
+	for revision := uint64(3); w.catalog.Position(target.Key).Revision > 0; revision++ {
+		if revision > 1000 {
+			t.Fatal("the removal is not forgotten")
+		}
+		read(false, revision, platform.StoreItem{Key: fmt.Sprintf("servers/x%d", revision), Revision: revision})
+	}
+	if read(true, 0, target); len(w.catalog.View().Targets) > 0 {
+		t.Error("the removed target is back")
+	}
+	if s := w.stateFor(catalog.Position{Revision: 1}); s.Complete.Revision != 0 {
+		t.Error("a state without the removal is passed on as whole")
+	}
+	if s := w.stateFor(catalog.Position{}); s.Complete != w.complete {
+		t.Error("a process that knows nothing gets a state with gaps")
+	}
+	target.Revision = w.complete.Revision + 1
+	if read(false, target.Revision, target); len(w.catalog.View().Targets) != 1 {
+		t.Error("the target that registered again is not used")
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -61,6 +61,10 @@
 	// ReregistrationGrace counts from the later of keptSince and the end of the
 	// outage.
 	keptSince time.Time
+	// operators is true if the operator wrote the key, and valueBytes is the length of the
+	// encoded value that the owner of the catalog keeps.
+	operators  bool
+	valueBytes int64
 }
 
 // Catalog merges changes. It may be used by one goroutine only, its views by
@@ -77,6 +81,7 @@
 	// it last answered again.
 	storeLost   bool
 	storeBackAt time.Time
+	room        room
 }
 
 // New returns an empty catalog.
@@ -132,6 +137,7 @@
 		c.records[item.Key] = known
 	}
 	changed := false
+	known.operators = known.operators || item.Config != nil || item.Adapter != nil
 	switch {
 	case item.Config != nil:
 		changed = c.applyConfig(known, item)
--- a/internal/crowd/faulty_store_test.go
+++ b/internal/crowd/faulty_store_test.go
@@ -1,6 +1,7 @@
 package crowd_test
 
 import (
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -49,14 +50,18 @@
 	storeAnswer(`{"items":[`+strings.TrimSuffix(items.String(), ",")+`],"more_pages":true,"store_revision":200}`)(c, uri)
 }
 
-// newItems answers each watch with targets that no answer before had.
-func newItems() faultyAnswer {
+// newItems answers each watch with items whose keys no answer before had, and no list.
+func newItems(prefix string, value func(n int64) string) faultyAnswer {
 	var revision atomic.Int64
 	revision.Store(1000)
 	return func(c net.Conn, uri string) {
+		if !strings.HasPrefix(uri, "/kv-watch") {
+			return
+		}
 		var events strings.Builder
 		for range 6000 {
-			fmt.Fprintf(&events, `{"key":"servers/s%d","rev":%d,"value":"%s"},`, revision.Load(), revision.Add(1), strings.Repeat("AAAA", 64))
+			n := revision.Add(1)
+			fmt.Fprintf(&events, `{"key":"%s%d","rev":%d,"value":"%s"},`, prefix, n, n, base64.StdEncoding.EncodeToString([]byte(value(n))))
 		}
 		storeAnswer(fmt.Sprintf(`{"events":[%s],"store_revision":%d}`, strings.TrimSuffix(events.String(), ","), revision.Load()))(c, uri)
 	}
@@ -77,7 +82,13 @@
 		{"watches byte by byte", sends("Store-Era: 1\r\n"+chunkedBody, "", chunk(" "), time.Millisecond)},
 		{"watches with an encoding", sends("Store-Era: 1\r\nContent-Encoding: gzip\r\n\r\n", compressed(), "", time.Millisecond)},
 		{"watches of a string without an end", sends("Store-Era: 1\r\n\r\n", `{"events":[{"key":"`, text(64<<10), 0)},
-		{"watches of new items without an end", newItems()},
+		{"watches of new items without an end", newItems("servers/s", func(int64) string { return strings.Repeat("\x00", 192) })},
+		{"watches of new targets without an end", newItems("servers/t", func(n int64) string {
+			return fmt.Sprintf(`{"service":"faulty","address":"127.1.%d.%d:9","zone":"z1","slots":10,"state":"ready","born":5,"seq":%d}`, n>>8&255, n&255, n)
+		})},
+		{"watches of new adapters without an end", newItems("op/version/m.a", func(n int64) string {
+			return fmt.Sprintf(`{"model":"m","adapter":"a%d","version":1}`, n)
+		})},
 		{"lists of many empty items", onList(storeAnswer(fill(answerBytes, `{"items":[{}`, `,{}`, `]}`)))},
 		{"lists of many short items", onList(storeAnswer(fill(answerBytes, `{"items":[{"key":"k"}`, `,{"key":"k"}`, `]}`)))},
 		{"lists whose pages do not end", onList(risingPage)},
