wire: the frames that a process reads share a bounded room

Cause: each connection took up to 1 MiB for a frame that was announced and not finished; the sum over connections was not bounded.

Callers of the process would have seen it end for its memory.

Beyond 4 KiB a frame takes room of the process, 16 MiB or a sixteenth of the VM's memory and 4 MiB at least. One without room waits, so that its sender waits, as many large frames of sound processes may arrive at once. From 1 s on the connection whose frame has been read longest is closed, one whose sender is waited for first.

--- a/cmd/agate-entry/main.go
+++ b/cmd/agate-entry/main.go
@@ -5,6 +5,7 @@
 	"agatelanding.example/agatelanding/entry"
 	"agatelanding.example/agatelanding/entry/edge"
 	"agatelanding.example/agatelanding/internal/daemon"
+	"agatelanding.example/agatelanding/internal/wire"
 	"agatelanding.example/agatelanding/platform"
 )
 
@@ -16,6 +17,7 @@
 	cmd.AddCommand(daemon.PlatformCommand("Runs an entry on the users' platform", platform.LoadSettings,
 		func(s platform.Settings) daemon.Process {
 			daemon.LimitMemory(s.MemoryBytes)
+			wire.LimitFrames(s.MemoryBytes)
 			return edge.New(s)
 		}))
 	daemon.Main(cmd)
--- a/cmd/agate-target/main.go
+++ b/cmd/agate-target/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"agatelanding.example/agatelanding/internal/daemon"
+	"agatelanding.example/agatelanding/internal/wire"
 	"agatelanding.example/agatelanding/platform"
 	"agatelanding.example/agatelanding/target"
 	"agatelanding.example/agatelanding/target/agent"
@@ -17,6 +18,7 @@
 	cmd.AddCommand(daemon.PlatformCommand("Runs beside a model engine on the users' platform", platform.LoadSettings,
 		func(s platform.Settings) daemon.Process {
 			daemon.LimitMemory(s.MemoryBytes)
+			wire.LimitFrames(s.MemoryBytes)
 			return agent.New(s)
 		}))
 	daemon.Main(cmd)
--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -37,7 +37,9 @@
 	front string
 	// faulty is the address of the second target, empty without one.
 	faulty string
-	pid    int
+	// peers is the address at which the process accepts connections of other processes.
+	peers string
+	pid   int
 	// ended is closed when the process has ended.
 	ended chan struct{}
 	// peakMemory and peakDescriptors are the highest values that watch has seen.
@@ -75,12 +77,12 @@
 		"version": 1, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": headerTimeout.Milliseconds(), "idle_timeout_ms": 60000},
 	})
-	e := &entry{t: t, front: fixture.FreeAddress(), faulty: faulty, ended: make(chan struct{})}
+	e := &entry{t: t, front: fixture.FreeAddress(), faulty: faulty, peers: fixture.FreeAddress(), ended: make(chan struct{})}
 	_, port, _ := net.SplitHostPort(fixture.FreeAddress())
 	first, _ := strconv.Atoi(port)
 	e.launch(binDir, "agate-entry",
 		fmt.Sprintf("node: entry\nip: 127.0.0.1\nzone: z1\nport_range: [%d, %d]\nprovider: {address: %q}\n", first, first+1, storeAddress)+
-			fmt.Sprintf("listen: {front: %q, ready: %q, control: %q}\n", e.front, fixture.FreeAddress(), fixture.FreeAddress())+limits)
+			fmt.Sprintf("listen: {front: %q, ready: %q, control: %q}\n", e.front, fixture.FreeAddress(), e.peers)+limits)
 	for deadline := time.Now().Add(startTime); e.request(3) != http.StatusOK; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the entry does not answer")
--- a/internal/crowd/faulty_engine_test.go
+++ b/internal/crowd/faulty_engine_test.go
@@ -25,6 +25,7 @@
 	_, port, _ = net.SplitHostPort(fixture.FreeAddress())
 	last, _ := strconv.Atoi(port)
 	e.launch(binDir, "agate-target", fmt.Sprintf("node: side\nip: 127.0.0.1\nzone: z1\nport_range: [%d, %d]\napp: %q\n", first, last, engine)+limits)
+	e.peers = fmt.Sprintf("127.0.0.1:%d", first)
 	go e.watch()
 	return e, fmt.Sprintf("http://127.0.0.1:%d/status", last)
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -28,8 +28,6 @@
 	// readBufferBytes is small because an entry may have hundreds of sessions.
 	// The body of a larger frame is read directly into its own buffer.
 	readBufferBytes = 4 << 10
-	// firstBodyBytes is the memory for the body of a frame before its first byte arrives.
-	firstBodyBytes = 32 << 10
 	// headerBytes is the size of the length field and the kind byte.
 	headerBytes = 5
 	// WriteTimeout bounds the write of one frame. A write that takes longer
@@ -44,12 +42,16 @@
 type Conn struct {
 	nc      net.Conn
 	reader  *bufio.Reader
+	frames  *FrameRoom
 	writeMu sync.Mutex
 }
 
-// NewConn returns a Conn over a connected socket.
-func NewConn(nc net.Conn) *Conn {
-	return &Conn{nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+// NewConn returns a Conn over a connected socket. Its frames share the room of the process.
+func NewConn(nc net.Conn) *Conn { return processFrames.NewConn(nc) }
+
+// NewConn returns a Conn over a connected socket whose frames share the room.
+func (r *FrameRoom) NewConn(nc net.Conn) *Conn {
+	return &Conn{nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), frames: r}
 }
 
 // Close closes the socket. Pending reads and writes fail.
@@ -109,7 +111,9 @@
 	if size > MaxFrameBytes {
 		return nil, result.Newf(result.FrameTooLarge, "frame of %d bytes exceeds the limit", size)
 	}
-	body, err := readBody(c.reader, int(size-1))
+	frame := c.frames.start(c.nc.Close)
+	defer frame.end()
+	body, err := readBody(c.reader, int(size-1), func(size int) error { return frame.grow(size, deadline) })
 	if err != nil {
 		return nil, err
 	}
@@ -117,17 +121,20 @@
 }
 
 // readBody reads the body of a frame. It takes memory as the bytes arrive, because a process
-// that only announces large frames must not cost their size.
-func readBody(r io.Reader, size int) ([]byte, error) {
-	body := make([]byte, min(size, firstBodyBytes))
+// that only announces large frames must not cost their size. grow is called before it takes more
+// than uncountedFrameBytes.
+func readBody(r io.Reader, size int, grow func(size int) error) ([]byte, error) {
+	body := make([]byte, min(size, uncountedFrameBytes))
 	for n := 0; ; {
 		if _, err := io.ReadFull(r, body[n:]); err != nil || len(body) == size {
 			return body, err
 		}
 		n = len(body)
-		larger := make([]byte, min(size, 4*n))
-		copy(larger, body)
-		body = larger
+		larger := min(size, 4*n)
+		if err := grow(larger); err != nil {
+			return nil, err
+		}
+		body = append(make([]byte, 0, larger), body...)[:larger]
 	}
 }
 
