wire: a frame takes all its room at once

Frames that held some waited for more until the slow ones among them were closed, also sound ones.

A frame with room no longer waits for more, and of those that wait the shortest goes first, so that frames that are announced at their largest and never finished do not keep sound ones waiting.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -111,31 +111,35 @@
 	if size > MaxFrameBytes {
 		return nil, result.Newf(result.FrameTooLarge, "frame of %d bytes exceeds the limit", size)
 	}
-	frame := c.frames.start(c.nc.Close)
-	defer frame.end()
-	body, err := readBody(c.reader, int(size-1), func(size int) error { return frame.grow(size, deadline) })
-	if err != nil {
+	body := make([]byte, min(int(size-1), uncountedFrameBytes))
+	if _, err := io.ReadFull(c.reader, body); err != nil {
 		return nil, err
 	}
+	if len(body) < int(size-1) {
+		frame, err := c.frames.take(int(size), deadline, c.nc.Close)
+		if err != nil {
+			return nil, err
+		}
+		defer frame.end()
+		if body, err = readRest(c.reader, body, int(size-1)); err != nil {
+			return nil, err
+		}
+	}
 	return decode(Kind(header[4]), body)
 }
 
-// readBody reads the body of a frame. It takes memory as the bytes arrive, because a process
-// that only announces large frames must not cost their size. grow is called before it takes more
-// than uncountedFrameBytes.
-func readBody(r io.Reader, size int, grow func(size int) error) ([]byte, error) {
-	body := make([]byte, min(size, uncountedFrameBytes))
-	for n := 0; ; {
-		if _, err := io.ReadFull(r, body[n:]); err != nil || len(body) == size {
-			return body, err
-		}
-		n = len(body)
+// readRest reads the rest of the body of a frame. It takes memory as the bytes arrive, because a
+// process that only announces large frames must not cost their size.
+func readRest(r io.Reader, body []byte, size int) ([]byte, error) {
+	for len(body) < size {
+		n := len(body)
 		larger := min(size, 4*n)
-		if err := grow(larger); err != nil {
+		body = append(make([]byte, 0, larger), body...)[:larger]
+		if _, err := io.ReadFull(r, body[n:]); err != nil {
 			return nil, err
 		}
-		body = append(make([]byte, 0, larger), body...)[:larger]
 	}
+	return body, nil
 }
 
 // Handshake sends the local Hello and returns the peer's. It fails with
--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -16,15 +16,17 @@
 	minFrameBytes     = 4 * MaxFrameBytes
 	// frameShare is the part of the memory of a VM for frames.
 	frameShare = 16
-	// slowFrameTime is from when a frame that is not whole may be ended for its room, and
+	// slowFrameTime is the time after which a frame that is not whole may be ended for its room, and
 	// frameInterval is the time between two looks at the room by a frame that waits for it.
-	slowFrameTime = time.Second
+	slowFrameTime = 500 * time.Millisecond
 	frameInterval = 10 * time.Millisecond
 )
 
 // FrameRoom bounds the memory of the frames that are being read, over all connections. A frame
-// that finds no room waits, so that its sender waits. While one waits, the connection whose
-// frame has been read longest is closed, once that is slow. It is safe for concurrent use.
+// takes all its room before its second part, so that those that have room never wait for more.
+// One that finds none waits, and its sender with it; the shortest goes first. While one waits,
+// the connection whose frame has been read longest is closed, once that is slow. It is safe for
+// concurrent use.
 type FrameRoom struct {
 	mu      sync.Mutex
 	free    int64
@@ -33,12 +35,13 @@
 
 // frameRead is a frame that is being read.
 type frameRead struct {
-	room    *FrameRoom
-	taken   int64
-	since   time.Time
-	waiting bool
-	ended   bool
-	close   func() error
+	room *FrameRoom
+	// size is what it needs, and taken what it has, which is 0 while it waits.
+	size, taken int64
+	// since is when it got its room.
+	since time.Time
+	ended bool
+	close func() error
 }
 
 // processFrames is the room of all connections of a process.
@@ -57,74 +60,56 @@
 	}
 }
 
-// start records that a frame is read until end is called. closeConn makes reading fail.
-func (r *FrameRoom) start(closeConn func() error) *frameRead {
-	f := &frameRead{room: r, since: time.Now(), close: closeConn}
+// take takes room for a frame, which it holds until end is called. closeConn makes reading fail.
+// It fails if there was none until deadline, unless that is zero.
+func (r *FrameRoom) take(size int, deadline time.Time, closeConn func() error) (*frameRead, error) {
+	f := &frameRead{room: r, size: int64(size), close: closeConn}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.reading[f] = true
-	return f
-}
-
-func (f *frameRead) end() {
-	f.room.mu.Lock()
-	defer f.room.mu.Unlock()
-	f.room.free += f.taken
-	delete(f.room.reading, f)
-}
-
-// grow takes room for a body of a number of bytes in all. It fails if the frame was ended for
-// its room, or has waited until deadline, unless that is zero.
-func (f *frameRead) grow(size int, deadline time.Time) error {
-	need := int64(size) - f.taken
-	for !f.tryGrow(need) {
-		if f.isEnded() || !deadline.IsZero() && time.Now().After(deadline) {
-			return result.New(result.FrameTooLarge, "the frames that are not whole take too much memory")
+	r.mu.Unlock()
+	for !f.tryTake() {
+		if !deadline.IsZero() && time.Now().After(deadline) {
+			f.end()
+			return nil, result.New(result.FrameTooLarge, "the frames that are not whole take too much memory")
 		}
 		time.Sleep(frameInterval)
 	}
-	return nil
+	return f, nil
 }
 
-func (f *frameRead) isEnded() bool {
-	f.room.mu.Lock()
-	defer f.room.mu.Unlock()
-	return f.ended
-}
-
-// tryGrow takes room, or ends the slowest frame if there is none.
-func (f *frameRead) tryGrow(need int64) bool {
+// tryTake takes the room, or ends the slowest frame if there is not enough.
+func (f *frameRead) tryTake() bool {
 	r := f.room
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if f.waiting = need > r.free; !f.waiting {
-		r.free -= need
-		f.taken += need
-		return true
-	}
-	returning := int64(0)
+	returning, shortest := int64(0), true
 	var slowest *frameRead
 	for other := range r.reading {
 		switch {
+		case other.taken == 0:
+			shortest = shortest && f.size <= other.size
 		case other.ended:
 			returning += other.taken
-		case other.taken > 0 && time.Since(other.since) > slowFrameTime && other.slowerThan(slowest):
+		case time.Since(other.since) > slowFrameTime && (slowest == nil || other.since.Before(slowest.since)):
 			slowest = other
 		}
 	}
-	if slowest != nil && r.free+returning < need {
+	switch {
+	case !shortest:
+	case f.size <= r.free:
+		r.free -= f.size
+		f.taken, f.since = f.size, time.Now()
+	case slowest != nil && r.free+returning < f.size:
 		slowest.ended = true
 		// The close of a TLS connection writes to it.
 		go slowest.close()
 	}
-	return false
+	return f.taken > 0
 }
 
-// slowerThan reports whether a frame is ended before another one, which may be nil: one whose
-// sender is waited for before one that itself waits, then the older one.
-func (f *frameRead) slowerThan(other *frameRead) bool {
-	if other == nil || f.waiting != other.waiting {
-		return other == nil || !f.waiting
-	}
-	return f.since.Before(other.since)
+func (f *frameRead) end() {
+	f.room.mu.Lock()
+	defer f.room.mu.Unlock()
+	f.room.free += f.taken
+	delete(f.room.reading, f)
 }
