peers: the connections that other entries open are bounded in number

Cause: an entry served each connection to its internal port; the number was not bounded, and each has buffers, two goroutines and a queue.

At most 1,024 accepted connections; those above are closed at once. One on which no Hello arrives ends after 3 s as before.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -45,6 +45,8 @@
 	// maxBatchBytes bounds the keys and values in one message, which must fit
 	// into a frame of wire.MaxFrameBytes bytes.
 	maxBatchBytes = 512 << 10
+	// maxAcceptedConns bounds the connections that peers have opened, unless MaxAccepted does.
+	maxAcceptedConns = 1024
 )
 
 // State is what one entry sends another of the published state.
@@ -66,6 +68,8 @@
 	Address string
 	// Seeds are addresses of entries, possibly stale.
 	Seeds []string
+	// MaxAccepted bounds the connections that peers have opened, 0 for maxAcceptedConns.
+	MaxAccepted int
 	// StartRedialInterval replaces redialInterval in the first seconds, if it is not 0: after
 	// the loss of many entries each one comes up while others do not listen yet.
 	StartRedialInterval time.Duration
@@ -212,13 +216,25 @@
 	}
 }
 
+// accept serves connections until the listener closes. It closes those above MaxAccepted.
 func (m *Mesh) accept(ctx context.Context, listener net.Listener) {
+	places := make(chan struct{}, cmp.Or(m.MaxAccepted, maxAcceptedConns))
 	for {
 		nc, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go m.serve(ctx, nc, "")
+		select {
+		case places <- struct{}{}:
+		default:
+			m.Log.With("peer", nc.RemoteAddr()).Warn("too many connections; refusing one of another entry")
+			_ = nc.Close()
+			continue
+		}
+		go func() {
+			defer func() { <-places }()
+			m.serve(ctx, nc, "")
+		}()
 	}
 }
 
