--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -28,8 +28,6 @@
 	// readBufferBytes is small because an entry may have hundreds of sessions.
 	// The body of a larger frame is read directly into its own buffer.
 	readBufferBytes = 4 << 10
-	// firstBodyBytes is the memory for the body of a frame before its first byte arrives.
-	firstBodyBytes = 32 << 10
 	// headerBytes is the size of the length field and the kind byte.
 	headerBytes = 5
 	// WriteTimeout bounds the write of one frame. A write that takes longer
@@ -44,12 +42,16 @@
 type Conn struct {
 	nc      net.Conn
 	reader  *bufio.Reader
+	frames  *FrameRoom
 	writeMu sync.Mutex
 }
 
-// NewConn returns a Conn over a connected socket.
-func NewConn(nc net.Conn) *Conn {
-	return &Conn{nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+// NewConn returns a Conn over a connected socket. Its frames share the room of the process.
+func NewConn(nc net.Conn) *Conn { return processFrames.NewConn(nc) }
+
+// NewConn returns a Conn over a connected socket whose frames share the room.
+func (r *FrameRoom) NewConn(nc net.Conn) *Conn {
+	return &Conn{nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), frames: r}
 }
 
 // Close closes the socket. Pending reads and writes fail.
@@ -109,26 +111,35 @@
 	if size > MaxFrameBytes {
 		return nil, result.Newf(result.FrameTooLarge, "frame of %d bytes exceeds the limit", size)
 	}
-	body, err := readBody(c.reader, int(size-1))
-	if err != nil {
+	body := make([]byte, min(int(size-1), uncountedFrameBytes))
+	if _, err := io.ReadFull(c.reader, body); err != nil {
 		return nil, err
 	}
+	if len(body) < int(size-1) {
+		frame, err := c.frames.take(int(size), deadline, c.nc.Close)
+		if err != nil {
+			return nil, err
+		}
+		defer frame.end()
+		if body, err = readRest(c.reader, body, int(size-1)); err != nil {
+			return nil, err
+		}
+	}
 	return decode(Kind(header[4]), body)
 }
 
-// readBody reads the body of a frame. It takes memory as the bytes arrive, because a process
-// that only announces large frames must not cost their size.
-func readBody(r io.Reader, size int) ([]byte, error) {
-	body := make([]byte, min(size, firstBodyBytes))
-	for n := 0; ; {
-		if _, err := io.ReadFull(r, body[n:]); err != nil || len(body) == size {
-			return body, err
+// readRest reads the rest of the body of a frame. It takes memory as the bytes arrive, because a
+// process that only announces large frames must not cost their size.
+func readRest(r io.Reader, body []byte, size int) ([]byte, error) {
+	for len(body) < size {
+		n := len(body)
+		larger := min(size, 4*n)
+		body = append(make([]byte, 0, larger), body...)[:larger]
+		if _, err := io.ReadFull(r, body[n:]); err != nil {
+			return nil, err
 		}
-		n = len(body)
-		larger := make([]byte, min(size, 4*n))
-		copy(larger, body)
-		body = larger
 	}
+	return body, nil
 }
 
 // Handshake sends the local Hello and returns the peer's. It fails with
