catalog: what the items take is counted only if there may be no room

An update counted all records, although the bound is rarely near: used only grows between counts, and makeRoom counts before it refuses an item. internal/catalog passes.

--- a/internal/catalog/room.go
+++ b/internal/catalog/room.go
@@ -128,12 +128,8 @@
 // is not known and whose change is not after it may have been removed since.
 func (c *Catalog) Forgotten() Position { return c.room.forgotten }
 
-// BeginUpdate is called before the items of an update are admitted.
-func (c *Catalog) BeginUpdate() {
-	if c.room.limited {
-		c.count()
-	}
-}
+// BeginUpdate is called before the items of an update are admitted: there may be room again.
+func (c *Catalog) BeginUpdate() { c.room.operators.full, c.room.ofTarget.full = false, false }
 
 // count sets what the items take.
 func (c *Catalog) count() {
