--- a/internal/relay/sendrecord_test.go
+++ b/internal/relay/sendrecord_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/internal/decide/resend"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
 	"agatelanding.example/agatelanding/internal/telemetry"
@@ -37,6 +40,40 @@
 	})
 })
 
+var _ = Describe("The record of a refusal after sends", func() {
+	// Guards against a promise that a request has not run which leaves no trace, and against
+	// lines that say so of answers without a promise.
+	DescribeTable("is written", func(route *catalog.Route, sent bool, status, bodyBytes int, want string) {
+		out := &bytes.Buffer{}
+		Expect(telemetry.SetupLogs(out, "info")).To(Succeed())
+		defer func() { Expect(telemetry.SetupLogs(GinkgoWriter, "info")).To(Succeed()) }()
+		x := sendingRequest(route)
+		x.h.Metrics, x.targetID, x.sends = telemetry.NewMetrics(), "i-2dbf3407", resend.New(resend.Policy{Repeatable: route.Repeatable(), MaxAttempts: 1})
+		if sent {
+			x.sends.Begin(x.targetID)
+			x.beginSendRecord()
+			x.recordEvidence(resend.NotWritten)
+			x.logSend(false)
+		}
+		out.Reset()
+		x.recordPromise(result.QueueFull, status, bodyBytes)
+		if want == "" {
+			Expect(out.String()).To(BeEmpty())
+			return
+		}
+		Expect(out.String()).To(ContainSubstring(want))
+		Expect(x.h.Metrics.Counter(fmt.Sprintf(`promised_after_send_total{status="%d",evidence="not_written"}`, status))).To(BeEquivalentTo(1))
+	},
+		Entry("after 503 with a length", nonIdempotentRoute, true, 503, maxBufferedBody, `status="503" reason="queue_full" route="`+nonIdempotentRoute.Name+`" sends="i-2dbf3407@1795000000000#0:not_written" form="length"`),
+		Entry("after 429 in chunks", nonIdempotentRoute, true, 429, maxBufferedBody+1, `form="chunks"`),
+		Entry("after 408 to a stream", streamRoute, true, 408, 10, `status="408"`),
+		Entry("after 421", nonIdempotentRoute, true, 421, 10, `status="421"`),
+		Entry("not after 502", nonIdempotentRoute, true, 502, 10, ""),
+		Entry("not without a send", nonIdempotentRoute, false, 503, 10, ""),
+		Entry("not of a request that may run again", idempotentRoute, true, 503, 10, ""),
+	)
+})
+
 // discardLog directs the logs to a writer without bounds.
 func discardLog(b *testing.B) {
 	unbounded := telemetry.Budget{Lines: 1 << 40, Bytes: 1 << 50}
