--- a/internal/ctl/excerpt_test.go
+++ b/internal/ctl/excerpt_test.go
@@ -83,6 +83,16 @@
 		Expect(lines).To(HaveExactElements(ContainSubstring(`number="400" reason="budget_exceeded"`), ContainSubstring(`id="910beb5504f4d375c"`)))
 	})
 
+	It("takes a digest for itself although the ID of a request ends with it", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "entry")
+		Expect(os.WriteFile(path, []byte(`2026-12-06T13:43:29Z info  relay: request ended id="ed6dccf1b84d375c"
+2026-12-06T13:43:30Z warn  quarantine: request quarantined digest="b84d375c"
+`), 0o600)).To(Succeed())
+		var out, errs bytes.Buffer
+		Expect(ctl.Run(nil, []string{"trace", "b84d375c", path}, &out, &errs)).To(Equal(ctl.ExitOK))
+		Expect(strings.Split(strings.TrimSpace(out.String()), "\n")).To(HaveExactElements(ContainSubstring("request quarantined")))
+	})
+
 	DescribeTable("finds no request by", func(name string) {
 		code, _ := run(name)
 		Expect(code).To(Equal(ctl.ExitFaults))
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -132,10 +132,14 @@
 
 // requestID returns the ID of the request that name stands for: an ID, the entry and number of
 // one of its reservations in the form ENTRY/NUMBER, or the begin or end of an ID that no other
-// request has. It returns name if there is no such request.
+// request has. It returns name if there is no such request, or if name is a part of prompts or
+// a digest.
 func requestID(lines []logLine, name string) string {
 	entry, number, isReservation := strings.Cut(name, "/")
 	found := ""
+	if slices.ContainsFunc(lines, func(l logLine) bool { return slices.Contains(partsOf(l), name) }) {
+		return name
+	}
 	for _, l := range lines {
 		id := l.fields["id"]
 		switch {
