relay: failure answers that are held give up their room for other answers

Cause: a whole failure answer was held while its request waited for another target, and its room in the pool of answers with it, until the request ended; each further failure of the request took room again, though only the last answer was kept. The sum was bounded by the pool, but nothing ended them.

Callers of other requests got 502 for large answers while requests whose targets had failed with large answers waited.

A held answer is dropped for its room, the largest first; its request ends with a refusal of its own if no other target succeeds. A further failure answer replaces the one before with its room. An answer for which there is room goes to its caller as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -223,15 +223,20 @@
 // and goes to the caller if no other target succeeds, unless it would tell the caller of a
 // request that may run once that it has not run.
 func (x *callerRequest) handleFailed(ctx context.Context, requestNumber uint64, resp *http.Response, silence *replacement) (done bool) {
+	before := x.buffers.taken
 	whole, err := x.readResponse(resp, silence)
 	if err != nil {
 		x.failBroken(ctx, requestNumber)
 		return false
 	}
+	held := x.buffers.hold(whole, before)
 	x.h.Containment.Answered(x.identity)
 	x.failAttempt(requestNumber, steering.Answered, result.EngineFailed)
 	if x.route.Repeatable() || !resend.PromisesNotRun(whole.status) {
-		x.history.failureResponse = whole
+		x.history.failureResponse.release()
+		x.history.failureResponse = held
+	} else {
+		held.release()
 	}
 	return false
 }
--- a/internal/relay/buffers.go
+++ b/internal/relay/buffers.go
@@ -30,20 +30,23 @@
 // or answers without end do not keep short ones from being read. While callers that read
 // slowly hold the pool, the reading of further responses waits, so that their targets wait,
 // and the slowest of these callers is disconnected. If unfinished responses hold it, the
-// largest one of the target that holds most is ended. It is safe for concurrent use.
+// largest one of the target that holds most is ended. Failure responses that are held while other
+// targets are tried give up their room first. It is safe for concurrent use.
 type BufferPool struct {
 	mu   sync.Mutex
 	free int64
 	// writes are the responses with counted parts that are sent to their callers, and reads
 	// those that are being read.
-	writes  map[*callerWrite]bool
-	reads   map[*targetRead]bool
+	writes map[*callerWrite]bool
+	reads  map[*targetRead]bool
+	// held are the failure responses that wait for another target.
+	held    map[*heldResponse]bool
 	metrics *telemetry.Metrics
 }
 
 // NewBufferPool returns a pool with the given number of bytes.
 func NewBufferPool(size int64, metrics *telemetry.Metrics) *BufferPool {
-	return &BufferPool{free: size, writes: make(map[*callerWrite]bool), reads: make(map[*targetRead]bool), metrics: metrics}
+	return &BufferPool{free: size, writes: make(map[*callerWrite]bool), reads: make(map[*targetRead]bool), held: make(map[*heldResponse]bool), metrics: metrics}
 }
 
 // endSlowest disconnects the caller that has taken longest to read the present part, if that
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,6 +142,7 @@
 	h.Metrics.Count("requests")
 	x := &callerRequest{h: h, w: w, r: r, meta: h.Dialect.ParseRequest(r.Header), arrived: time.Now(), buffers: buffers{pool: h.Buffers}}
 	defer x.buffers.release()
+	defer func() { x.history.failureResponse.release() }()
 	defer x.releaseBody()
 	if id := x.meta.AttemptID; id != "" {
 		if h.openAttempts.add(id, 1) > 1 {
@@ -298,7 +299,7 @@
 		x.h.Metrics.Refused(result.AnswerCut)
 		panic(http.ErrAbortHandler)
 	}
-	if whole := x.history.failureResponse; whole != nil {
+	if whole := x.history.failureResponse.claim(&x.buffers); whole != nil {
 		x.writeResponse(whole)
 		return
 	}
--- a/internal/relay/retry_policy.go
+++ b/internal/relay/retry_policy.go
@@ -35,7 +35,7 @@
 	// streamStarted is true once the header of a stream went to the caller.
 	streamStarted bool
 	// failureResponse is the last failure response of a target.
-	failureResponse *wholeResponse
+	failureResponse *heldResponse
 	// lastCode is the code of the last failed attempt. While no target may have
 	// run the request, a refusal by the broker replaces it.
 	lastCode result.Code
--- a/internal/relay/target_read.go
+++ b/internal/relay/target_read.go
@@ -113,6 +113,8 @@
 	for began := time.Now(); ; time.Sleep(poolInterval) {
 		p.mu.Lock()
 		now := time.Now()
+		for !r.ended() && p.free < partBytes && p.dropHeld() {
+		}
 		if r.ended() || p.free >= partBytes {
 			taken := !r.ended()
 			if taken {
