--- a/internal/relay/newest_kind.go
+++ b/internal/relay/newest_kind.go
@@ -22,7 +22,7 @@
 	}
 	x.h.Metrics.Count("repeats_forbidden_by_config")
 	x.sends.ForbidRepeats()
-	if whole := x.history.failureResponse; whole != nil && resend.PromisesNotRun(whole.status) {
-		x.history.failureResponse = nil
+	if held := x.history.failureResponse; held != nil && resend.PromisesNotRun(held.status) {
+		held.release()
 	}
 }
--- a/internal/relay/sendrecord_test.go
+++ b/internal/relay/sendrecord_test.go
@@ -50,7 +50,7 @@
 		x := sendingRequest(route)
 		x.h.Metrics, x.targetID, x.sends = telemetry.NewMetrics(), "i-2dbf3407", resend.New(resend.Policy{Repeatable: route.Repeatable(), MaxAttempts: 1})
 		if sent {
-			x.sends.Begin(x.targetID)
+			x.sends.Begin(x.targetID, x.targetID)
 			x.beginSendRecord()
 			x.recordEvidence(resend.NotWritten)
 			x.logSend(false)
