--- a/internal/crowd/faulty_server_test.go
+++ b/internal/crowd/faulty_server_test.go
@@ -47,8 +47,11 @@
 }
 
 // serve starts the server and returns its address.
-func (s *faultyServer) serve(t *testing.T) string {
-	return serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func (s *faultyServer) serve(t *testing.T) string { return serve(t, s.handler()) }
+
+// handler returns the handler of the server.
+func (s *faultyServer) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.turned.Load() {
 			s.sound.ServeHTTP(w, r)
 			return
@@ -61,7 +64,7 @@
 		_ = c.SetWriteDeadline(time.Now().Add(faultyTime))
 		s.answered.Add(1)
 		s.answer(c, r.RequestURI)
-	}))
+	})
 }
 
 // skipListed skips a test that KNOWN-RED.txt lists.
