target/agent: more answers that belong to no request, and restarts between them (KNOWN-RED 26)

17 repetitions: of the answer before, of an older one, after an interim response, and 202, 409, 412, 421, 503 and an empty 200 where the answer to an order or a report is due; three tests, one with restarts of the engine while its connections stay.

--- a/target/agent/repeated_answers_test.go
+++ b/target/agent/repeated_answers_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"agatelanding.example/agatelanding/internal/decide/engineagent"
+	"agatelanding.example/agatelanding/internal/knownred"
 	"agatelanding.example/agatelanding/internal/runtime"
 	"agatelanding.example/agatelanding/internal/telemetry"
 	"agatelanding.example/agatelanding/internal/wire"
@@ -32,6 +34,9 @@
 	every, back int
 	// gap is the time between the repeated answer and the next one.
 	gap time.Duration
+	// instead is what is sent instead of the repeated answer, empty for nothing, and first what
+	// is sent before it.
+	instead, first string
 }
 
 // serve serves a handler on a connection.
@@ -46,7 +51,11 @@
 		}
 		if x.before == "" || x.before == req.URL.Path {
 			if len(answers) >= x.back && n%x.every == 0 {
-				_, _ = c.Write(answers[len(answers)-x.back])
+				extra := answers[len(answers)-x.back]
+				if x.instead != "" {
+					extra = []byte(x.instead)
+				}
+				_, _ = io.WriteString(c, x.first+string(extra))
 				time.Sleep(x.gap)
 			}
 			n++
@@ -83,6 +92,9 @@
 	return l.Addr().String()
 }
 
+// answer returns an answer without a body.
+func answer(status string) string { return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n" }
+
 // repetitions are the cases of the tests.
 var repetitions = map[string]repetition{
 	"of each answer":                        {every: 1, back: 1},
@@ -94,6 +106,15 @@
 	"of an older answer before each fourth": {every: 4, back: 3},
 	"of an older answer, with a gap":        {every: 4, back: 3, gap: 20 * time.Millisecond},
 	"before every other answer to an order": {before: "/order", every: 2, back: 2},
+	"after an interim response":             {every: 2, back: 1, first: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"before orders, accepted":               {before: "/order", every: 1, back: 1, instead: answer("202 Accepted")},
+	"before orders, conflict":               {before: "/order", every: 1, back: 1, instead: answer("409 Conflict")},
+	"before orders, fenced":                 {before: "/order", every: 1, back: 1, instead: answer("412 Precondition Failed")},
+	"before orders, misdirected":            {before: "/order", every: 1, back: 1, instead: answer("421 Misdirected Request")},
+	"before orders, unavailable":            {before: "/order", every: 1, back: 1, instead: answer("503 Service Unavailable")},
+	"before reports, accepted":              {before: "/report", every: 3, back: 1, instead: answer("202 Accepted")},
+	"before reports, fenced":                {before: "/report", every: 3, back: 1, instead: answer("412 Precondition Failed")},
+	"before reports, holds":                 {before: "/report", every: 3, back: 1, instead: answer("200 OK")},
 }
 
 // repeatingEngine is an engine that repeats its answers, with the core of its target process.
@@ -143,6 +164,10 @@
 func TestFencedOrderAtAnEngineThatRepeatsItsAnswers(t *testing.T) {
 	for name, x := range repetitions {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if knownred.Listed(t.Name()) {
+				t.Skip("listed in KNOWN-RED.txt")
+			}
 			g := NewWithT(t)
 			e := newRepeatingEngine(t, 3, x)
 			report, _, err := e.direct.ReadStatus(context.Background())
@@ -164,6 +189,7 @@
 func TestLoadsAtAnEngineThatRepeatsItsAnswers(t *testing.T) {
 	for name, x := range repetitions {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			e := newRepeatingEngine(t, 3, x)
 			orders, wentBack := uint64(0), 0
@@ -191,3 +217,33 @@
 		})
 	}
 }
+
+// Guards against a process that takes the engine before its restart for the present one.
+func TestRestartsOfAnEngineThatRepeatsItsAnswers(t *testing.T) {
+	for name, x := range repetitions {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			e := newRepeatingEngine(t, 3, x)
+			for n := range uint64(9) {
+				if n%3 == 2 {
+					e.replica.Restart()
+				}
+				e.receive(&wire.Reserve{ID: e.id(n), Model: "m", Adapter: fmt.Sprint("a", n%5), BudgetMS: 5000, FirstEventBudgetMS: 5000})
+				time.Sleep(70 * time.Millisecond)
+				e.receive(&wire.Release{ID: e.id(n)})
+			}
+			g.Expect(e.replica.ExceededSlots()).To(BeFalse())
+			// A restart refuses the requests that wait.
+			for n := uint64(100); n < 140 && len(e.replica.Held()) == 0; n++ {
+				e.receive(&wire.Reserve{ID: e.id(n), Model: "m", Adapter: "last", BudgetMS: 5000, FirstEventBudgetMS: 5000})
+				time.Sleep(100 * time.Millisecond)
+			}
+			g.Expect(e.replica.Held()).NotTo(BeEmpty())
+			g.Eventually(func() bool {
+				report, _, err := e.direct.ReadStatus(context.Background())
+				return err == nil && report.AcceptedOrders == e.status().Orders
+			}).Within(2 * time.Second).Should(BeTrue())
+		})
+	}
+}
