relay: the newest kind of a route counts also when a request is given up without a send

Cause: giveUp did not look up the kind in force; it was looked up after a failed send and after a grant only. A refusal by the broker, a quarantine and a stop of the entry lead to giveUp without either. Callers saw: 503 (the target's own, held since its run, or one of the entry after two refusals from one address) for a request that ran, or may have, whose route had become one that may run once.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -297,6 +297,7 @@
 // of a stream that has started. Otherwise the caller gets the last failure
 // response of a target or, without one, a refusal.
 func (x *callerRequest) giveUp() {
+	x.applyNewestKind()
 	if x.history.streamStarted {
 		x.log("stream broken off")
 		x.h.Metrics.Refused(result.AnswerCut)
