clients: each call of the project's own interface has a connection of its own

Cause: the clients of services, engines, the configuration service and the VM list used kept connections, and no answer names its call. An answer that a server repeats once the next call has arrived counted as the answer to that call. Cost: a connection for each call, not measured apart.

--- a/internal/clients/config.go
+++ b/internal/clients/config.go
@@ -34,7 +34,7 @@
 
 // NewConfigClient returns a client of the configuration service at a base URL.
 func NewConfigClient(base string) *ConfigClient {
-	return &ConfigClient{base: strings.TrimSuffix(base, "/"), client: &http.Client{}}
+	return &ConfigClient{base: strings.TrimSuffix(base, "/"), client: newClient()}
 }
 
 // Value is a value of the configuration service. Index is the service's change
@@ -118,7 +118,7 @@
 
 // NewVMList returns a client of the VM list at a base URL.
 func NewVMList(base string) *VMList {
-	return &VMList{base: strings.TrimSuffix(base, "/"), client: &http.Client{}}
+	return &VMList{base: strings.TrimSuffix(base, "/"), client: newClient()}
 }
 
 // maxVMListBytes bounds the encoded list. 2,000 VMs of 150 bytes each take
--- a/internal/clients/engine.go
+++ b/internal/clients/engine.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/authority"
 	"agatelanding.example/agatelanding/internal/decide/slots"
@@ -29,8 +28,10 @@
 	return &Engine{base: strings.TrimSuffix(base, "/"), client: newClient()}
 }
 
+// newClient returns a client whose calls have connections of their own: no answer names its
+// call, and on a kept connection one that is repeated would count as the answer to the next.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
 // EngineState is the state that an engine reports of itself.
