engineagent: a call on a new connection that gets no answer tells nothing of the engine

Callers would have seen: 503 (engine_unavailable) for nearly all reservations at a sound engine, its old rate in force, and requests for an adapter that is never loaded. Fix: after such a call all calls use kept connections for 5 s (engine_connections_failed counts them). Meanwhile a report that names no rate ends the limit, as before.

--- a/internal/decide/engineagent/agent.go
+++ b/internal/decide/engineagent/agent.go
@@ -78,6 +78,10 @@
 	// confirmNoRate is set if the next poll needs a connection of its own.
 	doubtUntil    time.Time
 	confirmNoRate bool
+	// Until keptUntil all calls use kept connections, because one on a new connection got no
+	// answer. pollIsNew and orderIsNew are true if the last poll or order was on a new one.
+	keptUntil             time.Time
+	pollIsNew, orderIsNew bool
 	// unloading is the adapter of the last order if that was an unload and no
 	// later poll has shown its effect: status still lists the adapter.
 	unloading Adapter
--- a/internal/decide/engineagent/answers.go
+++ b/internal/decide/engineagent/answers.go
@@ -6,6 +6,10 @@
 // has sent an answer that belongs to no request, or one of before.
 const doubtTime = 5 * time.Second
 
+// refusedTime is how long calls use kept connections after one on a new connection got no
+// answer: an engine resets the connections beyond those that it takes.
+const refusedTime = 5 * time.Second
+
 // Answers of the engine name no request. One that is repeated late, where the next one is
 // due, is recognized by what it says: the start of the engine and its number of accepted
 // orders never go back, and this process alone orders. The first answer on a connection
@@ -15,9 +19,7 @@
 type answeredOrder struct {
 	order   Order
 	outcome OrderOutcome
-	// startedAtMS is the incarnation that the order was meant for.
-	startedAtMS int64
-	at          time.Time
+	at      time.Time
 }
 
 // Believes reports whether a status can be the present one.
@@ -41,6 +43,21 @@
 // doubtAnswers begins a time in which no connection is used twice.
 func (a *Agent) doubtAnswers(now time.Time) { a.doubtUntil = now.Add(doubtTime) }
 
+// needsNewConnection reports whether a call gets a connection of its own, which may be wanted
+// for another reason than doubt.
+func (a *Agent) needsNewConnection(now time.Time, wanted bool) bool {
+	return a.mayUseNewConnection(now) && (wanted || now.Before(a.doubtUntil))
+}
+
+func (a *Agent) mayUseNewConnection(now time.Time) bool { return !now.Before(a.keptUntil) }
+
+// newConnectionFailed records that a call on a new connection got no answer, which tells nothing
+// of the engine.
+func (a *Agent) newConnectionFailed(now time.Time) {
+	a.rec.Count("engine_connections_failed")
+	a.keptUntil = now.Add(refusedTime)
+}
+
 // settleOrder decides by a status whether the last order was accepted, whatever its answer
 // said, and handles the outcome.
 func (a *Agent) settleOrder(now time.Time, status EngineStatus) {
--- a/internal/decide/engineagent/orders.go
+++ b/internal/decide/engineagent/orders.go
@@ -31,8 +31,9 @@
 func (a *Agent) startPoll(now time.Time) {
 	if a.pollStartedAt.IsZero() && !a.orderPending && !now.Before(a.pausedUntil) {
 		a.pollStartedAt = now
-		a.emit(PollEngine{NewConnection: a.confirmNoRate || now.Before(a.doubtUntil)})
+		a.pollIsNew = a.needsNewConnection(now, a.confirmNoRate)
 		a.confirmNoRate = false
+		a.emit(PollEngine{NewConnection: a.pollIsNew})
 	}
 }
 
@@ -48,7 +49,9 @@
 		a.rec.Count("engine_reports_outdated")
 		a.doubtAnswers(now)
 		a.needsPoll = true
-		a.startPoll(now)
+		if a.mayUseNewConnection(now) {
+			a.startPoll(now)
+		}
 		return a.takeActions()
 	}
 	if a.hasStatus && status.StartedAtMS != a.status.StartedAtMS {
@@ -126,6 +129,10 @@
 // PollFailed records a failed poll.
 func (a *Agent) PollFailed(now time.Time) []Action {
 	a.pollStartedAt, a.polledAt, a.needsPoll = time.Time{}, now, true
+	if a.pollIsNew {
+		a.newConnectionFailed(now)
+		return a.takeActions()
+	}
 	a.failedPolls++
 	if a.failedPolls >= maxFailedPolls {
 		a.refuseWaiting(now, result.EngineUnavailable, IdlePollInterval)
@@ -136,11 +143,14 @@
 // OrderCompleted handles the answer to the last order. A report settles the outcome.
 func (a *Agent) OrderCompleted(now time.Time, outcome OrderOutcome) []Action {
 	a.orderPending = false
+	if a.orderIsNew && outcome == OrderUnanswered {
+		a.newConnectionFailed(now)
+	}
 	// Each order is followed by a poll, whatever its outcome: the status shows
 	// which adapters the engine holds and how many orders it has accepted.
 	a.needsPoll = true
 	a.rec.Count("orders_" + outcome.String())
-	a.answered = &answeredOrder{order: a.lastOrder, outcome: outcome, startedAtMS: a.status.StartedAtMS, at: now}
+	a.answered = &answeredOrder{order: a.lastOrder, outcome: outcome, at: now}
 	a.advance(now)
 	return a.takeActions()
 }
@@ -178,7 +188,8 @@
 			a.dropPrefixesOf(order.Adapter)
 		}
 		// The reason why an order is refused again and again has to be that of its own answer.
-		a.emit(SendOrder{Order: order, NewConnection: now.Before(a.doubtUntil) || a.consecutiveRejections > 0})
+		a.orderIsNew = a.needsNewConnection(now, a.consecutiveRejections > 0)
+		a.emit(SendOrder{Order: order, NewConnection: a.orderIsNew})
 	}
 }
 
--- a/internal/decide/engineagent/ratelimit.go
+++ b/internal/decide/engineagent/ratelimit.go
@@ -93,7 +93,7 @@
 // the engine's need has ended with it. An answer on a kept connection may be a copy of one
 // from before the need.
 func (a *Agent) PollNamedNoRate(now, sentAt time.Time) bool {
-	if a.status.KeptConnection && a.limiter.polled && a.limiter.limit.Rate > 0 {
+	if a.status.KeptConnection && a.mayUseNewConnection(now) && a.limiter.polled && a.limiter.limit.Rate > 0 {
 		a.confirmNoRate, a.needsPoll = true, true
 		return false
 	}
