upstream: specs of sends that are given up tell first sends by a header

Cause: the target took every second arrival for the first send of a request. First sends bear a header now; what is checked is the same, also for a first send that never arrives.

--- a/internal/upstream/refusals_suite_test.go
+++ b/internal/upstream/refusals_suite_test.go
@@ -28,9 +28,23 @@
 	return r
 }
 
+// isFirst is the header of a request that the target refuses, because it is the first send of it.
+const isFirst = "First"
+
 // status sends a request and returns the status of its response, 0 for none.
 func status(ctx context.Context, p *upstream.Pool, t *target, id string) int {
-	resp, failure := p.Do(ctx, t.address(), named(id))
+	return statusOf(ctx, p, t, named(id))
+}
+
+// giveUpFirst sends the first send of a request and returns the status of its response, 0 for none.
+func giveUpFirst(ctx context.Context, p *upstream.Pool, t *target, id string) int {
+	r := named(id)
+	r.Header.Set(isFirst, "1")
+	return statusOf(ctx, p, t, r)
+}
+
+func statusOf(ctx context.Context, p *upstream.Pool, t *target, r *upstream.Request) int {
+	resp, failure := p.Do(ctx, t.address(), r)
 	if failure != nil {
 		return 0
 	}
@@ -49,9 +63,9 @@
 
 	// Guards against the refusal of a send that was given up, taken for that of a later send.
 	DescribeTable("is not used again after its send was given up", func(giveUp func(context.Context) (context.Context, context.CancelFunc), begun string) {
-		var sends, ran atomic.Int64
+		var ran atomic.Int64
 		t := newTarget(respondToEach(func(nc net.Conn, r *http.Request) {
-			if sends.Add(1)%2 == 1 {
+			if r.Header.Get(isFirst) != "" {
 				_, _ = io.WriteString(nc, begun)
 				time.Sleep(20 * time.Millisecond)
 				refuse(nc, r.Header.Get("Id"))
@@ -64,7 +78,7 @@
 		for i := range 20 {
 			id := fmt.Sprint(i)
 			ctx, cancel := giveUp(context.Background())
-			Expect(status(ctx, p, t, id)).To(BeZero())
+			Expect(giveUpFirst(ctx, p, t, id)).To(BeZero())
 			Expect(status(context.Background(), p, t, id)).To(Equal(200))
 			cancel()
 		}
@@ -88,10 +102,10 @@
 
 	// Guards against the same for a send that is given up in the moment in which its refusal comes.
 	It("is not used again if its send was given up as the refusal came", func() {
-		var sends, ran, believed atomic.Int64
+		var ran, believed atomic.Int64
 		t := newTarget(respondToEach(func(nc net.Conn, r *http.Request) {
 			id := r.Header.Get("Id")
-			if sends.Add(1)%2 == 1 {
+			if r.Header.Get(isFirst) != "" {
 				time.Sleep(2 * time.Millisecond)
 				refuse(nc, id)
 				refuse(nc, id)
@@ -102,7 +116,7 @@
 		}))
 		for i := range 200 {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Millisecond)
-			status(ctx, p, t, fmt.Sprint(i))
+			giveUpFirst(ctx, p, t, fmt.Sprint(i))
 			if status(context.Background(), p, t, fmt.Sprint(i)) == 503 {
 				believed.Add(1)
 			}
