--- a/internal/decide/engineagent/answers.go
+++ b/internal/decide/engineagent/answers.go
@@ -6,14 +6,9 @@
 // has sent an answer that belongs to no request, or one of before.
 const doubtTime = 5 * time.Second
 
-// refusedTime is how long calls use kept connections after one on a new connection got no
+// keptTime is how long all calls use kept connections after one on a new connection got no
 // answer: an engine resets the connections beyond those that it takes.
-const refusedTime = 5 * time.Second
-
-// Answers of the engine name no request. One that is repeated late, where the next one is
-// due, is recognized by what it says: the start of the engine and its number of accepted
-// orders never go back, and this process alone orders. The first answer on a connection
-// cannot be a copy of an earlier one.
+const keptTime = 5 * time.Second
 
 // answeredOrder is an order whose outcome is known by its answer only.
 type answeredOrder struct {
@@ -22,7 +17,10 @@
 	at      time.Time
 }
 
-// Believes reports whether a status can be the present one.
+// Believes reports whether a status can be the present one. Answers of the engine name no
+// request. One that is repeated late is recognized by what it says: the start of the engine and
+// its number of accepted orders never go back, and this process alone orders. The first answer
+// on a connection cannot be a copy.
 func (a *Agent) Believes(status EngineStatus) bool {
 	switch {
 	case !status.KeptConnection || !a.hasStatus:
@@ -55,7 +53,7 @@
 // of the engine.
 func (a *Agent) newConnectionFailed(now time.Time) {
 	a.rec.Count("engine_connections_failed")
-	a.keptUntil = now.Add(refusedTime)
+	a.keptUntil = now.Add(keptTime)
 }
 
 // settleOrder decides by a status whether the last order was accepted, whatever its answer
