keeper, relay: log where a removal came from, whether it was put off, and the view of each send

Each removal of a listed target now has a line with its source, the age of the view and, if it is put off, for how long; each end of a deferral names the target; 'store reached' says by whose word; 'request ended' has the time of the last send and position and age of the view then, counted from the question. The decisions are unchanged.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -441,7 +441,7 @@
 func (e *Edge) handler() http.Handler {
 	h := &relay.Handler{
 		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: noticeRecorder{e.broker, &e.leaving}, Upstream: upstream.NewPool(e.metrics).WithHeadRoom(e.shares.answerHeads),
-		RetryBudget: e.retryBudget, Containment: e.guard, StreamVersions: e.streams, Buffers: relay.NewBufferPool(e.shares.answers, e.metrics), Bodies: e.bodies, Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, KeysTrusted: e.stateWatcher.keysTrusted, Quotas: e.quotas, Stopping: e.refusesRequests.Load,
+		RetryBudget: e.retryBudget, Containment: e.guard, StreamVersions: e.streams, Buffers: relay.NewBufferPool(e.shares.answers, e.metrics), Bodies: e.bodies, Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, ViewAge: e.stateWatcher.viewAge, KeysTrusted: e.stateWatcher.keysTrusted, Quotas: e.quotas, Stopping: e.refusesRequests.Load,
 		Ending: e.ending, EndsAt: e.stopEnd,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -169,6 +169,17 @@
 	applied chan struct{}
 }
 
+// source returns where the items of an update come from, for logs.
+func (u update) source() string {
+	switch {
+	case u.fromPeer:
+		return "peer"
+	case u.fullList:
+		return "list"
+	}
+	return "watch"
+}
+
 func newStateWatcher(store *platform.Store, bounds platform.Bounds, metrics *telemetry.Metrics) *stateWatcher {
 	w := &stateWatcher{
 		store: store, metrics: metrics, log: telemetry.For("keeper"), started: time.Now(),
@@ -244,10 +255,7 @@
 			q.reply <- w.stateFor(q.after)
 		case <-ticker.C:
 			w.queryPeersIfNeeded()
-			if w.catalog.RemoveUnregistered(time.Now()) {
-				w.log.Warn("removed targets that did not register again after an outage of the store")
-				w.publish(w.catalog.View())
-			}
+			w.endDeferrals(time.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -304,7 +312,7 @@
 	if at > time.Duration(w.confirmedAt.Load()) {
 		w.confirmedAt.Store(int64(at))
 		// The store answers, if not this entry.
-		w.catalog.StoreReached(time.Now())
+		w.storeReached(time.Now(), "peer")
 	}
 }
 
@@ -335,8 +343,7 @@
 		w.catalog.StoreLost()
 		return
 	case u.storeReached:
-		w.log.Info("store reached")
-		w.catalog.StoreReached(now)
+		w.storeReached(now, "store")
 	}
 	if u.since.Revision > 0 && (u.since.Era != w.complete.Era || u.since.After(w.complete)) {
 		// Changes before these are missing.
@@ -355,7 +362,7 @@
 		if u.fromPeer && w.mayBeForgotten(e) {
 			continue
 		}
-		if t := w.applyItem(now, e); t != nil && !t.Draining {
+		if t := w.applyItem(now, e, u.source()); t != nil && !t.Draining {
 			registered = append(registered, t)
 		}
 	}
@@ -363,7 +370,7 @@
 	w.endItems(u)
 	if newEra && !u.fullList {
 		w.beginEra(now, u.complete)
-		w.applyRemovals(now, w.catalog.RemovalsForEra(u.complete))
+		w.applyRemovals(now, w.catalog.RemovalsForEra(u.complete), "era")
 	}
 	w.confirm(u.complete, u.confirmedAt)
 	if u.applied != nil && u.complete.Era == w.complete.Era {
@@ -410,7 +417,7 @@
 
 // applyItem applies one item. An item that cannot be decoded removes the target
 // that its key described before. It returns the target that the item describes, if any.
-func (w *stateWatcher) applyItem(now time.Time, e platform.StoreItem) *catalog.Target {
+func (w *stateWatcher) applyItem(now time.Time, e platform.StoreItem, source string) *catalog.Target {
 	item, err := platform.Decode(e)
 	if err != nil {
 		w.metrics.Count("published_items_malformed")
@@ -425,7 +432,11 @@
 	if w.malformed.changed(e.Key, err != nil) && err != nil {
 		w.log.With("key", e.Key).With("era", e.Era).With("revision", e.Revision).Error(err, "an item cannot be read")
 	}
+	listed := w.catalog.HasTarget(e.Key)
 	changed := w.catalog.Apply(now, item)
+	if e.Removed && listed {
+		w.logRemoval(now, e.Key, source)
+	}
 	// An unchanged registration is kept only where it is the first of its key in an
 	// era, so that other entries do not get every heartbeat of the targets. A removal
 	// is kept also if it is deferred: other entries must not miss it.
@@ -435,7 +446,7 @@
 	}
 	// A draining target must get no new requests.
 	if changed && item.Target != nil && item.Target.Draining {
-		w.log.With("target", item.Target.ID).With("era", e.Era).With("revision", e.Revision).Info("target is leaving")
+		w.log.With("target", item.Target.ID).With("era", e.Era).With("revision", e.Revision).With("source", source).With("view_age_ms", w.age().Milliseconds()).Info("target is leaving")
 	}
 	return item.Target
 }
@@ -446,15 +457,15 @@
 	for _, e := range u.items {
 		listed[e.Key] = true
 	}
-	w.applyRemovals(now, w.catalog.RemovalsFor(u.complete, listed, platform.IsTarget))
+	w.applyRemovals(now, w.catalog.RemovalsFor(u.complete, listed, platform.IsTarget), "list")
 }
 
 // applyRemovals removes targets. Other entries get the removals as well, because a
 // list is not repeated for them.
-func (w *stateWatcher) applyRemovals(now time.Time, removals []catalog.Item) {
+func (w *stateWatcher) applyRemovals(now time.Time, removals []catalog.Item, source string) {
 	for _, item := range removals {
-		w.log.With("key", item.Key).With("era", item.Era).With("revision", item.Revision).Info("target is no longer listed")
 		w.catalog.Apply(now, item)
+		w.logRemoval(now, item.Key, source)
 		w.keep(platform.StoreItem{Key: item.Key, Era: item.Era, Revision: item.Revision, Removed: true}, catalog.Admitted)
 	}
 }
@@ -483,7 +494,7 @@
 		case err != nil:
 			w.metrics.Count("store_failures")
 			if !lost {
-				w.log.Error(err, "the store does not answer")
+				w.log.With("list", position.Revision == 0).With("revision", position.Revision).With("ms", time.Since(began).Milliseconds()).Error(err, "the store does not answer")
 				lost = true
 				w.updates <- update{storeLost: true}
 			}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -98,12 +98,14 @@
 // StoreLost records that the store does not answer.
 func (c *Catalog) StoreLost() { c.storeLost = true }
 
-// StoreReached records that the store answers again.
-func (c *Catalog) StoreReached(now time.Time) {
-	if c.storeLost {
+// StoreReached records that the store answers, and reports whether it did not before.
+func (c *Catalog) StoreReached(now time.Time) bool {
+	wasLost := c.storeLost
+	if wasLost {
 		c.storeLost = false
 		c.storeBackAt = now
 	}
+	return wasLost
 }
 
 // BeginEra records that the whole state at a position of a newer era is known. If the
@@ -124,6 +126,12 @@
 	return Position{}
 }
 
+// HasTarget reports whether a key describes a target of the view.
+func (c *Catalog) HasTarget(key string) bool {
+	r, ok := c.records[key]
+	return ok && r.target != nil
+}
+
 // Apply merges a change. It reports whether the change is newer than the known
 // state of its key and led to a new view.
 //
@@ -240,11 +248,7 @@
 		if r.target == nil || r.keptSince.IsZero() || c.storeLost {
 			continue
 		}
-		graceStart := r.keptSince
-		if graceStart.Before(c.storeBackAt) {
-			graceStart = c.storeBackAt
-		}
-		if now.Sub(graceStart) >= ReregistrationGrace {
+		if now.Sub(c.graceStart(r)) >= ReregistrationGrace {
 			r.target, r.keptSince = nil, time.Time{}
 			dropped = true
 		}
@@ -255,6 +259,44 @@
 	return dropped
 }
 
+// Deferral is a removal that is not in force yet.
+type Deferral struct {
+	Key      string
+	Position Position
+	// Since is when the removal was merged, or when the store came back before it, and Until
+	// when it takes effect if the store answers from now on.
+	Since, Until time.Time
+}
+
+// Deferral returns the deferred removal of a key, if there is one.
+func (c *Catalog) Deferral(key string) (d Deferral, ok bool) {
+	r, ok := c.records[key]
+	if !ok || r.target == nil || r.keptSince.IsZero() {
+		return Deferral{}, false
+	}
+	return Deferral{Key: key, Position: r.position, Since: r.keptSince, Until: c.graceStart(r).Add(ReregistrationGrace)}, true
+}
+
+// Deferrals returns all deferred removals, sorted by key.
+func (c *Catalog) Deferrals() []Deferral {
+	var list []Deferral
+	for key := range c.records {
+		if d, ok := c.Deferral(key); ok {
+			list = append(list, d)
+		}
+	}
+	slices.SortFunc(list, func(a, b Deferral) int { return cmp.Compare(a.Key, b.Key) })
+	return list
+}
+
+// graceStart returns the time from which ReregistrationGrace counts for a deferred removal.
+func (c *Catalog) graceStart(r *record) time.Time {
+	if r.keptSince.Before(c.storeBackAt) {
+		return c.storeBackAt
+	}
+	return r.keptSince
+}
+
 // RemovalsFor returns removals for the targets that a complete list of keys
 // does not contain. The list was read at a position and covers the keys for
 // which covered returns true.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,7 +50,7 @@
 	x.requestNumber, x.targetID, x.adapterVersion, x.grant = requestNumber, grant.Target.ID, grant.Version, grant
 	x.sends.Begin(grant.Target.ID, grant.Target.Address)
 	x.began.Store(false)
-	x.sentAt = time.Now()
+	x.sentAt, x.sentView = time.Now(), x.h.viewAge()
 	x.beginSendRecord()
 	requestCtx := ctx
 	ctx, end := context.WithCancelCause(ctx)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,9 @@
 	// configuration in force counts as the newest. If it is false, an unknown
 	// route may be one that a newer configuration has.
 	ConfigCurrent func() bool
+	// ViewAge returns the age of the published state in force, counted from the question that
+	// the store has answered, and up to where it has all changes. It may be nil.
+	ViewAge func() (age time.Duration, at catalog.Position, known bool)
 	// KeysTrusted reports whether the store answered recently enough that no key of the
 	// configuration in force was withdrawn for longer than allowed. It may be nil.
 	KeysTrusted func() bool
@@ -113,6 +116,8 @@
 	began atomic.Bool
 	// sentAt is when the present attempt began.
 	sentAt time.Time
+	// sentView is the published state in force when the present attempt began.
+	sentView viewAge
 	// identity is what the request has in common with others.
 	identity Identity
 	// versions records the software version of a stream, nil for other requests.
@@ -139,6 +144,20 @@
 	refund func()
 }
 
+// viewAge describes a published state: its age and up to where it has all changes.
+type viewAge struct {
+	age   time.Duration
+	at    catalog.Position
+	known bool
+}
+
+func (h *Handler) viewAge() (v viewAge) {
+	if h.ViewAge != nil {
+		v.age, v.at, v.known = h.ViewAge()
+	}
+	return v
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.Metrics.Count("requests")
@@ -420,6 +439,9 @@
 			line = line.With("held_tokens", x.grant.HeldTokens)
 		}
 	}
+	if x.sentView.known {
+		line = line.With("sent_ms", x.sentAt.Sub(x.arrived).Milliseconds()).With("view", x.sentView.at.Revision).With("view_age_ms", x.sentView.age.Milliseconds())
+	}
 	if x.streamStats.events > 0 {
 		line = line.With("events", x.streamStats.events).With("first_ms", x.streamStats.firstEventDelay.Milliseconds()).
 			With("pause_ms", x.streamStats.maxPause.Milliseconds())
--- a/internal/relay/sendrecord.go
+++ b/internal/relay/sendrecord.go
@@ -13,7 +13,7 @@
 )
 
 // maxSendFields is the number of fields of a record, with the one that marks it.
-const maxSendFields = 20
+const maxSendFields = 22
 
 // maxBufferedBody is the length up to which net/http sends a body with Content-Length rather
 // than in chunks.
@@ -55,6 +55,9 @@
 	fields := make(telemetry.Fields, maxSendFields)
 	fields["id"], fields["entry"], fields["number"], fields["route"] = x.meta.AttemptID, x.h.EntryName, x.requestNumber, x.route.Name
 	fields["target"], fields["target_started_ms"], fields["send"] = target.ID, target.StartedAtMS, x.sends.Counts().Sends
+	if x.sentView.known {
+		fields["view"], fields["view_age_ms"] = x.sentView.at.Revision, x.sentView.age.Milliseconds()
+	}
 	x.sendRecord = &sendRecord{fields: fields}
 }
 
