relay: a request that has waited is checked against the newest view right before its first byte

In the users' record a request was sent 1.46 s after it had arrived, to a target that had left 4.29 s before. Between the grant and the first byte (a dial of up to 1 s, a busy process) nobody looked at the view again: the broker places only requests elsewhere that have no grant yet. upstream.Request has MaySend, which is asked once there is a connection; relay answers it by the newest published view, which is stored before the broker gets it, and by what targets have said in answers. A request that is withheld counts as not written and goes to another target (sends_withheld).

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -92,6 +92,9 @@
 	// view is the published state in force: the configuration, the targets and
 	// the adapter versions.
 	view atomic.Pointer[catalog.View]
+	// newestView is the view that the broker gets next, or has. It is in force for requests that
+	// were granted a target before.
+	newestView atomic.Pointer[catalog.View]
 	// firstConfig is closed once a configuration is in force.
 	firstConfig chan struct{}
 	// openRequests is the number of callers' requests in progress.
@@ -259,6 +262,8 @@
 
 // publish puts a view in force. Only the goroutine of stateWatcher.run calls it.
 func (e *Edge) publish(v *catalog.View) {
+	// Requests that were granted before are checked against the newest view first.
+	e.newestView.Store(v)
 	// The broker gets the view before any request on a route that is new in it.
 	e.broker.SetView(v)
 	e.streams.SetView(v)
@@ -288,6 +293,13 @@
 	r.Broker.Notified(target, n)
 }
 
+// takesRequests reports whether the newest published state lists an incarnation of a target, and
+// neither that nor an answer has said that it leaves.
+func (e *Edge) takesRequests(t *catalog.Target) bool {
+	listed, ok := e.newestView.Load().Targets[t.ID]
+	return ok && listed.StartedAtMS == t.StartedAtMS && listed.Address == t.Address && !listed.Draining && !e.leaving.Has(listed)
+}
+
 // isReplaced reports whether the published state has another incarnation at the address of
 // a target.
 func (e *Edge) isReplaced(t *catalog.Target) bool {
@@ -441,7 +453,7 @@
 func (e *Edge) handler() http.Handler {
 	h := &relay.Handler{
 		View: e.view.Load, Dialect: platform.HeaderCodec{}, Broker: noticeRecorder{e.broker, &e.leaving}, Upstream: upstream.NewPool(e.metrics).WithHeadRoom(e.shares.answerHeads),
-		RetryBudget: e.retryBudget, Containment: e.guard, StreamVersions: e.streams, Buffers: relay.NewBufferPool(e.shares.answers, e.metrics), Bodies: e.bodies, Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, ViewAge: e.stateWatcher.viewAge, KeysTrusted: e.stateWatcher.keysTrusted, Quotas: e.quotas, Stopping: e.refusesRequests.Load,
+		RetryBudget: e.retryBudget, Containment: e.guard, StreamVersions: e.streams, Buffers: relay.NewBufferPool(e.shares.answers, e.metrics), Bodies: e.bodies, Metrics: e.metrics, Log: telemetry.For("relay"), EntryName: e.settings.Name, ConfigCurrent: e.stateWatcher.storeCurrent, ViewAge: e.stateWatcher.viewAge, TakesRequests: e.takesRequests, KeysTrusted: e.stateWatcher.keysTrusted, Quotas: e.quotas, Stopping: e.refusesRequests.Load,
 		Ending: e.ending, EndsAt: e.stopEnd,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -148,6 +148,7 @@
 		Refuses:       func(resp *http.Response) bool { return x.h.Dialect.Classify(resp, id) == Declined },
 		MatchesAnswer: func(resp *http.Response) upstream.Match { return x.h.Dialect.MatchesRequest(resp, id) },
 		NamedIDs:      x.h.Dialect.NamedIDs,
+		MaySend:       func() bool { return x.h.TakesRequests == nil || x.h.TakesRequests(grant.Target) },
 		Usage:         x.sendRecord.connection(),
 	}
 }
@@ -179,6 +180,10 @@
 // handleNoResponse records an attempt without a response.
 func (x *callerRequest) handleNoResponse(ctx context.Context, requestNumber uint64, failure *upstream.Error) {
 	switch {
+	case errors.Is(failure.Cause, upstream.ErrWithheld):
+		x.h.Metrics.Count("sends_withheld")
+		x.recordEvidence(resend.NotWritten)
+		x.failAttempt(requestNumber, steering.Abandoned, result.TargetLeaving)
 	case !failure.MaybeSent:
 		x.recordEvidence(resend.NotWritten)
 		x.failAttempt(requestNumber, steering.Unreachable, result.EngineUnavailable)
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"agatelanding.example/agatelanding/internal/decide/retry"
 	"agatelanding.example/agatelanding/internal/decide/steering"
 	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/internal/upstream"
 )
 
 // openedResponse is a response of a target that has begun: the first event of a stream
@@ -125,6 +127,9 @@
 	sentAt := time.Now()
 	resp, failure := x.h.Upstream.Do(o.ctx, grant.Target.Address, x.upstreamRequest(grant, resumeAfter))
 	switch {
+	case failure != nil && errors.Is(failure.Cause, upstream.ErrWithheld):
+		x.h.Metrics.Count("sends_withheld")
+		return steering.Abandoned, false
 	case failure != nil && !failure.MaybeSent:
 		return steering.Unreachable, false
 	case failure != nil && o.ctx.Err() != nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,6 +67,9 @@
 	// ViewAge returns the age of the published state in force, counted from the question that
 	// the store has answered, and up to where it has all changes. It may be nil.
 	ViewAge func() (age time.Duration, at catalog.Position, known bool)
+	// TakesRequests reports whether the newest published state lists a target, and not as leaving.
+	// It may be nil.
+	TakesRequests func(t *catalog.Target) bool
 	// KeysTrusted reports whether the store answered recently enough that no key of the
 	// configuration in force was withdrawn for longer than allowed. It may be nil.
 	KeysTrusted func() bool
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -60,6 +61,9 @@
 	Refuses func(*http.Response) bool
 	// MatchesAnswer returns whether a response belongs to this request.
 	MatchesAnswer func(*http.Response) Match
+	// MaySend reports, once there is a connection, whether the request may still be sent. Without
+	// it that always holds.
+	MaySend func() bool
 	// Usage is set by Do to the connection on which the request was sent, unless it is nil.
 	Usage *Usage
 }
@@ -82,6 +86,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ErrWithheld is the cause of the error for a request that MaySend does not allow any more.
+var ErrWithheld = errors.New("the request may not be sent any more")
+
 // Counter counts events of the pool.
 type Counter interface{ Count(name string) }
 
@@ -200,6 +207,10 @@
 			return nil, &Error{Cause: net.ErrClosed}
 		}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		c.close()
+		return nil, &Error{Cause: ErrWithheld}
+	}
 	if r.Usage != nil {
 		*r.Usage = rt.usage
 	}
