peers: a broadcast that is late does not make the view look fresh

An entry reads the store when its view is old, and refuses an unknown route with 404 only while its view is young. It took the age of a broadcast as it was when the sender put it into its queue: the time in the queue, on the way, and that for which either process was suspended did not count. A message that was held for 0.8 s after a state of 0.1 s counted as 0.1 s old (entry/peers, 'that is late is as old as it is when it arrives', failed before, passes now).

A broadcast now says at which time of the sender's clock the state was read, and the receiver converts that by the fastest message of the last 30 to 60 s (viewtrust.PeerClock, a property with clocks of different speed). The order of the stamp after the state stays: what a stamp confirms must have been applied.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatelanding.example/agatelanding/internal/boottime"
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/decide/viewtrust"
 	"agatelanding.example/agatelanding/internal/telemetry"
@@ -128,6 +129,8 @@
 	address string
 	// peerClock is the last time in microseconds that the peer has sent of its clock.
 	peerClock atomic.Int64
+	// clock converts times of the peer's clock. Only the goroutine that reads uses it.
+	clock viewtrust.PeerClock
 	// reportsDemand is true if the peer has said that it reports its demand for services.
 	reportsDemand bool
 	// grantsPermits is true if the peer has said that it grants permits, and grantsQuotas if
@@ -265,8 +268,9 @@
 			if len(x.Peers) > 0 {
 				m.receiveAddresses(c, x)
 			}
+			c.observeClock(x.View)
 			if len(x.Items) > 0 || x.CompleteRevision > 0 || x.UpToRevision > 0 {
-				m.ReceiveState(stateOf(x))
+				m.ReceiveState(c.stateOf(x))
 			}
 			if x.HasEvidence() && m.ReceiveEvidence != nil {
 				m.ReceiveEvidence(evidenceOf(x, time.Now()))
@@ -280,6 +284,7 @@
 			if x.HasRateLimits() && m.ReceiveLimits != nil {
 				m.receiveLimits(c, x)
 			}
+			// After the state, which the stamp may be about.
 			m.receiveViewStamp(c, x.View)
 			if x.HasQuotas() && m.ReceiveQuotas != nil {
 				m.receiveQuotas(c, x)
@@ -307,13 +312,13 @@
 }
 
 // stateOf returns the part of a peer's state in a message.
-func stateOf(x *wire.Items) State {
+func (c *peerConn) stateOf(x *wire.Items) State {
 	s := State{Items: x.Items, Complete: catalog.Position{Era: x.Era, Revision: x.CompleteRevision}}
 	switch {
 	case x.UpToRevision > 0:
 		s.Complete.Revision = x.UpToRevision
 		s.Since = catalog.Position{Era: x.Era, Revision: x.SinceRevision}
-		s.Age = time.Duration(x.AgeMS) * time.Millisecond
+		s.Age = c.ageOf(x)
 	case x.CompleteRevision == 0:
 		s.Complete = catalog.Position{}
 	}
@@ -324,6 +329,7 @@
 func (m *Mesh) Broadcast(s State) {
 	message := &wire.Items{
 		Items: s.Items, Era: s.Complete.Era, SinceRevision: s.Since.Revision, UpToRevision: s.Complete.Revision, AgeMS: s.Age.Milliseconds(),
+		ReadAtUS: (boottime.Now() - s.Age).Microseconds(),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/peers/viewage.go
+++ b/entry/peers/viewage.go
@@ -37,6 +37,25 @@
 // roundUpMicros returns a time in microseconds that is not below d.
 func roundUpMicros(d time.Duration) int64 { return d.Microseconds() + 1 }
 
+// observeClock compares the clock of the peer with the own one.
+func (c *peerConn) observeClock(s *wire.ViewStamp) {
+	if s != nil {
+		c.clock.Observe(time.Duration(s.Clock)*time.Microsecond, boottime.Now())
+	}
+}
+
+// ageOf returns how long ago the sender of a broadcast has read the state, also if the message was
+// long on its way. That of a former build tells only how long it was before the broadcast.
+func (c *peerConn) ageOf(x *wire.Items) time.Duration {
+	age := time.Duration(x.AgeMS) * time.Millisecond
+	if x.ReadAtUS > 0 {
+		if byClock, known := c.clock.Age(time.Duration(x.ReadAtUS)*time.Microsecond, boottime.Now()); known {
+			return max(age, byClock)
+		}
+	}
+	return age
+}
+
 // receiveViewStamp keeps a peer's question for the next keep-alive message, and passes on its
 // reply. A clock that this entry cannot have sent yet is no reply.
 func (m *Mesh) receiveViewStamp(c *peerConn, s *wire.ViewStamp) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -465,11 +465,12 @@
 	CompleteRevision uint64 `msgpack:"u,omitempty"`
 	Era              uint64 `msgpack:"e,omitempty"`
 	// If UpToRevision is not 0, Items are all changes after SinceRevision up to
-	// UpToRevision of Era. The sender read them AgeMS milliseconds before. Earlier
-	// builds take only the items.
+	// UpToRevision of Era. The sender read them AgeMS milliseconds before, at ReadAtUS
+	// microseconds of the clock of View. Earlier builds take only the items, or AgeMS.
 	SinceRevision uint64 `msgpack:"s,omitempty"`
 	UpToRevision  uint64 `msgpack:"t,omitempty"`
 	AgeMS         int64  `msgpack:"a,omitempty"`
+	ReadAtUS      int64  `msgpack:"ra,omitempty"`
 	// Crashes, Begun and Verdicts are what entries tell each other of parts of
 	// prompts under which engines crash. A message with one of them has no other
 	// fields: to earlier builds, which ignore these, it is a keep-alive message.
