upstream, platform, driver: a status that HTTP does not have is no answer

Callers of a target that answered HTTP/1.1 000, 001, 099, +20 or 101 got 504 at the timeout of the route (2.5 s), because a status below 200 counted as an interim answer and the body was read as the next head; 103 with a length did the same; 600, 700 and 999 went to the caller as they came. An answer now has a status of three digits from 100 to 599, no interim one has a body, and 101 is none, because no request asks for an upgrade. Everything else is bytes that belong to no request: the connection is closed, a request that may have run ends with 502 at once, and one that may be repeated goes elsewhere. An order with such a reply counts as unanswered, not refused; a service's answer and the reply to a cancellation are failures.

The checks in internal/clients and target/driver have no spec of their own. A status in a trailer is not read by anything.

--- a/internal/clients/engine.go
+++ b/internal/clients/engine.go
@@ -151,7 +151,7 @@
 		return err
 	}
 	defer drain(resp)
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusInternalServerError {
 		return result.Newf(result.EngineUnavailable, "engine returned status %d", resp.StatusCode)
 	}
 	return nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -233,7 +233,7 @@
 		resp, err = http.ReadResponse(c.br, rt.req)
 		return c.head.end(err)
 	})
-	if err == nil && holdsStatusLine(resp) {
+	if err == nil && (holdsStatusLine(resp) || !hasKnownStatus(resp)) {
 		err = errUnexpectedBytes
 	}
 	if err == nil && resp.StatusCode < 200 {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 )
@@ -120,3 +121,19 @@
 	}
 	return false
 }
+
+// hasKnownStatus reports whether the status of a response is one that HTTP has: an interim one
+// without a body, or a final one. Requests ask for no upgrade, so that 101 is neither.
+func hasKnownStatus(resp *http.Response) bool {
+	switch code := resp.StatusCode; {
+	case !strings.HasPrefix(resp.Status, strconv.Itoa(code)):
+		// A sign or leading zeros.
+		return false
+	case code == http.StatusSwitchingProtocols:
+		return false
+	case code >= 100 && code < 200:
+		return resp.Header.Get("Content-Length") == "" && resp.Header.Get("Transfer-Encoding") == "" && len(resp.TransferEncoding) == 0
+	default:
+		return code >= 200 && code < 600
+	}
+}
--- a/target/driver/execute.go
+++ b/target/driver/execute.go
@@ -48,6 +48,9 @@
 		return failure(err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < 200 || resp.StatusCode > 599 {
+		return failure(result.Newf(result.AnswerCut, "the service answered with status %d, which HTTP does not have", resp.StatusCode))
+	}
 	if err := d.reportInChunks(a.ID, resp.Body); err != nil {
 		return failure(result.Wrap(result.AnswerCut, err))
 	}
