edge: a watch waits no longer than the time between two watches

A watch that gets no answer delays the next read by its wait time and 0.7 s. With the wait of 1 s, a bound of 2 s and the interval of 0.5 s, a change that is lost with one watch was in force after up to 2.25 s (the sum in TestOneWatchWithoutAnAnswerIsWithinTheBounds, which failed before and passes now). The wait is now the interval, 0.5 s for bounds of 2 s; heartbeats end most watches sooner, so that reads do not rise with it.

--- a/entry/edge/state_trust.go
+++ b/entry/edge/state_trust.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/boottime"
@@ -17,12 +18,14 @@
 // at every entry that relies on this read.
 const revokeWatchDivisor = 10
 
-// watchWait returns how long the store holds a watch open while nothing changes.
+// watchWait returns how long the store holds a watch open while nothing changes. It is no longer
+// than the time between two watches: one that gets no answer delays the next by its timeout.
 func (w *stateWatcher) watchWait() time.Duration {
+	wait := min(maxWatchWait, cmp.Or(w.minWatchInterval(), maxWatchWait))
 	if timeout := w.bounds.Load().RevokeTimeout; timeout > 0 {
-		return min(watchWait, timeout/revokeWatchDivisor)
+		return min(wait, timeout/revokeWatchDivisor)
 	}
-	return watchWait
+	return wait
 }
 
 // trustedView is the published view's age: it has all changes up to a position, and was that
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -22,10 +22,10 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch open while nothing
+	// maxWatchWait bounds how long the store holds a watch open while nothing
 	// changes. It is short because a dead connection shows only by a missing
 	// answer.
-	watchWait = time.Second
+	maxWatchWait = time.Second
 	// minWatchInterval is the shorter of the bounds DrainTimeout and
 	// ConfigApplyTimeout divided by watchIntervalDivisor. It limits the calls to
 	// the store, each of which has a price, because every heartbeat of a target
