--- a/entry/edge/removal_suite_test.go
+++ b/entry/edge/removal_suite_test.go
@@ -16,9 +16,6 @@
 // unsteadyStore is a store that is up for targets and the operator, and disturbs calls of entries.
 type unsteadyStore struct {
 	store *standin.Store
-	// refusals counts the next calls that are refused with status.
-	refusals atomic.Int64
-	status   int
 	// cuts counts the next watches that are cut after cutAfter.
 	cuts     atomic.Int64
 	cutAfter time.Duration
@@ -34,8 +31,6 @@
 	s.mu.Unlock()
 	isWatch := strings.HasPrefix(r.URL.Path, "/kv-watch")
 	switch {
-	case s.refusals.Load() > 0 && s.refusals.Add(-1) >= 0:
-		w.WriteHeader(s.status)
 	case isWatch && silence != nil:
 		select {
 		case <-silence:
@@ -158,8 +153,5 @@
 
 // refuse refuses the next call with a status.
 func refuse(status int) func(s *unsteadyStore) {
-	return func(s *unsteadyStore) {
-		s.status = status
-		s.refusals.Store(1)
-	}
+	return func(s *unsteadyStore) { s.store.RefuseNext(status) }
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,6 +80,9 @@
 	// answerRng draws engines that repeat answers to reports and orders, which were added
 	// after the faults of refusalRng.
 	answerRng *rand.Rand
+	// storeRng draws single calls to the store that fail, which were added after the faults of
+	// answerRng.
+	storeRng *rand.Rand
 	// causedCrashes counts the crashes of services under no request.
 	causedCrashes atomic.Int64
 	// lastTerm is when a process last got SIGTERM.
@@ -133,7 +136,7 @@
 func run(t *testing.T, binDir string, seed int64, network int, faultTime time.Duration) {
 	s := &soak{
 		fleet: newFleet(t, binDir, network), rng: rand.New(rand.NewSource(seed)), laterRng: rand.New(rand.NewSource(^seed)), partRng: rand.New(rand.NewSource(seed + 1<<32)), limitRng: rand.New(rand.NewSource(seed + 1<<33)),
-		lossRng: rand.New(rand.NewSource(seed + 1<<34)), keyRng: rand.New(rand.NewSource(seed + 1<<37)), refusalRng: rand.New(rand.NewSource(seed + 1<<38)), answerRng: rand.New(rand.NewSource(seed + 1<<39)), withdrawals: make(map[string]time.Time), kinds: make(map[string]string),
+		lossRng: rand.New(rand.NewSource(seed + 1<<34)), keyRng: rand.New(rand.NewSource(seed + 1<<37)), refusalRng: rand.New(rand.NewSource(seed + 1<<38)), answerRng: rand.New(rand.NewSource(seed + 1<<39)), storeRng: rand.New(rand.NewSource(seed + 1<<40)), withdrawals: make(map[string]time.Time), kinds: make(map[string]string),
 		client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}},
 	}
 	for _, p := range s.procs() {
@@ -264,6 +267,7 @@
 		if s.answerRng.Intn(3) == 0 {
 			s.engines[s.answerRng.Intn(engineCount)].RepeatAnswers(1 + s.answerRng.Intn(maxRepeatedAnswers))
 		}
+		s.failStoreCall()
 		time.Sleep(time.Duration(50+s.rng.Intn(400)) * time.Millisecond)
 	}
 	pending.Wait()
@@ -298,6 +302,22 @@
 	}
 }
 
+// failStoreCall lets a single call to the store fail that serves the others, or cuts the watches,
+// with the history or without.
+func (s *soak) failStoreCall() {
+	switch s.storeRng.Intn(8) {
+	case 0:
+		s.store.RefuseNext(http.StatusTooManyRequests)
+	case 1:
+		s.store.RefuseNext(http.StatusServiceUnavailable)
+	case 2:
+		s.store.CutWatches()
+	case 3:
+		s.store.Compact()
+		s.store.CutWatches()
+	}
+}
+
 // endFaults resumes all processes, resets all connections, and ends the faults of
 // proxies and store.
 func (s *soak) endFaults() {
