outage: a broadcast that is read late says nothing of the time after it was sent

The same removal was logged again with each broadcast, and registrations came each 1.5 s of 1.2: a target waits for the answer to the one before.

An answer now counts as of when its sender sent it (peers.State.Late, from the clock of the sender), registrations may be rarer than their interval by a quarter, and a removal is logged when it is merged. TestLateBroadcastsAreNoOutage failed before and passes now. After a shorter outage a few live targets may be missing until they register again, which takes about two seconds.

--- a/entry/edge/state_removals.go
+++ b/entry/edge/state_removals.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
@@ -11,7 +12,7 @@
 // observeStore finds out, before the items of an update are applied, whether the store was away
 // for so long that the registrations which they lack may have expired.
 func (w *stateWatcher) observeStore(now time.Time, u update) {
-	a := outage.Answer{Now: now.Sub(w.started), Asked: u.confirmedAt, At: u.complete, Targets: len(w.catalog.View().Targets)}
+	a := outage.Answer{Answered: cmp.Or(u.answeredAt, now.Sub(w.started)), Asked: u.confirmedAt, At: u.complete, Targets: len(w.catalog.View().Targets)}
 	if a.At.Revision == 0 {
 		// Changes before the items are missing, so that they confirm no time.
 		a.Asked = 0
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -160,6 +160,9 @@
 	// confirmedAt is a time since started at which complete was the position of the
 	// store, or 0.
 	confirmedAt time.Duration
+	// answeredAt is when the store has answered, as a time since started: what is told later says
+	// nothing of the time between. It is 0 if the update is applied at once.
+	answeredAt time.Duration
 	// asked is when the question was sent that the store has answered by this update, on
 	// the clock of boottime, 0 if it is no answer of the store. peerStamp is what a peer said
 	// of the age of its view, nil if the update is nothing else.
@@ -230,7 +233,8 @@
 	}
 	u := update{items: storeItems, complete: s.Complete, since: s.Since, fromPeer: true}
 	if s.Since.Revision > 0 {
-		u.confirmedAt = time.Since(w.started) - s.Age
+		now := time.Since(w.started)
+		u.confirmedAt, u.answeredAt = now-s.Age, now-s.Late
 	}
 	w.updates <- u
 }
@@ -424,9 +428,9 @@
 	if w.malformed.changed(e.Key, err != nil) && err != nil {
 		w.log.With("key", e.Key).With("era", e.Era).With("revision", e.Revision).Error(err, "an item cannot be read")
 	}
-	listed := w.catalog.HasTarget(e.Key)
+	listed, before := w.catalog.HasTarget(e.Key), w.catalog.Position(e.Key)
 	changed := w.catalog.Apply(now, item)
-	if e.Removed && listed {
+	if e.Removed && listed && w.catalog.Position(e.Key) != before {
 		w.logRemoval(now, e.Key, source)
 	}
 	// An unchanged registration is kept only where it is the first of its key in an
--- a/entry/edge/state_watcher_test.go
+++ b/entry/edge/state_watcher_test.go
@@ -154,3 +154,25 @@
 		}
 	}
 }
+
+// Guards against a removal that is put off because the broadcast that tells of it was read late, as
+// by an entry that was suspended.
+func TestLateBroadcastsAreNoOutage(t *testing.T) {
+	w := newStateWatcher(platform.NewStore("127.0.0.1:1"), platform.Bounds{DrainTimeout: 2 * time.Second, ConfigApplyTimeout: 2 * time.Second}, telemetry.NewMetrics())
+	w.started = time.Now().Add(-20 * time.Second)
+	w.publish, w.broadcast = func(*catalog.View) {}, func(peers.State) {}
+	w.addPassing, w.changesMissed = func([]*catalog.Target) {}, func() {}
+	target := func(key string, revision uint64) platform.StoreItem {
+		return platform.StoreItem{Key: key, Revision: revision, Value: []byte(`{"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready"}`)}
+	}
+	position := func(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
+	w.applyUpdate(update{items: []platform.StoreItem{target("servers/a", 5), target("servers/b", 6)}, complete: position(6), confirmedAt: 10 * time.Second, answeredAt: 10 * time.Second})
+	w.applyUpdate(update{items: []platform.StoreItem{{Key: "servers/a", Revision: 7, Removed: true}}, complete: position(7), since: position(6), fromPeer: true, confirmedAt: 10500 * time.Millisecond, answeredAt: 10600 * time.Millisecond})
+	if n := len(w.catalog.View().Targets); n != 1 {
+		t.Errorf("%d targets after a late broadcast of a removal", n)
+	}
+	w.applyUpdate(update{items: []platform.StoreItem{{Key: "servers/b", Revision: 8, Removed: true}}, complete: position(8), since: position(7), fromPeer: true, confirmedAt: 19 * time.Second, answeredAt: 19 * time.Second})
+	if n := len(w.catalog.View().Targets); n != 1 {
+		t.Errorf("%d targets after an outage of the store", n)
+	}
+}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -57,9 +57,10 @@
 	// follow.
 	Complete catalog.Position
 	// Since is zero in a reply, whose items follow the position in the query. In a
-	// broadcast they follow Since, and the sender read them Age before.
+	// broadcast they follow Since, the sender read them Age before, and sent them Late before.
 	Since catalog.Position
 	Age   time.Duration
+	Late  time.Duration
 }
 
 // Mesh is the set of connections with other entries. It may be used by any
@@ -319,6 +320,7 @@
 		s.Complete.Revision = x.UpToRevision
 		s.Since = catalog.Position{Era: x.Era, Revision: x.SinceRevision}
 		s.Age = c.ageOf(x)
+		s.Late = s.Age - time.Duration(x.AgeMS)*time.Millisecond
 	case x.CompleteRevision == 0:
 		s.Complete = catalog.Position{}
 	}
--- a/internal/decide/outage/outage.go
+++ b/internal/decide/outage/outage.go
@@ -27,12 +27,16 @@
 	minSilence   = 2
 	minIdle      = 1
 	minIdleShare = 1.0 / 3
+	// maxIntervalRatio is how much rarer registrations may be than their interval says: each
+	// follows the answer of the store to the one before.
+	maxIntervalRatio = 1.25
 )
 
 // Answer is an answer of the store, to this entry or to one that has passed it on.
 type Answer struct {
-	// Now is when the answer is known here.
-	Now time.Duration
+	// Answered is when the store has answered, or when the entry that passed the answer on sent
+	// it: a message that is late says nothing of the time after.
+	Answered time.Duration
 	// Asked is when the store was asked, 0 if that is not known.
 	Asked time.Duration
 	// At is up to where changes are known with the answer.
@@ -92,7 +96,7 @@
 }
 
 func (d *Detector) compare(a Answer) (Outage, bool) {
-	o := Outage{Silence: a.Now - d.asked}
+	o := Outage{Silence: a.Answered - d.asked}
 	o.Idle = o.Silence
 	switch {
 	case d.at.Revision == 0 || a.Targets == 0:
@@ -103,7 +107,7 @@
 	}
 	o.Changes = a.At.Revision - d.at.Revision
 	if registrations := int64(o.Changes) - int64(d.removals+a.Removals); registrations > 0 {
-		o.Idle -= time.Duration(registrations) * d.interval / time.Duration(a.Targets)
+		o.Idle -= time.Duration(maxIntervalRatio * float64(registrations) / float64(a.Targets) * float64(d.interval))
 	}
-	return o, d.Silent(a.Now) && o.Idle >= max(minIdle*d.interval, time.Duration(minIdleShare*float64(o.Silence)))
+	return o, d.Silent(a.Answered) && o.Idle >= max(minIdle*d.interval, time.Duration(minIdleShare*float64(o.Silence)))
 }
