outage: a reply without news does not end an outage

An entry that hears nothing of the store asks others each 0.3 s. Their replies tell no time; one at the known position counted as an answer after a long silence, so that the store counted as back, with a warning, again and again while it was away. Found by reading. TestRepliesWithoutNews failed before ('the store counts as back') and passes now.

--- a/internal/decide/outage/outage.go
+++ b/internal/decide/outage/outage.go
@@ -82,7 +82,8 @@
 // Observe records an answer before its changes are applied, and reports whether the store was away
 // since the one before for so long that registrations may have expired.
 func (d *Detector) Observe(a Answer) (Outage, bool) {
-	if d.at.After(a.At) {
+	if d.at.After(a.At) || a.Asked == 0 && a.At == d.at {
+		// It tells nothing new.
 		return Outage{}, false
 	}
 	o, away := d.compare(a)
--- a/internal/decide/outage/outage_test.go
+++ b/internal/decide/outage/outage_test.go
@@ -218,3 +218,22 @@
 		}
 	})
 }
+
+// TestRepliesWithoutNews guards against an outage that counts as ended because another entry, which
+// does not reach the store either, has sent what it knew before.
+func TestRepliesWithoutNews(t *testing.T) {
+	d := outage.New(interval)
+	at := func(revision uint64) catalog.Position { return catalog.Position{Era: 1, Revision: revision} }
+	d.Observe(outage.Answer{Answered: time.Second, Asked: time.Second, At: at(7), Targets: 3})
+	for _, a := range []outage.Answer{{Answered: 9 * time.Second, At: at(7), Targets: 3}, {Answered: 9 * time.Second, At: at(6), Targets: 3}} {
+		if _, away := d.Observe(a); away {
+			t.Errorf("the store counts as back after %+v", a)
+		}
+	}
+	if !d.Silent(9 * time.Second) {
+		t.Error("the store does not count as silent")
+	}
+	if _, away := d.Observe(outage.Answer{Answered: 10 * time.Second, Asked: 10 * time.Second, At: at(7), Targets: 3}); !away {
+		t.Error("the store was not away")
+	}
+}
