--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -92,8 +92,8 @@
 	// view is the published state in force: the configuration, the targets and
 	// the adapter versions.
 	view atomic.Pointer[catalog.View]
-	// newestView is the view that the broker gets next, or has. It is in force for requests that
-	// were granted a target before.
+	// newestView is the newest view. It is stored before the broker gets the view, so that requests
+	// which were granted a target earlier can be checked against it.
 	newestView atomic.Pointer[catalog.View]
 	// firstConfig is closed once a configuration is in force.
 	firstConfig chan struct{}
@@ -262,7 +262,6 @@
 
 // publish puts a view in force. Only the goroutine of stateWatcher.run calls it.
 func (e *Edge) publish(v *catalog.View) {
-	// Requests that were granted before are checked against the newest view first.
 	e.newestView.Store(v)
 	// The broker gets the view before any request on a route that is new in it.
 	e.broker.SetView(v)
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -160,8 +160,8 @@
 	// confirmedAt is a time since started at which complete was the position of the
 	// store, or 0.
 	confirmedAt time.Duration
-	// answeredAt is when the store has answered, as a time since started: what is told later says
-	// nothing of the time between. It is 0 if the update is applied at once.
+	// answeredAt is when another entry sent the update, as a time since started, and 0 for an update
+	// whose sender is not known to be late.
 	answeredAt time.Duration
 	// asked is when the question was sent that the store has answered by this update, on
 	// the clock of boottime, 0 if it is no answer of the store. peerStamp is what a peer said
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -57,7 +57,8 @@
 	// follow.
 	Complete catalog.Position
 	// Since is zero in a reply, whose items follow the position in the query. In a
-	// broadcast they follow Since, the sender read them Age before, and sent them Late before.
+	// broadcast they follow Since. The sender read them Age before they were received, and sent
+	// them Late before.
 	Since catalog.Position
 	Age   time.Duration
 	Late  time.Duration
--- a/entry/peers/viewage.go
+++ b/entry/peers/viewage.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// ageOf returns how long ago the sender of a broadcast has read the state, also if the message was
-// long on its way. That of a former build tells only how long it was before the broadcast.
+// ageOf returns how long ago the sender of a broadcast read the state. For a message of a former
+// build it does not include the time on the way.
 func (c *peerConn) ageOf(x *wire.Items) time.Duration {
 	age := time.Duration(x.AgeMS) * time.Millisecond
 	if x.ReadAtUS > 0 {
--- a/internal/decide/outage/outage.go
+++ b/internal/decide/outage/outage.go
@@ -22,8 +22,8 @@
 	// DefaultInterval is the interval of registrations if it is not known.
 	DefaultInterval = time.Second
 	// minSilence is the shortest time without an answer, in intervals, after which registrations
-	// may have expired. minIdle is the part of it, in intervals, for which no changes must account,
-	// and minIdleShare its share: fewer changes also come if targets have crashed.
+	// may have expired. Of that time at least minIdle intervals, and the share minIdleShare, must be
+	// more than the changes account for: there are also fewer changes if targets have crashed.
 	minSilence   = 2
 	minIdle      = 1
 	minIdleShare = 1.0 / 3
@@ -34,8 +34,8 @@
 
 // Answer is an answer of the store, to this entry or to one that has passed it on.
 type Answer struct {
-	// Answered is when the store has answered, or when the entry that passed the answer on sent
-	// it: a message that is late says nothing of the time after.
+	// Answered is when the store answered. For an answer that another entry has passed on it is when
+	// that entry sent it, which may be long before it was received.
 	Answered time.Duration
 	// Asked is when the store was asked, 0 if that is not known.
 	Asked time.Duration
@@ -83,7 +83,7 @@
 // since the one before for so long that registrations may have expired.
 func (d *Detector) Observe(a Answer) (Outage, bool) {
 	if d.at.After(a.At) || a.Asked == 0 && a.At == d.at {
-		// It tells nothing new.
+		// An earlier state, or the known one at an unknown time, says nothing of the present.
 		return Outage{}, false
 	}
 	o, away := d.compare(a)
--- a/internal/decide/viewtrust/peerclock.go
+++ b/internal/decide/viewtrust/peerclock.go
@@ -6,10 +6,10 @@
 // different speed do not drift apart.
 const offsetWindow = 30 * time.Second
 
-// PeerClock converts times of a peer's clock. What a message tells is therefore as old as it is,
-// however long the message was on its way: its sender may have been suspended with the message in
-// its queue, or the receiver before it read it. The offset is that of the fastest message of the
-// last windows, and has an error of its time on the way. The zero value knows no offset.
+// PeerClock converts times of a peer's clock to the own one, so that the age of what a message
+// says includes the time for which the message was queued, under way or unread. The offset between
+// the clocks is taken from the fastest message of the last two windows; its error is the time that
+// this message took. The zero value knows no offset. It is not safe for concurrent use.
 type PeerClock struct {
 	offset, previous time.Duration
 	known            bool
