--- a/entry/edge/state_watcher_test.go
+++ b/entry/edge/state_watcher_test.go
@@ -143,12 +143,12 @@
 
 // Guards against a removal or a configuration that comes too late because one watch got no answer.
 func TestOneWatchWithoutAnAnswerIsWithinTheBounds(t *testing.T) {
-	// mailboxes covers what the change waits for on its way to the choice of targets.
-	const mailboxes = 250 * time.Millisecond
+	// queues allows for the queues between the store's answer and the choice of targets.
+	const queues = 250 * time.Millisecond
 	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
 		for _, b := range []platform.Bounds{{DrainTimeout: bound, ConfigApplyTimeout: 4 * time.Second}, {DrainTimeout: 4 * time.Second, ConfigApplyTimeout: bound}} {
 			w := newStateWatcher(platform.NewStore("127.0.0.1:1"), b, telemetry.NewMetrics())
-			if sum := w.watchWait() + platform.WatchGrace + minBackoff + checkInterval + mailboxes; sum > bound {
+			if sum := w.watchWait() + platform.WatchGrace + minBackoff + checkInterval + queues; sum > bound {
 				t.Errorf("a change that is lost with a watch is in force after %s of %s", sum, bound)
 			}
 		}
--- a/internal/decide/outage/outage.go
+++ b/internal/decide/outage/outage.go
@@ -27,8 +27,8 @@
 	minSilence   = 2
 	minIdle      = 1
 	minIdleShare = 1.0 / 3
-	// maxIntervalRatio is how much rarer registrations may be than their interval says: each
-	// follows the answer of the store to the one before.
+	// maxIntervalRatio allows for registrations that are rarer than their interval, which is
+	// approximate.
 	maxIntervalRatio = 1.25
 )
 
@@ -58,8 +58,8 @@
 // safe for concurrent use.
 type Detector struct {
 	interval time.Duration
-	// asked is when the question of the newest answer was sent, and at its position. removals
-	// counts those since.
+	// asked is when the question of the newest answer was sent, at the position of that answer, and
+	// removals the number of removals since.
 	asked    time.Duration
 	at       catalog.Position
 	removals int
--- a/internal/decide/outage/outage_test.go
+++ b/internal/decide/outage/outage_test.go
@@ -126,7 +126,7 @@
 }
 
 // TestNoRemovalIsDeferredWhileTheStoreIsUp guards against requests at a target that has left,
-// because the entry takes trouble of its own for an outage. Its calls fail, and it is suspended or
+// because the entry takes its own failure for an outage. Its calls fail, and it is suspended or
 // cut off; up to a quarter of the targets leave or crash. No removal is deferred of an entry in touch,
 // and the store never counts as away while all targets register.
 func TestNoRemovalIsDeferredWhileTheStoreIsUp(t *testing.T) {
@@ -190,8 +190,8 @@
 }
 
 // TestOutageKeepsLiveTargets guards against the loss of all targets after an outage of the store
-// in which their registrations expired. After one that is shorter than a lease and an interval a target may
-// be missing until it registers again.
+// in which their registrations expired. After one that is shorter than a lease and an interval a
+// target may be missing until it registers again.
 func TestOutageKeepsLiveTargets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, e := newSim(t, rapid.IntRange(4, 24).Draw(t, "targets"))
