--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -46,6 +46,8 @@
 		broken = keyTaken(d, name)
 	case "other-writer":
 		broken = otherWriter(d, trouble)
+	case "quota-after-kill":
+		broken = quotaAfterKill(d, trouble)
 	case "heads-grow":
 		broken = headsGrow(d, trouble)
 	default:
