--- a/review/kit-2/deployment.go
+++ b/review/kit-2/deployment.go
@@ -316,13 +316,22 @@
 
 // addEngine adds a model replica with the process beside it.
 func (d *deployment) addEngine(downTime time.Duration) *server {
+	return d.addEngineBehind(downTime, nil)
+}
+
+// addEngineBehind adds a model replica that the process beside it reaches by a handler, unless that
+// is nil.
+func (d *deployment) addEngineBehind(downTime time.Duration, handler func(*server) http.Handler) *server {
 	i := len(d.servers) + 1
 	r := standin.NewReplica(fmt.Sprintf("i-%s-%d", engineName, d.ids.Add(1)), modelName, 25)
 	r.Slots, r.Events, r.EventTime, r.PrefillTime, r.LoadTime = 64, 12, 15*time.Millisecond, 30*time.Millisecond, 250*time.Millisecond
 	ip := d.ip(204, i)
 	s := d.addServer(engineName, ip, r, downTime)
-	name := fmt.Sprintf("side-%d", i)
-	d.addProcess(name, "target", fmt.Sprintf("machine_class: side\nserves: [side]\nip: %q\nzone: %s\nlisten: {}\napp: %q\nservice: %s\nlimits: {cpu_share: 0.32, cores: 1, memory_mb: 216, max_fds: 4096, link_mbps: 2000.0, disk_mb: 0}\n", ip, s.zone, s.Address, engineName))
+	name, app := fmt.Sprintf("side-%d", i), s.Address
+	if handler != nil {
+		app = d.serve(ip, handler(s))
+	}
+	d.addProcess(name, "target", fmt.Sprintf("machine_class: side\nserves: [side]\nip: %q\nzone: %s\nlisten: {}\napp: %q\nservice: %s\nlimits: {cpu_share: 0.32, cores: 1, memory_mb: 216, max_fds: 4096, link_mbps: 2000.0, disk_mb: 0}\n", ip, s.zone, app, engineName))
 	return s
 }
 
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -48,6 +48,12 @@
 		broken = otherWriter(d, trouble)
 	case "quota-after-kill":
 		broken = quotaAfterKill(d, trouble)
+	case "take-ups":
+		attempts := 1
+		if os.Getenv("ATTEMPTS") == "3" {
+			attempts = 3
+		}
+		broken = takeUps(d, trouble, attempts)
 	case "heads-grow":
 		broken = headsGrow(d, trouble)
 	default:
