Put a version of the configuration in force item by item

Change: routes, services, workspaces and keys are decoded one by one. What cannot be used is closed: its requests get 503 item_closed (2028) with a time, and the rest of the version is in force. While the newest value cannot be read at all, nothing confirms the keys, so that strict_revoke ends their use after revoke_ms, and unknown routes and keys get 503. Entries pass such a value on; the position of a former build, which leaves it out, is not taken over. Versions of adapters and slots of targets may be written with a fraction of 0, and a quota of a workspace with a long name is named by a hash between entries. Status, metrics and agatectl show what is closed.

Why it works: a key that the version does not hold is unknown whatever else the version has, and a property compares any version with one odd item with the sound one.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -347,20 +347,30 @@
 // status returns the status that the metrics address shows to operators.
 func (e *Edge) status() any {
 	s := struct {
-		Name          string           `json:"name"`
-		FailureDomain string           `json:"failure_domain"`
-		Version       int64            `json:"configuration_version"`
-		Era           uint64           `json:"era"`
-		StoreRevision uint64           `json:"store_revision"`
-		StateAgeMS    int64            `json:"state_age_ms"`
-		Targets       int              `json:"targets"`
-		Ready         int              `json:"targets_ready"`
-		Draining      int              `json:"targets_draining"`
-		Entries       int              `json:"entries"`
-		Open          int64            `json:"open"`
-		StoreCurrent  bool             `json:"store_current"`
-		Refused       map[string]int64 `json:"refused"`
-		Retried       map[string]int64 `json:"retried"`
+		Name          string `json:"name"`
+		FailureDomain string `json:"failure_domain"`
+		Version       int64  `json:"configuration_version"`
+		// StoredVersion is the version of the newest configuration of the store, 0 if that cannot
+		// be read. ConfigLagMS is for how long the store has had a configuration that cannot be read,
+		// 0 if it has none, and UnreadableRevision the revision of that configuration.
+		StoredVersion      int64  `json:"configuration_stored_version"`
+		ConfigLagMS        int64  `json:"configuration_lag_ms"`
+		UnreadableRevision uint64 `json:"configuration_unreadable_revision"`
+		// ClosedItems are the first items that cannot be used of the configuration in force,
+		// and ClosedItemCount is the number of all.
+		ClosedItems     []catalog.ClosedItem `json:"closed_items"`
+		ClosedItemCount int                  `json:"configuration_items_closed"`
+		Era             uint64               `json:"era"`
+		StoreRevision   uint64               `json:"store_revision"`
+		StateAgeMS      int64                `json:"state_age_ms"`
+		Targets         int                  `json:"targets"`
+		Ready           int                  `json:"targets_ready"`
+		Draining        int                  `json:"targets_draining"`
+		Entries         int                  `json:"entries"`
+		Open            int64                `json:"open"`
+		StoreCurrent    bool                 `json:"store_current"`
+		Refused         map[string]int64     `json:"refused"`
+		Retried         map[string]int64     `json:"retried"`
 		// Quarantined and QuarantinedRequests are the parts of prompts and the whole
 		// requests that are kept from targets, and CrashRecords the crashes behind
 		// present suspicions.
@@ -376,7 +386,8 @@
 	}{
 		Name: e.settings.Name, FailureDomain: e.settings.FailureDomain, Entries: e.mesh.EntryCount(), Open: e.openRequests.Load(),
 		StoreCurrent: e.stateWatcher.storeCurrent(), Refused: e.metrics.Refusals(), Retried: e.metrics.Retries(),
-		StateAgeMS: e.stateWatcher.age().Milliseconds(), Quotas: e.quotas.Status(),
+		StateAgeMS: e.stateWatcher.age().Milliseconds(), Quotas: e.quotas.Status(), ConfigLagMS: e.stateWatcher.configLag().Milliseconds(),
+		StoredVersion: e.stateWatcher.storedVersion.Load(),
 	}
 	s.Quarantined, s.QuarantinedRequests, s.CrashRecords = e.guard.Status()
 	if limits, err := e.broker.RateLimits(); err != nil {
@@ -389,7 +400,11 @@
 	} else {
 		s.ServiceShares = shares
 	}
+	if v := e.view.Load(); v != nil {
+		s.UnreadableRevision = v.UnreadableConfig.Revision
+	}
 	if v := e.view.Load(); v != nil && v.Config != nil {
+		s.ClosedItems, s.ClosedItemCount = v.Config.Closed.List, v.Config.Closed.Count
 		s.Version, s.Targets = v.Config.Version, len(v.Targets)
 		for _, t := range v.Targets {
 			if t.Draining {
--- a/entry/edge/quotas.go
+++ b/entry/edge/quotas.go
@@ -6,11 +6,11 @@
 	"agatelanding.example/agatelanding/platform"
 )
 
-// quotaOf returns the quota of a workspace in the configuration in force, the zero value if
-// it has none.
-func (e *Edge) quotaOf(workspace string) catalog.Quota {
+// quotaOf returns the quota with an ID in the configuration in force, the zero value if there is
+// none.
+func (e *Edge) quotaOf(id string) catalog.Quota {
 	if v := e.view.Load(); v != nil && v.Config != nil {
-		if w, ok := v.Config.Workspace(workspace); ok {
+		if w, ok := v.Config.WorkspaceOfQuota(id); ok {
 			return w.Quota
 		}
 	}
--- a/entry/edge/state_kept.go
+++ b/entry/edge/state_kept.go
@@ -79,7 +79,7 @@
 // stateFor returns the items that changed after a position. The state has no position if some
 // may be missing.
 func (w *stateWatcher) stateFor(after catalog.Position) peers.State {
-	s := peers.State{Items: w.collectItems(after)}
+	s := peers.State{Items: w.collectItems(after), HasUnreadable: true}
 	if w.hasAllAfter(after) {
 		s.Complete = w.complete
 	}
--- a/entry/edge/state_trust.go
+++ b/entry/edge/state_trust.go
@@ -36,9 +36,10 @@
 }
 
 // confirmTrust records that the published view has what the store answered. It runs after
-// the view is published.
+// the view is published. While the newest configuration cannot be read, the keys grow older,
+// and after RevokeTimeout they are used no more.
 func (w *stateWatcher) confirmTrust(u update) {
-	if u.asked > 0 && u.complete.Era == w.complete.Era {
+	if u.asked > 0 && u.complete.Era == w.complete.Era && w.viewConfirms() {
 		w.trust.Confirm(u.asked)
 		w.publishTrust()
 	}
@@ -46,7 +47,7 @@
 
 // confirmByPeer records what a peer said of the age of its view.
 func (w *stateWatcher) confirmByPeer(s viewtrust.Stamp) {
-	if w.trust.ConfirmByPeer(s, w.complete) {
+	if w.viewConfirms() && w.trust.ConfirmByPeer(s, w.complete) {
 		w.publishTrust()
 	}
 }
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -103,6 +103,12 @@
 	eraBeganAt atomic.Int64
 	// completeCopy is a copy of complete for other goroutines.
 	completeCopy atomic.Pointer[catalog.Position]
+	// storedVersion is the version of the newest known configuration of the store, which was
+	// written at storedConfigAt, and 0 if that cannot be read.
+	storedVersion atomic.Int64
+	// unreadableSince is since when the store has a configuration that cannot be read, as the
+	// time since started; 0 if it has none.
+	unreadableSince atomic.Int64
 	// confirming is held by the call of confirmNow that reads the store. It protects
 	// confirmFailedAt, when the last such read failed.
 	confirming      chan struct{}
@@ -120,7 +126,9 @@
 	complete      catalog.Position
 	lastPeerQuery time.Time
 	malformed     malformedKeys
-	kept          keptItems
+	// storedConfigAt belongs to storedVersion.
+	storedConfigAt catalog.Position
+	kept           keptItems
 	// toConfirm is the time for which the next view is confirmed.
 	toConfirm time.Duration
 	// recent holds the positions that were complete within the last two intervals,
@@ -227,6 +235,10 @@
 
 // receiveFromPeer passes a part of another entry's state to run.
 func (w *stateWatcher) receiveFromPeer(s peers.State) {
+	if !s.HasUnreadable {
+		// A former build leaves out a configuration that it cannot decode.
+		s.Complete = catalog.Position{}
+	}
 	storeItems := make([]platform.StoreItem, 0, len(s.Items))
 	for _, i := range s.Items {
 		storeItems = append(storeItems, platform.StoreItem{Key: i.Key, Era: i.Era, Revision: i.Revision, Removed: i.Removed, Value: i.Value})
@@ -301,7 +313,7 @@
 			size += len(i.Key) + len(i.Value)
 		}
 		if size <= maxBroadcastBytes {
-			w.broadcast(peers.State{Items: items, Complete: w.complete, Since: since.Position, Age: w.age()})
+			w.broadcast(peers.State{Items: items, Complete: w.complete, Since: since.Position, Age: w.age(), HasUnreadable: true})
 			return
 		}
 	}
@@ -389,10 +401,7 @@
 	if view == previous {
 		return
 	}
-	if view.Config != previous.Config {
-		w.log.With("version", view.Config.Version).With("routes", view.Config.RouteCount()).With("from_peer", u.fromPeer).Info("configuration in force")
-		w.metrics.Gauge("configuration_version", view.Config.Version)
-	}
+	w.reportConfig(view, previous, u.fromPeer)
 	w.publish(view)
 }
 
@@ -428,6 +437,7 @@
 	if w.malformed.changed(e.Key, err != nil) && err != nil {
 		w.log.With("key", e.Key).With("era", e.Era).With("revision", e.Revision).Error(err, "an item cannot be read")
 	}
+	w.recordStoredConfig(item)
 	listed, before := w.catalog.HasTarget(e.Key), w.catalog.Position(e.Key)
 	changed := w.catalog.Apply(now, item)
 	if e.Removed && listed && w.catalog.Position(e.Key) != before {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -46,6 +46,9 @@
 	// maxBatchBytes bounds the keys and values in one message, which must fit
 	// into a frame of wire.MaxFrameBytes bytes.
 	maxBatchBytes = 512 << 10
+	// maxSentItemBytes bounds the key and value of an item that is sent. The store has items
+	// that do not fit into a frame with the other fields.
+	maxSentItemBytes = wire.MaxFrameBytes - 4<<10
 	// maxAcceptedConns bounds the connections that peers have opened, unless MaxAccepted does.
 	maxAcceptedConns = 1024
 )
@@ -62,6 +65,8 @@
 	Since catalog.Position
 	Age   time.Duration
 	Late  time.Duration
+	// HasUnreadable is true if Items include configurations that the sender cannot decode.
+	HasUnreadable bool
 }
 
 // Mesh is the set of connections with other entries. It may be used by any
@@ -300,12 +305,17 @@
 // answer sends the items that changed after the revision of the query.
 func (m *Mesh) answer(c *peerConn, q *wire.ItemsQuery) {
 	state := m.StateAfter(catalog.Position{Era: q.Era, Revision: q.AfterRevision})
-	list := batches(state.Items)
+	items := slices.DeleteFunc(state.Items, func(i wire.Item) bool { return len(i.Key)+len(i.Value) > maxSentItemBytes })
+	if len(items) < len(state.Items) {
+		// The peer has to read the store for the others.
+		state.Complete = catalog.Position{}
+	}
+	list := batches(items)
 	if len(list) == 0 {
 		list = [][]wire.Item{nil}
 	}
 	for i, batch := range list {
-		reply := &wire.Items{Items: batch}
+		reply := &wire.Items{Items: batch, HasUnreadable: state.HasUnreadable}
 		if i == len(list)-1 {
 			reply.CompleteRevision, reply.Era = state.Complete.Revision, state.Complete.Era
 		}
@@ -315,7 +325,7 @@
 
 // stateOf returns the part of a peer's state in a message.
 func (c *peerConn) stateOf(x *wire.Items) State {
-	s := State{Items: x.Items, Complete: catalog.Position{Era: x.Era, Revision: x.CompleteRevision}}
+	s := State{Items: x.Items, Complete: catalog.Position{Era: x.Era, Revision: x.CompleteRevision}, HasUnreadable: x.HasUnreadable}
 	switch {
 	case x.UpToRevision > 0:
 		s.Complete.Revision = x.UpToRevision
@@ -332,7 +342,7 @@
 func (m *Mesh) Broadcast(s State) {
 	message := &wire.Items{
 		Items: s.Items, Era: s.Complete.Era, SinceRevision: s.Since.Revision, UpToRevision: s.Complete.Revision, AgeMS: s.Age.Milliseconds(),
-		ReadAtUS: (boottime.Now() - s.Age).Microseconds(),
+		ReadAtUS: (boottime.Now() - s.Age).Microseconds(), HasUnreadable: s.HasUnreadable,
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/quotas/quotas.go
+++ b/entry/quotas/quotas.go
@@ -41,9 +41,9 @@
 	// Address is the address at which other entries reach this one.
 	Address string
 	Mesh    Mesh
-	// QuotaOf returns the quota of a workspace in the configuration in force, the zero value
-	// if it has none.
-	QuotaOf func(workspace string) catalog.Quota
+	// QuotaOf returns the quota with an ID (catalog.Workspace.QuotaID) in the configuration in
+	// force, the zero value if there is none.
+	QuotaOf func(id string) catalog.Quota
 	Bounds  quota.Bounds
 	Metrics *telemetry.Metrics
 	Log     *telemetry.Logger
@@ -110,7 +110,7 @@
 	}
 	chargedAt := now()
 	e.mu.Lock()
-	o := e.entry.Charge(chargedAt, w.Name, w.Quota, units)
+	o := e.entry.Charge(chargedAt, w.QuotaID(), w.Quota, units)
 	var reply chan quota.Outcome
 	if o.Waits != 0 {
 		reply = make(chan quota.Outcome, 1)
@@ -129,7 +129,7 @@
 		once.Do(func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			e.entry.Refund(now(), chargedAt, w.Name, units, o.FromShare)
+			e.entry.Refund(now(), chargedAt, w.QuotaID(), units, o.FromShare)
 			e.send()
 		})
 	}, 0, true
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,7 +21,9 @@
 	Revision uint64
 	Removed  bool
 	Config   *Config
-	Target   *Target
+	// UnreadableConfig is true for a configuration that could not be decoded.
+	UnreadableConfig bool
+	Target           *Target
 	// Sequence numbers the registrations of one incarnation of Target, 0 if the
 	// target does not report it.
 	Sequence uint64
@@ -40,6 +42,9 @@
 // View is the published state at one moment. It does not change.
 type View struct {
 	Config *Config
+	// UnreadableConfig is the position of a configuration that is newer than Config and could
+	// not be decoded, zero if there is none. What it adds and takes away is not known.
+	UnreadableConfig Position
 	// Targets holds the targets by ID, Pools those of each pool, sorted by ID.
 	Targets map[string]*Target
 	Pools   map[string][]*Target
@@ -63,10 +68,13 @@
 // Catalog merges changes. It may be used by one goroutine only, its views by
 // any.
 type Catalog struct {
-	records  map[string]*record
-	config   *Config
-	versions map[AdapterKey]int
-	view     *View
+	records map[string]*record
+	// config is the configuration in force, written at configAt.
+	config           *Config
+	configAt         Position
+	unreadableConfig Position
+	versions         map[AdapterKey]int
+	view             *View
 	// eraStart is the position at which the whole state of the newest era was known
 	// first.
 	eraStart Position
@@ -129,7 +137,7 @@
 		c.records[item.Key] = known
 	}
 	changed := false
-	known.operators = known.operators || item.Config != nil || item.Adapter != nil
+	known.operators = known.operators || item.Config != nil || item.UnreadableConfig || item.Adapter != nil
 	switch {
 	case item.Config != nil:
 		changed = c.applyConfig(known, item)
@@ -137,6 +145,9 @@
 		changed = c.applyAdapter(known, item)
 	case item.Era < c.eraStart.Era || !item.Position().After(known.position):
 		return false
+	case item.UnreadableConfig:
+		known.position = item.Position()
+		c.unreadableConfig, changed = item.Position(), true
 	case item.Target != nil:
 		changed = c.applyTarget(known, item)
 	case item.Removed:
@@ -155,16 +166,27 @@
 }
 
 func (c *Catalog) applyConfig(known *record, item Item) bool {
-	changed := c.config == nil || item.Config.Version > c.config.Version
+	changed := c.config == nil || item.Config.Version > c.config.Version || c.isRewritten(item)
 	if changed {
-		c.config = item.Config
+		c.config, c.configAt = item.Config, item.Position()
 	}
 	if changed || item.Config.Version == c.config.Version {
 		known.advance(item.Position())
 	}
+	if c.unreadableConfig.Revision > 0 && item.Position().After(c.unreadableConfig) {
+		c.unreadableConfig = Position{}
+		known.advance(item.Position())
+		changed = true
+	}
 	return changed
 }
 
+// isRewritten reports whether an item is the configuration in force, written again since in the
+// same era. Its content may differ: versions are compared without their fractions.
+func (c *Catalog) isRewritten(item Item) bool {
+	return item.Config.Version == c.config.Version && item.Era == c.configAt.Era && item.Position().After(c.configAt)
+}
+
 func (c *Catalog) applyAdapter(known *record, item Item) bool {
 	version := c.versions[item.Adapter.AdapterKey]
 	if item.Adapter.Version > version {
@@ -301,7 +323,7 @@
 // publish replaces the view by one of the current state.
 func (c *Catalog) publish() {
 	v := &View{
-		Config: c.config, Targets: make(map[string]*Target), Pools: make(map[string][]*Target),
+		Config: c.config, UnreadableConfig: c.unreadableConfig, Targets: make(map[string]*Target), Pools: make(map[string][]*Target),
 		Versions: maps.Clone(c.versions),
 	}
 	for _, r := range c.records {
--- a/internal/catalog/model.go
+++ b/internal/catalog/model.go
@@ -63,6 +63,8 @@
 	MaxAttempts int
 	// Public is true if requests need no key where the configuration has workspaces.
 	Public bool
+	// Closed is true if the route cannot be used. Its requests are refused.
+	Closed bool
 	// Split distributes the requests among pools.
 	Split []PoolWeight
 }
@@ -114,8 +116,11 @@
 	if model.AdapterMB <= 0 {
 		return e.AdapterSlots
 	}
-	freeMB := e.MemoryMB - model.WeightsMB
-	return max(0, min(e.AdapterSlots, int(freeMB/model.AdapterMB)))
+	fitting := (e.MemoryMB - model.WeightsMB) / model.AdapterMB
+	if fitting >= float64(e.AdapterSlots) {
+		return e.AdapterSlots
+	}
+	return max(0, int(fitting))
 }
 
 // Pool is a group of targets that serve the same requests.
@@ -138,6 +143,11 @@
 	Version int64
 	Pools   map[string]*Pool
 	Limits  Limits
+	// Closed lists what cannot be used of the version. Requests that need it are refused; the
+	// rest of the version is in force.
+	Closed ClosedItems
+	// RoutesIncomplete is true if the version may have routes that cannot be matched.
+	RoutesIncomplete bool
 	// routes holds the routes of each host, the longest prefix first. The
 	// host names are in lower case.
 	routes     map[string][]*Route
--- a/internal/catalog/room.go
+++ b/internal/catalog/room.go
@@ -73,13 +73,14 @@
 		return Admitted
 	}
 	known := c.records[item.Key]
-	operators := item.Config != nil || item.Adapter != nil || known != nil && known.operators
+	isConfig := item.Config != nil || item.UnreadableConfig
+	operators := isConfig || item.Adapter != nil || known != nil && known.operators
 	growth, valueGrowth := c.growth(item, known), int64(valueBytes)
 	if known != nil {
 		valueGrowth = max(0, valueGrowth-known.valueBytes)
 	}
 	switch {
-	case item.Config != nil, growth+valueGrowth == 0, c.makeRoom(c.room.shareOf(operators), growth+valueGrowth):
+	case isConfig, growth+valueGrowth == 0, c.makeRoom(c.room.shareOf(operators), growth+valueGrowth):
 		c.room.shareOf(operators).used += growth + valueGrowth
 		return Admitted
 	case growth == 0 && (known.target != nil || item.Adapter != nil):
--- a/internal/catalog/routes.go
+++ b/internal/catalog/routes.go
@@ -15,15 +15,42 @@
 		c.routes[host] = append(c.routes[host], r)
 	}
 	for _, list := range c.routes {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		requireSameKeys(list)
+		slices.SortStableFunc(list, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), compareBools(a.Closed, b.Closed))
+		})
 	}
 	return c
 }
 
+// requireSameKeys makes routes of one host with the same prefix need a key if one of them does:
+// which of them a request matches must not decide who gets in.
+func requireSameKeys(routes []*Route) {
+	keyed := make(map[string]bool)
+	for _, r := range routes {
+		keyed[r.Prefix] = keyed[r.Prefix] || !r.Public
+	}
+	for _, r := range routes {
+		r.Public = r.Public && !keyed[r.Prefix]
+	}
+}
+
+// compareBools orders false before true.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int { return c.routeCount }
 
-// Match returns the route with the longest prefix that begins path.
+// Match returns the route with the longest prefix that begins path. Of several with that prefix
+// it is the first one that is not closed, if there is one.
 func (c *Config) Match(host, path string) (*Route, bool) {
 	list, ok := c.routes[strings.ToLower(host)]
 	if !ok {
--- a/internal/ctl/configcheck.go
+++ b/internal/ctl/configcheck.go
@@ -10,6 +10,7 @@
 
 	"agatelanding.example/agatelanding/internal/catalog"
 	"agatelanding.example/agatelanding/internal/result"
+	"agatelanding.example/agatelanding/platform"
 )
 
 // configChecks find what the entries accept in a configuration though it can't be meant. Each
@@ -90,12 +91,15 @@
 // request.
 func unusableWorkspaces(c *catalog.Config) (faults []string) {
 	for _, w := range c.Workspaces() {
+		if w.Closed {
+			continue
+		}
 		if c.KeyCount(w.Name) == 0 {
 			faults = append(faults, fmt.Sprintf("workspace %s: has no key", w.Name))
 		}
 		cost := 1.0
 		if w.Quota.CountsTokens {
-			cost = max(cost, float64(w.Quota.PlainTokens))
+			cost = max(cost, w.Quota.PlainTokens)
 		}
 		if w.Quota.Limited() && w.Quota.Burst < cost {
 			faults = append(faults, fmt.Sprintf("workspace %s: burst (%g) is smaller than one request (%g)", w.Name, w.Quota.Burst, cost))
@@ -146,7 +150,7 @@
 	cmd := &cobra.Command{
 		Use:   "check SOURCE [--against SOURCE]",
 		Short: "List the faults of a configuration",
-		Long: "check lists what can't be meant: routes and services that match nothing, limits that\n" +
+		Long: "check lists what entries cannot use, and what can't be meant: routes and services that match nothing, limits that\n" +
 			"contradict each other, workspaces that can't be used. With --against it also prints what\n" +
 			"differs from another version, such as the one in force, and what that does to requests in\n" +
 			"progress. A key that is replaced by another one shows no difference.\n" + sourceText + "\n\n" + exitText,
@@ -167,7 +171,7 @@
 				printDifferences(cmd, list)
 				printEffects(cmd, list)
 			}
-			var faults []error
+			faults := platform.ConfigFaults(args[0], view.Config)
 			for _, check := range configChecks {
 				for _, fault := range check(view.Config) {
 					faults = append(faults, result.Newf(result.MalformedTable, "%s: %s", args[0], fault))
--- a/internal/ctl/published.go
+++ b/internal/ctl/published.go
@@ -67,6 +67,15 @@
 	return nil, &failure{ExitFaults, []error{err}}
 }
 
+// fileFaults returns an error if entries cannot use a part of the configuration in a file. A
+// store keeps such a configuration in force.
+func fileFaults(source string, view *catalog.View) error {
+	if view == nil || platform.IsStore(source) {
+		return nil
+	}
+	return faultsError(platform.ConfigFaults(source, view.Config))
+}
+
 func newPlatformDiff() *cobra.Command {
 	var output outputFormat
 	cmd := &cobra.Command{
@@ -80,7 +89,7 @@
 			}
 			before, beforeErr := loadState(cmd, args[0])
 			after, afterErr := loadState(cmd, args[1])
-			if err := joinErrors(beforeErr, afterErr); err != nil {
+			if err := joinErrors(beforeErr, afterErr, fileFaults(args[0], before), fileFaults(args[1], after)); err != nil {
 				var f *failure
 				errors.As(err, &f)
 				return &failure{exitTrouble, f.errors}
@@ -182,9 +191,15 @@
 
 func explainPublished(view *catalog.View, host, path, model string) (*PublishedExplanation, error) {
 	route, ok := view.Config.Match(host, path)
+	if !ok && view.Config.RoutesIncomplete {
+		return nil, result.Newf(result.ItemClosed, "the route of host %q and path %q may be one that cannot be read: %v", host, path, view.Config.Closed.List)
+	}
 	if !ok {
 		return nil, result.Newf(result.UnknownRoute, "no route of host %q has a prefix of path %q", host, path)
 	}
+	if route.Closed {
+		return nil, result.Newf(result.ItemClosed, "route %s cannot be used: %v", route.Name, view.Config.Closed.List)
+	}
 	e := &PublishedExplanation{Version: view.Config.Version, Route: route.Name, MaxAttempts: route.MaxAttempts, Timeout: route.Timeout.String()}
 	e.addReason("%q is the longest prefix of host %q that begins %q", route.Prefix, route.Host, path)
 	if route.Repeatable() {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -31,7 +31,7 @@
 // leadingColumns lists the fields of a status page that come first in the table.
 var leadingColumns = []string{
 	"role", "process", "name", "state", "ready", "revision", "failure_domain", "version",
-	"era", "store_revision", "configuration_version", "targets_ready", "targets_draining", "state_age_ms", "retried",
+	"era", "store_revision", "configuration_version", "configuration_stored_version", "configuration_lag_ms", "configuration_items_closed", "targets_ready", "targets_draining", "state_age_ms", "retried",
 	"sessions", "in_flight", "running", "waiting", "slots", "resident", "records", "refused", quarantinedField, quarantinedRequestsField, "crash_records", rateLimitsField, quotasField, serviceSharesField,
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,9 @@
 	// configRetryAfter is the Retry-After while the entry has no configuration
 	// or possibly an old one.
 	configRetryAfter = 250 * time.Millisecond
+	// closedRetryAfter is the Retry-After of a request whose route or workspace cannot be used
+	// until the operator has corrected the configuration.
+	closedRetryAfter = 2 * time.Second
 	// quarantineRetryAfter is the Retry-After of a quarantined request, before it is
 	// bounded by the deadline.
 	quarantineRetryAfter = 30 * time.Second
@@ -196,10 +199,10 @@
 	}
 	route, ok := view.Config.Match(x.r.Host, x.r.URL.EscapedPath())
 	if !ok {
-		if !x.h.ConfigCurrent() {
-			return result.Refuse(result.NoConfiguration, configRetryAfter, "the route may be newer than the configuration")
-		}
-		return result.New(result.UnknownRoute, "")
+		return x.refuseUnmatched(view)
+	}
+	if route.Closed {
+		return result.Refuse(result.ItemClosed, closedRetryAfter, "the route cannot be used")
 	}
 	if err := x.authenticate(route); err != nil {
 		return err
@@ -214,7 +217,7 @@
 		return result.Refuse(result.EntryLeaving, stoppingRetryAfter, "")
 	}
 	if code := x.keyRefusal(); code != result.OK {
-		return result.Refuse(code, keysRetryAfter, "")
+		return result.Refuse(code, keyRetryAfter(code), "")
 	}
 	x.route, x.body, x.lastEventID, x.configVersion = route, body, x.meta.LastEventID, view.Config.Version
 	x.sends = resend.New(resend.Policy{Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts})
@@ -228,6 +231,22 @@
 	return nil
 }
 
+// refuseUnmatched returns the refusal of a request without a route.
+func (x *callerRequest) refuseUnmatched(view *catalog.View) error {
+	switch {
+	case x.mayBeOutdated(view):
+		return result.Refuse(result.NoConfiguration, configRetryAfter, "the route may be newer than the configuration")
+	case view.Config.RoutesIncomplete:
+		return result.Refuse(result.ItemClosed, closedRetryAfter, "the route may be one that cannot be read")
+	}
+	return result.New(result.UnknownRoute, "")
+}
+
+// mayBeOutdated reports whether there may be a newer configuration than that of a view.
+func (x *callerRequest) mayBeOutdated(view *catalog.View) bool {
+	return view.UnreadableConfig.Revision > 0 || !x.h.ConfigCurrent()
+}
+
 // endedByStop reports whether a planned stop has ended the open requests.
 func (x *callerRequest) endedByStop() bool { return x.h.Ending.Err() != nil }
 
--- a/internal/relay/workspaces.go
+++ b/internal/relay/workspaces.go
@@ -48,14 +48,20 @@
 	workspace, known := view.Config.WorkspaceOf(x.meta.Key)
 	switch {
 	case route.Public:
-		x.caller.workspace = workspace
+		if known && !workspace.Closed {
+			x.caller.workspace = workspace
+		}
 		return nil
 	case !trusted:
 		return result.Refuse(result.KeysOutdated, keysRetryAfter, "")
-	case !known && !x.h.ConfigCurrent():
+	case !known && x.mayBeOutdated(view):
 		return result.Refuse(result.KeysOutdated, keysRetryAfter, "the key may be newer than the configuration")
+	case !known && view.Config.KeysIncomplete() && x.meta.Key != "":
+		return result.Refuse(result.ItemClosed, closedRetryAfter, "the key may be one that cannot be read")
 	case !known:
 		return result.New(result.Unauthorized, "")
+	case workspace.Closed:
+		return result.Refuse(result.ItemClosed, closedRetryAfter, "the workspace cannot be used")
 	}
 	x.caller.workspace, x.caller.checked = workspace, true
 	return nil
@@ -77,15 +83,26 @@
 		return result.OK
 	}
 	workspace, known := view.Config.WorkspaceOf(x.meta.Key)
-	if !known || workspace.Name != x.caller.workspace.Name {
+	switch {
+	case known && workspace.Closed:
+		return result.ItemClosed
+	case !known || workspace.Name != x.caller.workspace.Name:
 		return result.Unauthorized
 	}
 	return result.OK
 }
 
+// keyRetryAfter returns the Retry-After of a request whose key may no longer be used.
+func keyRetryAfter(code result.Code) time.Duration {
+	if code == result.ItemClosed {
+		return closedRetryAfter
+	}
+	return keysRetryAfter
+}
+
 // refuseKey ends a request whose key may no longer be used before its next send.
 func (x *callerRequest) refuseKey(code result.Code) {
-	x.history.lastCode, x.history.requestedDelay = code, keysRetryAfter
+	x.history.lastCode, x.history.requestedDelay = code, keyRetryAfter(code)
 	x.giveUp()
 }
 
@@ -115,7 +132,7 @@
 	case x.meta.HasTokens:
 		return float64(x.meta.Tokens)
 	}
-	return float64(quota.PlainTokens)
+	return quota.PlainTokens
 }
 
 // settleCharge gives back what the request was charged if no target can have run it.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -50,6 +50,7 @@
 	StreamVersionGone    Code = 2024
 	KeysOutdated         Code = 2026
 	NoRoomForBody        Code = 2027
+	ItemClosed           Code = 2028
 
 	OutcomeUnknown Code = 3001
 	KeyUnknown     Code = 3002
@@ -182,6 +183,7 @@
 	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "No target that takes requests has the software version that began the stream. With the status 502 a target may have run the request."},
 	{KeysOutdated, "keys_outdated", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The entry does not know the present keys of the workspaces, so that one of them may have been withdrawn."},
 	{NoRoomForBody, "no_room_for_body", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The entry has no memory for the body now. The connection is closed."},
+	{ItemClosed, "item_closed", http.StatusServiceUnavailable, NotRun, true, CallerRetryLater, false, "The configuration in force has a route, a workspace or a key for the request that cannot be used or read. The operator has to correct it."},
 
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, CallerRetryChecked, false, "The request may have been executed. Check before sending it again under a new key."},
 	{KeyUnknown, "key_unknown", http.StatusConflict, Unknown, false, CallerRetryChecked, false, "The target that runs requests with this idempotency key cannot determine whether a request with this key was executed before. This request was not executed."},
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -295,10 +295,16 @@
 	return append(append([]*process(nil), f.entries...), f.targetProcesses...)
 }
 
+// unreadableEvery is the number of versions of which one follows a value that cannot be read.
+const unreadableEvery = 4
+
 // publishNextConfig publishes the next version of the configuration. One route has
 // the version in its prefix, so that a request shows which version is in force.
 func (f *fleet) publishNextConfig() {
 	f.configVersion++
+	if f.configVersion%unreadableEvery == 0 {
+		f.store.PutRaw("op/config", []byte(`{"version":`))
+	}
 	f.publishConfig()
 }
 
@@ -317,6 +323,7 @@
 			route("query", "/query/", "stream", "llm", 2, true), route("brief", "/brief/", "stream", "llm", 1, false),
 			route("release", "/release/", "non_idempotent", "ledger", 1, false), route("lookup", "/lookup/", "idempotent", "ledger", 2, false),
 			route("version", fmt.Sprintf("/v%d/", f.configVersion), "idempotent", "ledger", 2, false),
+			route("odd", "/odd/", "of an unknown kind", "ledger", 2, false),
 		},
 		"services": []map[string]any{
 			{"name": "llm", "max_connections": 100, "engine": map[string]any{
--- a/internal/soak/workspaces_test.go
+++ b/internal/soak/workspaces_test.go
@@ -38,10 +38,22 @@
 func (f *fleet) workspaces() []map[string]any {
 	return []map[string]any{
 		standin.Workspace("w1", 1, 0, openKey, rotatedKey(f.keyNumber.Load())),
+		oddWorkspaces[f.configVersion%len(oddWorkspaces)],
 		standin.Workspace(limitedWorkspace, 1, quotaRate, limitedKey),
 	}
 }
 
+// oddWorkspaces are unusual or cannot be used. Each version of the configuration has one of them;
+// the rest of the version has to take effect all the same.
+var oddWorkspaces = []map[string]any{
+	standin.Workspace("a name with spaces", 1, 0, "odd-0"),
+	standin.Workspace("a\nb", 1, 0, "odd-0"),
+	standin.Workspace("სახელი", 1, 1e15, "odd-0"),
+	{"name": "odd", "api_keys": []string{"odd-0"}, "unit": "stones", "rate_per_s": 2.5},
+	standin.Workspace(strings.Repeat("long", 100), 1, 100, "odd-0", ""),
+	{"name": []int{1}, "api_keys": "odd-0", "priority": "high"},
+}
+
 // drawKey returns the key of a request: that of the limited workspace, one that was or will be
 // withdrawn, or openKey.
 func (s *soak) drawKey(request int64) string {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -471,6 +471,9 @@
 	UpToRevision  uint64 `msgpack:"t,omitempty"`
 	AgeMS         int64  `msgpack:"a,omitempty"`
 	ReadAtUS      int64  `msgpack:"ra,omitempty"`
+	// HasUnreadable goes with changes and is true if they include configurations that the
+	// sender cannot decode, which a former build leaves out.
+	HasUnreadable bool `msgpack:"hu,omitempty"`
 	// Crashes, Begun and Verdicts are what entries tell each other of parts of
 	// prompts under which engines crash. A message with one of them has no other
 	// fields: to earlier builds, which ignore these, it is a keep-alive message.
