Find a part that crashes engines wherever it is in the prompt

Cause: the parts of a prompt were cut to the first seven and the last one, in platform, containment, quarantine and wire, each with a number of its own, and none said so. An ID was cut to 32 bytes, and a pair that could not be read hid all parts of its prompt.

Change: a prompt has any number of parts. The first seven are recorded and exchanged as before, also with entries of the former build. Those behind them are kept within a bound over all crash records, sent in pieces within a budget over all entries, those that two crashes share first, and their first events are told as positions. The decision leaves out what cannot change it, so that its cost does not grow with the length of prompts. What is dropped is counted and logged.

Why it works: from its second crash on a crashing part is shared by two records, and such parts are kept and told first. A property shows that the condensed records decide as the whole ones do, and short prompts take the same path as before.

--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -5,9 +5,8 @@
 package containment
 
 import (
-	"encoding/hex"
-	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -21,7 +20,6 @@
 	"agatelanding.example/agatelanding/internal/decide/recall"
 	"agatelanding.example/agatelanding/internal/relay"
 	"agatelanding.example/agatelanding/internal/telemetry"
-	"agatelanding.example/agatelanding/internal/wire"
 )
 
 const (
@@ -62,6 +60,8 @@
 	AskPermit func(number uint64, a ratelimit.Ask, reply func(granted bool, retryAfter time.Duration))
 	// Broadcast sends evidence to all other entries.
 	Broadcast func(peers.Evidence)
+	// EntryCount returns the number of known entries, including this one. The default is one.
+	EntryCount func() int
 	// Dial connects to an address and closes the connection, within a timeout. The
 	// default uses TCP.
 	Dial func(address string, timeout time.Duration) error
@@ -78,6 +78,8 @@
 	// quarantinedParts and quarantinedRequests are the numbers of verdicts in force, and
 	// suspectedRequests that of the requests which a crash counts against.
 	quarantinedParts, quarantinedRequests, suspectedRequests atomic.Int64
+	// concernsParts is set while there is evidence against parts, or a verdict on one.
+	concernsParts atomic.Bool
 
 	// lastAsk numbers the asks for permits, apart from those of the broker.
 	lastAsk atomic.Uint64
@@ -101,6 +103,10 @@
 	seen map[quarantine.Incarnation]time.Time
 	// refusals counts the requests refused here by their quarantined part.
 	refusals map[quarantine.Part]int64
+	// untold holds the further parts of suspects at this entry that others have not heard of,
+	// and furtherBudget what may be sent of them.
+	untold        []*untoldParts
+	furtherBudget byteBudget
 	// kept holds the crashes and begins that target processes keep, for those which are
 	// reached later.
 	kept *recall.Memory
@@ -127,6 +133,9 @@
 	if cfg.Targets == nil {
 		cfg.Targets = func(string) []*catalog.Target { return nil }
 	}
+	if cfg.EntryCount == nil {
+		cfg.EntryCount = func() int { return 1 }
+	}
 	if cfg.AskPermit == nil {
 		cfg.AskPermit = func(_ uint64, _ ratelimit.Ask, reply func(bool, time.Duration)) { reply(true, 0) }
 	}
@@ -171,7 +180,7 @@
 		}
 	}
 	if g.quarantinedParts.Load() > 0 {
-		return g.check(g.parts, bounded(r.PromptParts))
+		return g.check(g.parts, partsOf(r))
 	}
 	return relay.Cause{}, false
 }
@@ -202,8 +211,10 @@
 // quarantined already does not count: the request may be a trial.
 func (g *Guard) Watch(r relay.Identity, onBlocked func(relay.Cause)) (stop func()) {
 	w := &watcher{request: r, onBlocked: onBlocked}
-	if list := bounded(r.PromptParts); len(list) > 1 {
+	// A long prompt is parsed for each verdict instead, of which there are few.
+	if r.AllParts == nil && len(r.PromptParts) > 1 {
 		// The last part is the request's own.
+		list := partsOf(r)
 		w.parts = list[:len(list)-1]
 	}
 	g.mu.Lock()
@@ -235,7 +246,11 @@
 // Began records that a target began to answer a request. Other entries hear of it if a
 // part of its prompt is suspected: a part that is served is sound.
 func (g *Guard) Began(r relay.Identity) {
-	if list := bounded(r.PromptParts); len(list) > 1 {
+	list := leadingPartsOf(r)
+	if g.concernsParts.Load() {
+		list = partsOf(r)
+	}
+	if len(list) > 1 {
 		g.recordServed(g.parts, list)
 	}
 }
@@ -253,18 +268,19 @@
 	g.mu.Lock()
 	suspected, changed := q.RecordBegan(now, now, list)
 	g.adopt(changed)
-	g.mu.Unlock()
 	news := peers.Evidence{Verdicts: changed}
 	for _, p := range suspected {
 		news.Begins = append(news.Begins, quarantine.Begin{Part: p, At: now})
 	}
+	news.FurtherBegins = q.TakeRuns()
+	g.mu.Unlock()
 	g.broadcast(news)
 }
 
 // broadcast sends evidence to other entries, if there is any, and has target processes keep
 // it. The caller does not hold mu.
 func (g *Guard) broadcast(e peers.Evidence) {
-	if len(e.Crashes)+len(e.Begins)+len(e.Verdicts) > 0 {
+	if len(e.Crashes)+len(e.Begins)+len(e.Verdicts)+len(e.Further)+len(e.FurtherBegins) > 0 {
 		g.keep(e)
 		g.cfg.Broadcast(e)
 	}
@@ -295,6 +311,7 @@
 			g.countRefusal(v.Part)
 			go w.onBlocked(causeOf(v.Part))
 		}
+		g.blockLongPrompts(v.Part)
 	}
 	g.requests.Discard(g.parts.Explained())
 	g.refresh()
@@ -311,12 +328,28 @@
 	}
 	g.cfg.Metrics.Count("requests_quarantined")
 	line.Warn("request quarantined")
+	g.blockOpen(v.Part, func(r relay.Identity) bool { return digestParts(r)[0] == v.Part })
+}
+
+// blockLongPrompts ends the open requests with a part in a prompt that is not among watchers.
+func (g *Guard) blockLongPrompts(p quarantine.Part) {
+	g.blockOpen(p, func(r relay.Identity) bool {
+		if r.AllParts == nil {
+			return false
+		}
+		list := partsOf(r)
+		return len(list) > 1 && slices.Contains(list[:len(list)-1], p)
+	})
+}
+
+// blockOpen ends the open requests that a verdict concerns. Whether it does is worked out
+// without the mutex.
+func (g *Guard) blockOpen(p quarantine.Part, concerns func(relay.Identity) bool) {
 	open := slices.Collect(maps.Keys(g.open))
-	// The digests of open requests are worked out without the mutex.
 	go func() {
 		for _, w := range open {
-			if digestParts(w.request)[0] == v.Part {
-				g.block(w, v.Part)
+			if concerns(w.request) {
+				g.block(w, p)
 			}
 		}
 	}()
@@ -350,6 +383,7 @@
 		return n
 	}
 	g.quarantinedParts.Store(count(g.parts))
+	g.concernsParts.Store(len(known) > 0 || g.parts.SuspectedCount() > 0)
 	g.quarantinedRequests.Store(count(g.requests))
 	g.suspectedRequests.Store(int64(g.requests.SuspectedCount()))
 	maps.DeleteFunc(g.refusals, func(p quarantine.Part, _ int64) bool { return !known[p] })
@@ -359,28 +393,39 @@
 // suspects of crashes. The last part of the prompt does not: it may be that of a session,
 // whose turns are requests of their own.
 func suspectParts(r relay.Identity) []quarantine.Part {
-	list := bounded(r.PromptParts)
+	list := partsOf(r)
 	if len(list) > 1 {
 		list[len(list)-1] = quarantine.NewRequestID(string(list[len(list)-1]), r.Content())
 	}
 	return list
 }
 
-// bounded returns the parts that are considered, in the form in which entries exchange
-// them: the first shared ones and the last one, which is the request's own. A long ID is
-// replaced by its hash.
-func bounded(parts []string) []quarantine.Part {
-	var list []quarantine.Part
-	for i, p := range parts {
-		if p == "" || len(list) == wire.MaxSuspectParts-1 && i < len(parts)-1 {
+// partsOf returns the parts of the prompt of a request. The last one is the request's own.
+func partsOf(r relay.Identity) []quarantine.Part { return firstPartsOf(r, math.MaxInt) }
+
+// leadingPartsOf returns the leading parts of the prompt of a request and one more, which stands
+// for the last one.
+func leadingPartsOf(r relay.Identity) []quarantine.Part {
+	return firstPartsOf(r, quarantine.LeadingParts+1)
+}
+
+func firstPartsOf(r relay.Identity, most int) (list []quarantine.Part) {
+	parts := r.AllParts
+	if parts == nil {
+		list, parts = make([]quarantine.Part, 0, len(r.PromptParts)), slices.Values(r.PromptParts)
+	}
+	for p := range parts {
+		switch {
+		case p == "":
 			continue
+		case len(p) > quarantine.MaxPartBytes:
+			list = append(list, quarantine.HashedPart(p))
+		default:
+			list = append(list, quarantine.Part(p))
 		}
-		if len(p) > wire.MaxPartBytes {
-			h := fnv.New128a()
-			h.Write([]byte(p))
-			p = hex.EncodeToString(h.Sum(nil))
+		if len(list) == most {
+			break
 		}
-		list = append(list, quarantine.Part(p))
 	}
 	return list
 }
--- a/entry/containment/containment_suite_test.go
+++ b/entry/containment/containment_suite_test.go
@@ -48,6 +48,8 @@
 	delivered atomic.Int64
 	dialErr   error
 	leaving   containment.LeavingTargets
+	// further are the further parts of each record that was broadcast, as in a message.
+	further []string
 	// skipped is the time by which the clock of the Guards is ahead.
 	skipped atomic.Int64
 }
@@ -86,6 +88,9 @@
 func (m *mesh) broadcast(from int, e peers.Evidence) {
 	m.mu.Lock()
 	m.begins += len(e.Begins)
+	for _, c := range e.Further {
+		m.further = append(m.further, quarantine.FormatFurther(c.Suspects[0].Further))
+	}
 	var to []*containment.Guard
 	for i, g := range m.guards {
 		if i != from && m.side[i] == m.side[from] {
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -27,6 +27,9 @@
 	maxBroken = 256
 	// maxBrokenRequests bounds the requests under way at one of them.
 	maxBrokenRequests = 96
+	// maxBrokenParts bounds the parts of their prompts in all; of further prompts only the first
+	// ones are kept.
+	maxBrokenParts = 1 << 14
 	// maxLoggedParts bounds the parts in a log line.
 	maxLoggedParts = 16
 	// maxConfirmTime is how long after the last dial a new incarnation at the address shows
@@ -46,6 +49,8 @@
 	suspects []quarantine.Suspect
 	requests []quarantine.Suspect
 	prompted bool
+	// parts is the number of parts in suspects.
+	parts int
 }
 
 // Broken records that the connection to a target ended before the end of an answer; it
@@ -70,9 +75,15 @@
 		g.broken[incarnation] = b
 		go g.examine(target, incarnation, b)
 	}
-	b.prompted = b.prompted || len(r.PromptParts) > 0
+	b.prompted = b.prompted || len(prompt) > 0
 	if !began && len(prompt) > 1 && len(b.suspects) < wire.MaxSuspects {
-		b.suspects = append(b.suspects, quarantine.Suspect{Parts: prompt, SentAt: sentAt})
+		s := quarantine.Suspect{Parts: prompt, SentAt: sentAt}
+		if b.parts+len(prompt) > maxBrokenParts {
+			s = s.Leading()
+			g.furtherDropped(target.ID, len(prompt)-len(s.Parts), "too many were under way at the target")
+		}
+		b.parts += len(s.Parts)
+		b.suspects = append(b.suspects, s)
 	}
 	if len(b.requests) < maxBrokenRequests {
 		b.requests = append(b.requests, quarantine.Suspect{Parts: digest, SentAt: sentAt})
@@ -105,16 +116,18 @@
 	if b.prompted {
 		crash.Suspects = b.suspects
 		if _, known := g.seen[incarnation]; !known || len(b.suspects) > 0 {
-			news.Crashes = append(news.Crashes, crash)
+			news.Crashes = append(news.Crashes, leadingOnly(crash))
 		}
 		news.Verdicts = g.recordCrash(now, crash, false)
+		g.addUntold(crash)
 	}
 	for requests := range slices.Chunk(b.requests, wire.MaxSuspects) {
 		crash.Suspects = requests
 		news.Crashes = append(news.Crashes, crash)
 		news.Verdicts = append(news.Verdicts, g.recordCrash(now, crash, false)...)
 	}
-	news.Begins = g.takeBegins(now)
+	g.takeBegins(now, &news)
+	news.Further = g.takeUntold(now)
 	g.mu.Unlock()
 	g.broadcast(news)
 }
@@ -150,9 +163,10 @@
 	return false, "the target accepts connections"
 }
 
-// takeBegins returns what other entries should hear of the answers at this entry.
-func (g *Guard) takeBegins(now time.Time) []quarantine.Begin {
-	return append(g.parts.TakeBegins(now), g.requests.TakeBegins(now)...)
+// takeBegins adds what other entries should hear of the answers at this entry.
+func (g *Guard) takeBegins(now time.Time, e *peers.Evidence) {
+	e.Begins = append(e.Begins, append(g.parts.TakeBegins(now), g.requests.TakeBegins(now)...)...)
+	e.FurtherBegins = append(e.FurtherBegins, g.parts.TakeRuns()...)
 }
 
 // dialTCP connects to an address and closes the connection.
@@ -190,6 +204,10 @@
 			With("ago_ms", now.Sub(c.At).Milliseconds()).With("from_peer", fromPeer).Info("engine crashed")
 	}
 	changed := g.parts.RecordCrash(now, c)
+	g.concernsParts.Store(true)
+	if n := g.parts.TakeDropped(); n > 0 {
+		g.furtherDropped(c.Target, n, "the crash records hold too many")
+	}
 	g.adopt(changed)
 	g.evaluateUntil(c.At.Add(ttl))
 	return changed
@@ -261,8 +279,9 @@
 		if ends {
 			g.refresh()
 		}
+		news := peers.Evidence{Verdicts: changed, Further: g.takeUntold(now)}
 		g.mu.Unlock()
-		g.broadcast(peers.Evidence{Verdicts: changed})
+		g.broadcast(news)
 		if ends {
 			return
 		}
@@ -287,12 +306,17 @@
 			changed = append(changed, v)
 		}
 	}
-	for _, c := range e.Crashes {
+	for _, c := range slices.Concat(e.Crashes, e.Further) {
 		changed = append(changed, g.recordCrash(now, c, true)...)
 	}
+	// These name suspects of the crashes.
+	begunFurther := g.parts.MergeRuns(now, e.FurtherBegins)
+	g.adopt(begunFurther)
+	changed = append(changed, begunFurther...)
 	news := peers.Evidence{Verdicts: changed}
-	if len(e.Crashes) > 0 {
-		news.Begins = g.takeBegins(now)
+	if len(e.Crashes)+len(e.Further) > 0 {
+		g.takeBegins(now, &news)
+		news.Further = g.takeUntold(now)
 	}
 	g.mu.Unlock()
 	g.broadcast(news)
@@ -317,9 +341,13 @@
 	defer g.mu.Unlock()
 	now := g.cfg.Now()
 	e := peers.Evidence{
-		Crashes: g.parts.Crashes(now), Begins: append(g.parts.Begins(), g.requests.Begins()...),
+		Begins: append(g.parts.Begins(), g.requests.Begins()...), FurtherBegins: g.parts.Runs(),
 		Verdicts: append(g.parts.Verdicts(), g.requests.Verdicts()...),
 	}
+	for _, c := range g.parts.Crashes(now) {
+		e.Crashes = append(e.Crashes, leadingOnly(c))
+		e.Further = append(e.Further, inPieces(c)...)
+	}
 	for _, c := range g.requests.Crashes(now) {
 		for suspects := range slices.Chunk(c.Suspects, wire.MaxSuspects) {
 			c.Suspects = suspects
@@ -327,6 +355,7 @@
 		}
 	}
 	slices.SortFunc(e.Crashes, func(a, b quarantine.Crash) int { return b.At.Compare(a.At) })
+	slices.SortStableFunc(e.Further, func(a, b quarantine.Crash) int { return b.At.Compare(a.At) })
 	slices.SortFunc(e.Begins, func(a, b quarantine.Begin) int { return b.At.Compare(a.At) })
 	slices.SortFunc(e.Verdicts, func(a, b quarantine.Verdict) int { return b.Since.Compare(a.Since) })
 	return e
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -178,9 +178,10 @@
 	e.guard = containment.New(containment.Config{
 		Entry: e.settings.Name, OwnsTrial: containment.TrialOwner(e.settings.PeerListen, e.mesh.ConnectedAddresses, e.mesh.EntryCount),
 		Leaving: e.leaving.Has, Replaced: e.isReplaced, Targets: e.listedTargets,
-		AskPermit: func(number uint64, a ratelimit.Ask, reply func(bool, time.Duration)) { e.permits.Ask(number, a, reply) },
-		Remember:  func(f recall.Fact) { e.broker.Remember(f, nil) },
-		Broadcast: e.mesh.BroadcastEvidence, Metrics: e.metrics, Log: telemetry.For("quarantine"),
+		AskPermit:  func(number uint64, a ratelimit.Ask, reply func(bool, time.Duration)) { e.permits.Ask(number, a, reply) },
+		Remember:   func(f recall.Fact) { e.broker.Remember(f, nil) },
+		EntryCount: e.mesh.EntryCount,
+		Broadcast:  e.mesh.BroadcastEvidence, Metrics: e.metrics, Log: telemetry.For("quarantine"),
 	})
 	e.mesh.CurrentEvidence, e.mesh.ReceiveEvidence = e.guard.Evidence, e.guard.Receive
 	e.streams = streams.New(e.metrics)
--- a/entry/peers/evidence.go
+++ b/entry/peers/evidence.go
@@ -14,6 +14,11 @@
 	// beyond that waits for the next second.
 	maxEvidenceMessageBytes = 16 << 10
 	evidenceBytesPerSecond  = 16 << 10
+	// furtherBytesPerSecond bounds the further parts and their begins that an entry sends each
+	// peer in a second besides, so that long prompts never delay other evidence.
+	furtherBytesPerSecond = 32 << 10
+	// maxUnsentFurther bounds the records of further parts, and their begins, that wait.
+	maxUnsentFurther = 256
 	// evidenceInterval is the shortest time between two messages with evidence. Many
 	// engines that crash at once must not fill the queues of the connections.
 	evidenceInterval = 50 * time.Millisecond
@@ -26,6 +31,8 @@
 	suspectBytes = 12
 	begunBytes   = 16
 	verdictBytes = 40
+	furtherBytes = 2
+	runsBytes    = 32
 )
 
 // Evidence is what entries tell each other of parts of prompts and whole requests under
@@ -34,23 +41,43 @@
 	Crashes  []quarantine.Crash
 	Begins   []quarantine.Begin
 	Verdicts []quarantine.Verdict
+	// Further holds records of Crashes once more, with the further parts of their suspects, and
+	// FurtherBegins the begins of such parts.
+	Further       []quarantine.Crash
+	FurtherBegins []quarantine.BegunRuns
 }
 
 func (e *Evidence) empty() bool {
-	return len(e.Crashes) == 0 && len(e.Begins) == 0 && len(e.Verdicts) == 0
+	return len(e.Crashes) == 0 && len(e.Begins) == 0 && len(e.Verdicts) == 0 && len(e.Further) == 0 && len(e.FurtherBegins) == 0
 }
 
 // add appends evidence, up to what the receiver of one message keeps, and reports
 // whether that is all of it.
 func (e *Evidence) add(x Evidence) bool {
-	count := func(e *Evidence) int { return len(e.Crashes) + len(e.Begins) + len(e.Verdicts) }
+	count := func(e *Evidence) int {
+		return len(e.Crashes) + len(e.Begins) + len(e.Verdicts) + len(e.Further) + len(e.FurtherBegins)
+	}
 	want := count(e) + count(&x)
 	e.Crashes = append(e.Crashes, x.Crashes[:min(len(x.Crashes), wire.MaxCrashRecords-len(e.Crashes))]...)
 	e.Begins = append(e.Begins, x.Begins[:min(len(x.Begins), wire.MaxBegunParts-len(e.Begins))]...)
 	e.Verdicts = append(e.Verdicts, x.Verdicts[:min(len(x.Verdicts), wire.MaxPartVerdicts-len(e.Verdicts))]...)
+	e.Further = append(e.Further, x.Further[:min(len(x.Further), maxUnsentFurther-len(e.Further))]...)
+	e.FurtherBegins = append(e.FurtherBegins, x.FurtherBegins[:min(len(x.FurtherBegins), maxUnsentFurther-len(e.FurtherBegins))]...)
 	return count(e) == want
 }
 
+// takeFurther removes further parts and their begins of up to maxBytes and returns them with
+// their size.
+func (e *Evidence) takeFurther(maxBytes int) (Evidence, int) {
+	var t Evidence
+	size := 0
+	t.FurtherBegins, e.FurtherBegins = takeList(e.FurtherBegins, wire.MaxBegunRuns, maxBytes, &size, func(b quarantine.BegunRuns) int {
+		return runsBytes + len(b.Target) + len(b.Suspect) + len(b.Runs)
+	})
+	t.Further, e.Further = takeList(e.Further, wire.MaxCrashRecords, maxBytes, &size, crashSize)
+	return t, size
+}
+
 // take removes evidence of up to maxBytes and returns it with its size. Verdicts come
 // first, because they stop requests, and begins before crashes, because they void the
 // hits of a part.
@@ -85,6 +112,9 @@
 		for _, p := range s.Parts {
 			size += 1 + len(p)
 		}
+		for _, f := range s.Further {
+			size += furtherBytes + len(f.Part)
+		}
 	}
 	return size
 }
@@ -93,10 +123,10 @@
 func (e *Evidence) items(now time.Time) *wire.Items {
 	ageMS := func(at time.Time) int64 { return wire.AgeMS(now.Sub(at)) }
 	x := &wire.Items{}
-	for _, c := range e.Crashes {
+	for _, c := range slices.Concat(e.Crashes, e.Further) {
 		record := wire.CrashRecord{Target: c.Target, StartedAtMS: c.StartedAtMS, AgeMS: ageMS(c.At), Pool: c.Pool, FailureDomain: c.FailureDomain}
 		for _, s := range c.Suspects {
-			suspect := wire.Suspect{AgeMS: ageMS(s.SentAt)}
+			suspect := wire.Suspect{AgeMS: ageMS(s.SentAt), Further: quarantine.FormatFurther(s.Further)}
 			for _, p := range s.Parts {
 				suspect.Parts = append(suspect.Parts, string(p))
 			}
@@ -107,6 +137,9 @@
 	for _, b := range e.Begins {
 		x.Begun = append(x.Begun, wire.BegunPart{Part: string(b.Part), AgeMS: ageMS(b.At)})
 	}
+	for _, b := range e.FurtherBegins {
+		x.BegunRuns = append(x.BegunRuns, wire.BegunRuns{Target: b.Target, StartedAtMS: b.StartedAtMS, Suspect: string(b.Suspect), Runs: b.Runs, AgeMS: ageMS(b.At)})
+	}
 	for _, v := range e.Verdicts {
 		x.Verdicts = append(x.Verdicts, wire.PartVerdict{
 			Part: string(v.Part), Generation: v.Generation, Quarantined: v.Quarantined, AgeMS: ageMS(v.Since), Crashes: v.Crashes, Entry: v.Entry, Trials: v.Trials,
@@ -126,7 +159,7 @@
 			Pool: c.Pool, FailureDomain: c.FailureDomain,
 		}
 		for _, s := range c.Suspects {
-			suspect := quarantine.Suspect{SentAt: now.Add(-wire.Age(s.AgeMS))}
+			suspect := quarantine.Suspect{SentAt: now.Add(-wire.Age(s.AgeMS)), Further: quarantine.ParseFurther(s.Further)}
 			for _, p := range s.Parts {
 				suspect.Parts = append(suspect.Parts, quarantine.Part(p))
 			}
@@ -137,6 +170,11 @@
 	for _, b := range x.Begun {
 		e.Begins = append(e.Begins, quarantine.Begin{Part: quarantine.Part(b.Part), At: now.Add(-wire.Age(b.AgeMS))})
 	}
+	for _, b := range x.BegunRuns {
+		e.FurtherBegins = append(e.FurtherBegins, quarantine.BegunRuns{
+			Incarnation: quarantine.Incarnation{Target: b.Target, StartedAtMS: b.StartedAtMS}, Suspect: quarantine.Part(b.Suspect), Runs: b.Runs, At: now.Add(-wire.Age(b.AgeMS)),
+		})
+	}
 	for _, v := range x.Verdicts {
 		e.Verdicts = append(e.Verdicts, quarantine.Verdict{
 			Part: quarantine.Part(v.Part), Generation: v.Generation, Quarantined: v.Quarantined, Since: now.Add(-wire.Age(v.AgeMS)), Crashes: v.Crashes, Entry: v.Entry, Trials: v.Trials,
@@ -178,14 +216,18 @@
 func (m *Mesh) sendEvidence(now time.Time) {
 	m.evidenceSentAt = now
 	if now.Sub(m.evidenceSecond) >= time.Second {
-		m.evidenceSecond, m.evidenceBytes = now, 0
+		m.evidenceSecond, m.evidenceBytes, m.furtherBytes = now, 0, 0
 	}
 	for !m.unsent.empty() {
 		message, size := m.unsent.take(min(maxEvidenceMessageBytes, evidenceBytesPerSecond-m.evidenceBytes))
+		m.evidenceBytes += size
+		if message.empty() {
+			message, size = m.unsent.takeFurther(min(maxEvidenceMessageBytes, furtherBytesPerSecond-m.furtherBytes))
+			m.furtherBytes += size
+		}
 		if message.empty() {
 			return
 		}
-		m.evidenceBytes += size
 		sent := make(map[string]bool)
 		for c := range m.conns {
 			// A connection whose peer has not sent its address gets the evidence too:
@@ -206,13 +248,15 @@
 	}
 	e := m.CurrentEvidence()
 	e.Begins = e.Begins[:min(len(e.Begins), maxInitialBegins)]
-	for budget := maxInitialEvidenceBytes; ; {
-		message, size := e.take(min(maxEvidenceMessageBytes, budget))
-		if message.empty() {
-			return
+	for _, take := range []func(int) (Evidence, int){e.take, e.takeFurther} {
+		for budget := maxInitialEvidenceBytes; ; {
+			message, size := take(min(maxEvidenceMessageBytes, budget))
+			if message.empty() {
+				break
+			}
+			budget -= size
+			m.enqueue(c, message)
 		}
-		budget -= size
-		m.enqueue(c, message)
 	}
 }
 
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -115,12 +115,13 @@
 	lastSeen map[string]time.Time
 	conns    map[*peerConn]bool
 	// unsent is the evidence that waits to be sent; evidencePending is true if a timer
-	// sends it. evidenceBytes were sent in the second that began at evidenceSecond, the
+	// sends it. evidenceBytes, and furtherBytes of further parts, were sent in the second that began at evidenceSecond, the
 	// last of them at evidenceSentAt.
 	unsent          Evidence
 	evidencePending bool
 	evidenceSecond  time.Time
 	evidenceBytes   int
+	furtherBytes    int
 	evidenceSentAt  time.Time
 	// demands holds the demand of this entry for each pool of plain services, unless zero.
 	demands map[string]int
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -12,9 +12,10 @@
 	rules    rules
 	evidence evidence
 	verdicts map[Part]*verdict
-	// suspected holds the time of the last unexplained crash under each part that
-	// is not quarantined.
-	suspected map[Part]time.Time
+	// suspected holds the parts in unexplained crashes.
+	suspected map[Part]suspicion
+	// untoldFurther holds the begins of further parts that other entries have to hear of.
+	untoldFurther map[Part]time.Time
 	// evaluateAt is when evidence that is not evaluated yet has settled; zero if
 	// there is none.
 	evaluateAt time.Time
@@ -26,6 +27,16 @@
 	hitsAt      time.Time
 }
 
+// suspicion is what unexplained crashes hold against a part that is not quarantined.
+type suspicion struct {
+	// crashedAt is the time of the last of them.
+	crashedAt time.Time
+	// leading is true if the part is among the first ones of a prompt, and shared if it is in
+	// more than one crash, of which record is the last.
+	leading, shared bool
+	record          *Crash
+}
+
 // New returns a Quarantine without evidence and verdicts.
 func New(cfg Config) *Quarantine {
 	if cfg.OwnsTrial == nil {
@@ -33,7 +44,7 @@
 	}
 	r := rulesOf[cfg.Kind]
 	return &Quarantine{
-		cfg: cfg, rules: r, verdicts: make(map[Part]*verdict), suspected: make(map[Part]time.Time),
+		cfg: cfg, rules: r, verdicts: make(map[Part]*verdict), suspected: make(map[Part]suspicion), untoldFurther: make(map[Part]time.Time),
 		evidence: evidence{rules: r, begins: begins{ttl: r.evidenceTTL, newer: make(map[Part]begin)}},
 	}
 }
@@ -44,6 +55,7 @@
 	changed := q.endTrials(now, c)
 	if q.evidence.addCrash(now, c) {
 		q.refresh()
+		changed = append(changed, q.mergeRunsOf(now, c.Incarnation)...)
 	}
 	return append(changed, q.Tick(now)...)
 }
@@ -52,25 +64,52 @@
 // these parts at a time. It returns those parts that are suspected at present, which
 // other entries should hear of, and new verdicts (a release after a trial).
 func (q *Quarantine) RecordBegan(now, at time.Time, parts []Part) (suspected []Part, changed []Verdict) {
-	for _, p := range sharedParts(parts) {
-		if !validPart(p) {
+	for i, p := range sharedParts(parts) {
+		// Long prompts must not drive out the begins of others.
+		if !validPart(p) || i >= LeadingParts && !q.concerns(p) {
 			continue
 		}
 		changed = append(changed, q.release(now, at, p)...)
 		if x := q.begun(now, at, p); q.untold(p, x) {
-			suspected = append(suspected, p)
 			q.setBegin(now, p, begin{at: x.at, toldAt: x.at})
+			if q.IsFurther(p) {
+				q.untoldFurther[p] = x.at
+				continue
+			}
+			suspected = append(suspected, p)
 		}
 	}
 	return suspected, append(changed, q.Tick(now)...)
 }
 
+// concerns reports whether there is evidence against a part, or a verdict on it.
+func (q *Quarantine) concerns(p Part) bool {
+	_, suspected := q.suspected[p]
+	return suspected || q.verdicts[p] != nil
+}
+
+// TakeDropped returns how many further parts were dropped for their bound since the last call.
+func (q *Quarantine) TakeDropped() int {
+	n := q.evidence.dropped
+	q.evidence.dropped = 0
+	return n
+}
+
+// IsFurther reports whether records hold a part only behind the leading ones.
+func (q *Quarantine) IsFurther(p Part) bool {
+	s, ok := q.suspected[p]
+	return ok && !s.leading
+}
+
+// IsShared reports whether more than one unexplained crash holds a part.
+func (q *Quarantine) IsShared(p Part) bool { return q.suspected[p].shared }
+
 // Begins returns the last begins of suspected parts, for an entry that has connected.
 // It should merge them before the crash records.
 func (q *Quarantine) Begins() []Begin {
 	var list []Begin
 	for _, p := range slices.Sorted(maps.Keys(q.suspected)) {
-		if x := q.evidence.begins.get(p); !x.at.IsZero() {
+		if x := q.evidence.begins.get(p); !x.at.IsZero() && !q.IsFurther(p) {
 			list = append(list, Begin{Part: p, At: x.at})
 		}
 	}
@@ -83,8 +122,12 @@
 	var list []Begin
 	for _, p := range slices.Sorted(maps.Keys(q.suspected)) {
 		if x := q.evidence.begins.get(p); q.untold(p, x) {
-			list = append(list, Begin{Part: p, At: x.at})
 			q.setBegin(now, p, begin{at: x.at, toldAt: x.at})
+			if q.IsFurther(p) {
+				q.untoldFurther[p] = x.at
+				continue
+			}
+			list = append(list, Begin{Part: p, At: x.at})
 		}
 	}
 	return list
@@ -98,15 +141,20 @@
 		if !validPart(b.Part) {
 			continue
 		}
-		at := b.At.Add(-maxTransit)
-		changed = append(changed, q.release(now, at, b.Part)...)
-		if x := q.begun(now, at, b.Part); at.After(x.toldAt) {
-			q.setBegin(now, b.Part, begin{at: x.at, toldAt: at})
-		}
+		changed = append(changed, q.mergeBegin(now, b.At.Add(-maxTransit), b.Part)...)
 	}
 	return append(changed, q.Tick(now)...)
 }
 
+// mergeBegin records a begin that all entries know of.
+func (q *Quarantine) mergeBegin(now, at time.Time, p Part) []Verdict {
+	changed := q.release(now, at, p)
+	if x := q.begun(now, at, p); at.After(x.toldAt) {
+		q.setBegin(now, p, begin{at: x.at, toldAt: at})
+	}
+	return changed
+}
+
 // begun records a begin of a part and returns the last one.
 func (q *Quarantine) begun(now, at time.Time, p Part) begin {
 	x := q.evidence.begins.get(p)
@@ -114,7 +162,7 @@
 		at = now
 	}
 	if at.After(x.at) && now.Sub(at) < q.rules.evidenceTTL {
-		if crashedAt, ok := q.suspected[p]; ok && at.After(crashedAt) && !x.at.After(crashedAt) && q.evaluateAt.IsZero() {
+		if s, ok := q.suspected[p]; ok && at.After(s.crashedAt) && !x.at.After(s.crashedAt) && q.evaluateAt.IsZero() {
 			// The part explains no crash any more, so that another one may be the cause.
 			q.evaluateAt = now.Add(settleTime)
 		}
@@ -131,8 +179,8 @@
 // untold reports whether other entries may suspect a part because they have not
 // heard of its last begin.
 func (q *Quarantine) untold(p Part, x begin) bool {
-	crashedAt, ok := q.suspected[p]
-	return ok && x.at.After(x.toldAt) && crashedAt.After(x.toldAt)
+	s, ok := q.suspected[p]
+	return ok && x.at.After(x.toldAt) && s.crashedAt.After(x.toldAt)
 }
 
 // Check returns the quarantined part of a request, if it has one, and whether the
@@ -179,9 +227,12 @@
 	q.under, q.hits, q.hitsAt = nil, nil, time.Time{}
 	clear(q.suspected)
 	for _, r := range q.unexplained() {
-		for _, s := range r.Suspects {
-			for _, p := range sharedParts(s.Parts) {
-				q.suspected[p] = r.At
+		for i := range r.Suspects {
+			for at, p := range r.Suspects[i].shared() {
+				s := q.suspected[p]
+				q.suspected[p] = suspicion{
+					crashedAt: r.At, leading: s.leading || at < LeadingParts, shared: s.shared || s.record != nil && s.record != r, record: r,
+				}
 			}
 		}
 	}
@@ -198,7 +249,8 @@
 // explains reports whether a suspect of a record holds a quarantined part.
 func (q *Quarantine) explains(r *Crash) bool {
 	return slices.ContainsFunc(r.Suspects, func(s Suspect) bool {
-		return slices.ContainsFunc(sharedParts(s.Parts), q.quarantined)
+		return slices.ContainsFunc(sharedParts(s.Parts), q.quarantined) ||
+			slices.ContainsFunc(s.Further, func(f FurtherPart) bool { return q.quarantined(f.Part) })
 	})
 }
 
@@ -218,13 +270,16 @@
 			return changed
 		}
 		begunAt := func(p Part) time.Time { return q.evidence.begins.get(p).at }
+		all := q.settled(now)
+		condensed := condense(all, begunAt, q.quarantined)
+		records, all = condensed(records), condensed(all)
 		var c candidate
 		ok := false
 		if len(records) >= minHits {
 			c, ok = q.rules.find(records, begunAt)
 		}
 		if !ok && q.cfg.Kind == SharedParts {
-			c, ok = coveringPart(q.settled(now), records, begunAt, q.quarantined)
+			c, ok = coveringPart(all, records, begunAt, q.quarantined)
 		}
 		if !ok {
 			return changed
@@ -245,8 +300,8 @@
 
 // Suspected reports whether a crash counts against a part.
 func (q *Quarantine) Suspected(p Part) bool {
-	at, ok := q.suspected[p]
-	return ok && at.After(q.evidence.begins.get(p).at)
+	s, ok := q.suspected[p]
+	return ok && s.crashedAt.After(q.evidence.begins.get(p).at)
 }
 
 // Explained returns the incarnations whose crash is due to what is quarantined.
--- a/internal/decide/quarantine/score.go
+++ b/internal/decide/quarantine/score.go
@@ -18,6 +18,8 @@
 	// these crashes, and sessions holds the sessions whose requests held it.
 	served   bool
 	sessions map[Part]bool
+	// last is the last suspect that was counted.
+	last *Suspect
 	// trialsLeftOut is the number of trials that are not made.
 	trialsLeftOut int
 }
@@ -94,8 +96,7 @@
 	}
 	return !slices.ContainsFunc(records, func(r *Crash) bool {
 		return r.At.After(begunAt(x.part)) && slices.ContainsFunc(r.Suspects, func(s Suspect) bool {
-			shared := sharedParts(s.Parts)
-			return slices.Contains(shared, x.part) != slices.Contains(shared, y.part)
+			return s.has(x.part) != s.has(y.part)
 		})
 	})
 }
@@ -107,10 +108,9 @@
 	companions := make(map[Part]map[Part]bool)
 	for _, r := range all {
 		for _, s := range r.Suspects {
-			shared := sharedParts(s.Parts)
-			for _, q := range shared {
-				if quarantined(q) {
-					companions[q] = intersect(companions[q], shared)
+			for _, p := range s.shared() {
+				if quarantined(p) {
+					companions[p] = intersect(companions[p], s)
 				}
 			}
 		}
@@ -131,10 +131,10 @@
 	return candidate{}, false
 }
 
-// intersect returns the parts that are also in a set. A nil set holds all parts.
-func intersect(set map[Part]bool, parts []Part) map[Part]bool {
+// intersect returns the parts of a suspect that are also in a set. A nil set holds all parts.
+func intersect(set map[Part]bool, s Suspect) map[Part]bool {
 	both := make(map[Part]bool)
-	for _, p := range parts {
+	for _, p := range s.shared() {
 		if set == nil || set[p] {
 			both[p] = true
 		}
@@ -176,8 +176,9 @@
 	found := make(map[Part]*candidate)
 	for _, r := range records {
 		counted := make(map[Part]bool)
-		for _, s := range r.Suspects {
-			for i, p := range sharedParts(s.Parts) {
+		for j := range r.Suspects {
+			s := &r.Suspects[j]
+			for i, p := range s.shared() {
 				if !r.At.After(begunAt(p)) {
 					continue
 				}
@@ -186,13 +187,18 @@
 					c = &candidate{part: p, served: !begunAt(p).IsZero(), sessions: make(map[Part]bool)}
 					found[p] = c
 				}
-				c.sessions[sessionOf(s)] = true
+				c.position = max(c.position, i)
+				if c.last == s {
+					// The prompt has the part more than once.
+					continue
+				}
+				c.last = s
+				c.sessions[sessionOf(*s)] = true
 				if !counted[p] {
 					counted[p] = true
 					c.crashes++
 				}
 				c.suspects++
-				c.position = max(c.position, i)
 			}
 		}
 	}
@@ -251,7 +257,7 @@
 		}
 		held++
 		for _, s := range r.Suspects {
-			if id := s.Parts[len(s.Parts)-1]; slices.Contains(sharedParts(s.Parts), part) && !requests[id] {
+			if id := s.Parts[len(s.Parts)-1]; s.has(part) && !requests[id] {
 				requests[id], hit = true, true
 			}
 		}
--- a/internal/decide/quarantine/types.go
+++ b/internal/decide/quarantine/types.go
@@ -11,7 +11,9 @@
 // Everywhere in this package the parts of a request are those of its prompt in
 // order, including the last one, which is never suspected: it belongs to the request or
 // to its session. In a suspect its place is taken by the ID of the request, which is the
-// same for all attempts at it (NewRequestID).
+// same for all attempts at it (NewRequestID). A prompt has any number of parts. The first
+// LeadingParts are always recorded and exchanged; of those behind them, which are many,
+// what is kept is bounded over all records (FurtherPart).
 //
 // For whole requests the shared part is the digest of the request, and a begin is the end
 // of a whole answer or SurvivalTime of work: a request may crash its target after the first
@@ -24,6 +26,8 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"iter"
+	"slices"
 	"strings"
 	"time"
 )
@@ -31,8 +35,12 @@
 // Part is the ID of a part of a prompt.
 type Part string
 
+// HashedPart returns a part of fixed length for an ID that is none: too long, or malformed. It is
+// no hexadecimal number, so that no part has it as its own ID.
+func HashedPart(id string) Part { return Part("." + shortHash(id, sha256.Size)[:MaxPartBytes-1]) }
+
 // sessionBytes and contentBytes are the lengths of the hashes in a request ID, which is within
-// maxPartBytes.
+// MaxPartBytes.
 const sessionBytes, contentBytes = 6, 12
 
 // NewRequestID returns the ID of a request with this last part of its prompt and this
@@ -59,8 +67,43 @@
 // crashed.
 type Suspect struct {
 	// Parts ends with the ID of the request.
-	Parts  []Part
-	SentAt time.Time
+	Parts []Part
+	// Further holds parts that are not in Parts, in order of position.
+	Further []FurtherPart
+	SentAt  time.Time
+	// begun holds what other entries have said of begins of further parts.
+	begun []mergedRun
+}
+
+// FurtherPart is a part of a prompt behind the first LeadingParts.
+type FurtherPart struct {
+	// Position is its place in the prompt, from 0 on.
+	Position int
+	Part     Part
+}
+
+// LeadingParts is the number of shared parts of a prompt that each record names.
+const LeadingParts = 7
+
+// shared returns the positions and the parts that other requests may share.
+func (s *Suspect) shared() iter.Seq2[int, Part] {
+	return func(yield func(int, Part) bool) {
+		for i, p := range sharedParts(s.Parts) {
+			if !yield(i, p) {
+				return
+			}
+		}
+		for _, f := range s.Further {
+			if !yield(f.Position, f.Part) {
+				return
+			}
+		}
+	}
+}
+
+// has reports whether the suspect shares a part.
+func (s *Suspect) has(part Part) bool {
+	return slices.Contains(sharedParts(s.Parts), part) || slices.ContainsFunc(s.Further, func(f FurtherPart) bool { return f.Part == part })
 }
 
 // Incarnation identifies one run of a target.
@@ -86,6 +129,17 @@
 	At   time.Time
 }
 
+// BegunRuns says that an engine began to answer a request with further parts of a suspect: those
+// with certain positions. Long prompts share most of their parts, so that this is much shorter
+// than the parts.
+type BegunRuns struct {
+	Incarnation
+	// Suspect is the ID of the request, and Runs are positions in the form "7-12,20".
+	Suspect Part
+	Runs    string
+	At      time.Time
+}
+
 // Verdict is what an entry has concluded of a part. A higher Generation replaces a
 // lower one.
 type Verdict struct {
@@ -211,9 +265,15 @@
 	// trialTimeout is the time after which a trial without an outcome is repeated.
 	trialTimeout = 30 * time.Second
 
-	maxParts     = 8
-	maxPartBytes = 32
+	// MaxPartBytes is the longest ID of a part.
+	MaxPartBytes = 32
 	maxNameBytes = 64
+	// maxPosition is above the positions of parts in any head.
+	maxPosition = 1 << 20
+	// maxFurtherParts bounds the further parts in all records together.
+	maxFurtherParts = 1 << 15
+	// maxBegunRuns bounds the begins of further parts that are kept with a suspect.
+	maxBegunRuns = 16
 	maxReleased  = 256
 	// maxBegins is the number of begins in each of the two maps of begins.
 	maxBegins = 4096
@@ -224,5 +284,5 @@
 	if len(parts) == 0 {
 		return nil
 	}
-	return parts[:min(len(parts)-1, maxParts-1)]
+	return parts[:len(parts)-1]
 }
--- a/internal/decide/quarantine/verdicts.go
+++ b/internal/decide/quarantine/verdicts.go
@@ -48,7 +48,7 @@
 // endTrials extends the quarantine of parts whose trial crashed an engine.
 func (q *Quarantine) endTrials(now time.Time, c Crash) (changed []Verdict) {
 	for _, s := range c.Suspects {
-		for _, p := range sharedParts(s.Parts) {
+		for _, p := range s.shared() {
 			v := q.verdicts[p]
 			if v == nil || !v.Quarantined || v.trialAt.IsZero() || s.SentAt.Before(v.trialAt) {
 				continue
--- a/internal/relay/containment.go
+++ b/internal/relay/containment.go
@@ -95,5 +95,5 @@
 		return false
 	}
 	x.h.Containment.Broken(target, x.identity, began, sentAt)
-	return !began && len(x.meta.PromptParts) > 0
+	return !began && len(x.identity.Parts()) > 0
 }
--- a/internal/relay/identity.go
+++ b/internal/relay/identity.go
@@ -49,8 +49,9 @@
 	writeField(h, x.meta.Model)
 	writeField(h, x.meta.Adapter)
 	// With their number, no body can be taken for further parts.
-	writeField(h, strconv.Itoa(len(x.meta.PromptParts)))
-	for _, p := range x.meta.PromptParts {
+	parts := Identity{PromptParts: x.meta.PromptParts, AllParts: x.meta.AllParts}.Parts()
+	writeField(h, strconv.Itoa(len(parts)))
+	for _, p := range parts {
 		writeField(h, p)
 	}
 	_, _ = h.Write(x.body)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -222,7 +222,7 @@
 	x.route, x.body, x.lastEventID, x.configVersion = route, body, x.meta.LastEventID, view.Config.Version
 	x.sends = resend.New(resend.Policy{Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts})
 	x.poolName = route.Pick(rand.Float64())
-	x.identity = Identity{PromptParts: x.meta.PromptParts, Digest: sync.OnceValue(x.digest), Content: sync.OnceValue(x.content)}
+	x.identity = Identity{PromptParts: x.meta.PromptParts, AllParts: x.meta.AllParts, Digest: sync.OnceValue(x.digest), Content: sync.OnceValue(x.content)}
 	x.deadline = x.arrived.Add(timeout)
 	if end := x.h.EndsAt(); !end.IsZero() && end.Before(x.deadline) {
 		// The target learns how long its answer can be waited for.
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"iter"
 	"net/http"
+	"slices"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
@@ -37,8 +39,10 @@
 	Key string
 	// PromptParts holds the IDs of the parts of the prompt in order, bounded in number
 	// and length. The last one belongs to the request itself, other requests may share
-	// the rest.
+	// the rest. AllParts yields those of the whole prompt if it has others, and is nil if it
+	// has not.
 	PromptParts []string
+	AllParts    iter.Seq[string]
 	// PartTokens holds the lengths of the first PromptParts, as many as are known to be the
 	// beginning of the prompt without a gap.
 	PartTokens []int
@@ -147,14 +151,23 @@
 
 // Identity is what a request has in common with others under which a target may crash.
 type Identity struct {
-	// PromptParts are those of Metadata.
+	// PromptParts and AllParts are those of Metadata.
 	PromptParts []string
+	AllParts    iter.Seq[string]
 	// Digest returns the digest of the whole request, which is equal for all attempts at
 	// it, and Content that of what a request is made of without its headers but the model.
 	// Both are safe for concurrent use.
 	Digest, Content func() string
 }
 
+// Parts returns the IDs of all parts of the prompt.
+func (i Identity) Parts() []string {
+	if i.AllParts != nil {
+		return slices.Collect(i.AllParts)
+	}
+	return i.PromptParts
+}
+
 // Cause is why a request is kept from the targets: a part of its prompt, or the digest of
 // the whole request.
 type Cause struct {
--- a/internal/wire/evidence.go
+++ b/internal/wire/evidence.go
@@ -3,16 +3,22 @@
 import (
 	"slices"
 	"time"
+
+	"agatelanding.example/agatelanding/internal/decide/quarantine"
 )
 
 // Bounds of the fields of Items that entries use to quarantine parts of prompts. What
 // exceeds them is dropped on receipt.
 const (
-	MaxCrashRecords  = 64
-	MaxSuspects      = 32
-	MaxSuspectParts  = 8
-	MaxPartBytes     = 32
+	MaxCrashRecords = 64
+	MaxSuspects     = 32
+	MaxSuspectParts = quarantine.LeadingParts + 1
+	MaxPartBytes    = quarantine.MaxPartBytes
+	// MaxFurtherBytes bounds Suspect.Further.
+	MaxFurtherBytes  = 8 << 10
 	MaxBegunParts    = 256
+	MaxBegunRuns     = 256
+	maxRunsBytes     = 256
 	MaxPartVerdicts  = 256
 	maxNameBytes     = 64
 	maxEvidenceAgeMS = int64(7 * 24 * time.Hour / time.Millisecond)
@@ -37,8 +43,12 @@
 // last one is its own. Or they are the digest of the request, as in package containment,
 // and a constant.
 type Suspect struct {
-	Parts []string `msgpack:"p"`
-	AgeMS int64    `msgpack:"a"`
+	// Parts holds up to MaxSuspectParts. Further holds others of a longer prompt in the form of
+	// quarantine.FormatFurther; several records of one crash may hold different ones. Former
+	// builds ignore it.
+	Parts   []string `msgpack:"p"`
+	Further string   `msgpack:"f,omitempty"`
+	AgeMS   int64    `msgpack:"a"`
 }
 
 // BegunPart says that an engine began, AgeMS milliseconds ago, to answer a request with
@@ -48,6 +58,16 @@
 	AgeMS int64  `msgpack:"a"`
 }
 
+// BegunRuns says that an engine began, AgeMS milliseconds ago, to answer a request with the parts
+// of a suspect that have certain positions (quarantine.BegunRuns).
+type BegunRuns struct {
+	Target      string `msgpack:"t"`
+	StartedAtMS int64  `msgpack:"b,omitempty"`
+	Suspect     string `msgpack:"s"`
+	Runs        string `msgpack:"r"`
+	AgeMS       int64  `msgpack:"a"`
+}
+
 // PartVerdict is what an entry concluded of a part of prompts.
 type PartVerdict struct {
 	Part       string `msgpack:"p"`
@@ -72,7 +92,7 @@
 
 // HasEvidence reports whether the message has crash records, begun parts or verdicts.
 func (x *Items) HasEvidence() bool {
-	return len(x.Crashes) > 0 || len(x.Begun) > 0 || len(x.Verdicts) > 0
+	return len(x.Crashes) > 0 || len(x.Begun) > 0 || len(x.BegunRuns) > 0 || len(x.Verdicts) > 0
 }
 
 // BoundEvidence drops crash records, begun parts and verdicts that exceed the bounds or
@@ -80,6 +100,9 @@
 func (x *Items) BoundEvidence() {
 	x.Crashes = keep(x.Crashes, MaxCrashRecords, func(c *CrashRecord) bool {
 		c.Suspects = keep(c.Suspects, MaxSuspects, func(s *Suspect) bool {
+			if len(s.Further) > MaxFurtherBytes {
+				s.Further = ""
+			}
 			// A list without some parts could end with a part that is not the last.
 			return len(s.Parts) > 0 && len(s.Parts) <= MaxSuspectParts && !slices.ContainsFunc(s.Parts, invalidPart) && validAge(s.AgeMS)
 		})
@@ -87,6 +110,9 @@
 		return c.Target != "" && len(c.Target) <= maxNameBytes && validAge(c.AgeMS)
 	})
 	x.Begun = keep(x.Begun, MaxBegunParts, func(b *BegunPart) bool { return !invalidPart(b.Part) && validAge(b.AgeMS) })
+	x.BegunRuns = keep(x.BegunRuns, MaxBegunRuns, func(b *BegunRuns) bool {
+		return b.Target != "" && len(b.Target) <= maxNameBytes && !invalidPart(b.Suspect) && len(b.Runs) <= maxRunsBytes && validAge(b.AgeMS)
+	})
 	x.Verdicts = keep(x.Verdicts, MaxPartVerdicts, func(v *PartVerdict) bool {
 		v.Entry = v.Entry[:min(len(v.Entry), maxNameBytes)]
 		return !invalidPart(v.Part) && validAge(v.AgeMS) && validAge(v.AskedAgeMS) && v.Crashes >= 0 && v.Trials >= 0
--- a/internal/wire/evidence_test.go
+++ b/internal/wire/evidence_test.go
@@ -110,6 +110,29 @@
 		Entry("a record without target", &wire.Items{Crashes: []wire.CrashRecord{{Suspects: crash(1, 1, 1).Suspects}}}, 0, 0, 0),
 	)
 
+	// Guards against evidence that a former build, or this one, drops because of the further parts
+	// of a long prompt.
+	It("keep a suspect without the further parts where these are unknown or too many", func() {
+		long := wire.Suspect{Parts: []string{"a", "own"}, Further: "7:b,c"}
+		body, err := msgpack.Marshal(&wire.Items{Crashes: []wire.CrashRecord{{Target: "t", Suspects: []wire.Suspect{long}}}})
+		Expect(err).NotTo(HaveOccurred())
+		var former struct {
+			Crashes []struct {
+				Suspects []struct {
+					Parts []string `msgpack:"p"`
+					AgeMS int64    `msgpack:"a"`
+				} `msgpack:"s,omitempty"`
+			} `msgpack:"c,omitempty"`
+		}
+		Expect(msgpack.Unmarshal(body, &former)).To(Succeed())
+		Expect(former.Crashes[0].Suspects[0].Parts).To(Equal([]string{"a", "own"}))
+		tooLong := long
+		tooLong.Further = "7:" + strings.Repeat("b,", wire.MaxFurtherBytes)
+		x := &wire.Items{Crashes: []wire.CrashRecord{{Target: "t", Suspects: []wire.Suspect{long, tooLong}}}}
+		x.BoundEvidence()
+		Expect(x.Crashes[0].Suspects).To(Equal([]wire.Suspect{long, {Parts: []string{"a", "own"}}}))
+	})
+
 	// Without its last part, a suspect would have another part as its own.
 	It("keep no suspect whose list of parts is out of bounds", func() {
 		x := &wire.Items{Crashes: []wire.CrashRecord{crash(1, 2, 9)}}
@@ -129,6 +152,8 @@
 	},
 		Entry("crash record of one suspect", &wire.Items{Crashes: []wire.CrashRecord{crash(1, 1, 3)}}, 100),
 		Entry("crash record of 32 suspects of 8 parts", &wire.Items{Crashes: []wire.CrashRecord{crash(1, 32, 8)}}, 4096),
+		Entry("piece of a long prompt", &wire.Items{Crashes: []wire.CrashRecord{{Target: "i-0123456789", StartedAtMS: 1796391000000, AgeMS: 1200, Suspects: []wire.Suspect{
+			{Parts: crash(1, 1, 8).Suspects[0].Parts, Further: "7:" + strings.Repeat("5c1e07a2,", 409), AgeMS: 1900}}}}}, 4096),
 		Entry("begun part", &wire.Items{Begun: []wire.BegunPart{{Part: part(1), AgeMS: 20}}}, 32),
 		Entry("two begun parts", &wire.Items{Begun: []wire.BegunPart{{Part: part(1), AgeMS: 20}, {Part: part(2), AgeMS: 20}}}, 64),
 		Entry("crash record of 32 suspects of 3 parts", &wire.Items{Crashes: []wire.CrashRecord{crash(1, 32, 3)}}, 2048),
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -474,12 +474,13 @@
 	// HasUnreadable goes with changes and is true if they include configurations that the
 	// sender cannot decode, which a former build leaves out.
 	HasUnreadable bool `msgpack:"hu,omitempty"`
-	// Crashes, Begun and Verdicts are what entries tell each other of parts of
+	// Crashes, Begun, BegunRuns and Verdicts are what entries tell each other of parts of
 	// prompts under which engines crash. A message with one of them has no other
 	// fields: to earlier builds, which ignore these, it is a keep-alive message.
-	Crashes  []CrashRecord `msgpack:"c,omitempty"`
-	Begun    []BegunPart   `msgpack:"b,omitempty"`
-	Verdicts []PartVerdict `msgpack:"q,omitempty"`
+	Crashes   []CrashRecord `msgpack:"c,omitempty"`
+	Begun     []BegunPart   `msgpack:"b,omitempty"`
+	BegunRuns []BegunRuns   `msgpack:"br,omitempty"`
+	Verdicts  []PartVerdict `msgpack:"q,omitempty"`
 	// RateLimits, PermitAsks and Permits are about targets that name the requests a
 	// second which they take from all entries together. A message with one of them has
 	// no other fields: to earlier builds it is a keep-alive message. GrantsPermits goes
