Serve by the former configuration at entries that start while the newest cannot be read

Cause: an entry keeps one value of the configuration for others. While the newest cannot be read, one that starts found no other and refused all requests, though its peers go on with the former version.

Change: entries keep the last version that can be read beside it, and one without any asks them.

--- a/entry/edge/odd_config_suite_test.go
+++ b/entry/edge/odd_config_suite_test.go
@@ -147,5 +147,18 @@
 			Expect(f.lookupAs(0, "/lookup/1", "k1", nil).status).To(Equal(200))
 		}
 		Expect(f.readiness(0)).To(Equal(200))
+
+		// Guards against entries that serve nothing after a restart meanwhile, though others do.
+		f.start()
+		Expect(f.lookupAs(1, "/lookup/1", "k1", nil).status).To(Equal(200))
+		Expect(f.lookupAs(1, "/lookup/1", "k9", nil).status).To(Equal(503))
+		Expect(f.statusPage(1)["configuration_lag_ms"]).To(BeNumerically(">", 0))
+		f.start()
+		Expect(f.lookupAs(2, "/lookup/1", "k1", nil).status).To(Equal(200))
+		f.configureWorkspaces(3, map[string][]string{"w1": {"k2"}})
+		for i := range f.entries {
+			Eventually(f.statusOf(i, "/lookup/1", "k1")).Within(time.Second).Should(Equal(401))
+			Expect(f.lookupAs(i, "/lookup/1", "k2", nil).status).To(Equal(200))
+		}
 	})
 })
--- a/entry/edge/state_config.go
+++ b/entry/edge/state_config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"agatelanding.example/agatelanding/internal/catalog"
+	"agatelanding.example/agatelanding/platform"
 )
 
 // reportConfig logs and counts what has changed of the configuration from one view to the next.
@@ -64,3 +65,26 @@
 // viewConfirms reports whether the published view says which keys are in force: a configuration
 // that cannot be read may have withdrawn some.
 func (w *stateWatcher) viewConfirms() bool { return w.catalog.View().UnreadableConfig.Revision == 0 }
+
+// needsFormerConfig reports whether the only known configuration cannot be read.
+func (w *stateWatcher) needsFormerConfig() bool {
+	v := w.catalog.View()
+	return v.Config == nil && v.UnreadableConfig.Revision > 0
+}
+
+// keepConfig keeps an item of the configuration that was merged for other entries: the newest
+// one, and while that cannot be read also the last one that can.
+func (w *stateWatcher) keepConfig(e platform.StoreItem, item catalog.Item, admission catalog.Admission) {
+	newestIsUnreadable := w.catalog.View().UnreadableConfig.Revision > 0
+	known, ok := w.items[e.Key]
+	switch {
+	case !newestIsUnreadable:
+		w.formerConfig = nil
+	case !item.UnreadableConfig:
+		w.formerConfig = &e
+		return
+	case w.formerConfig == nil && ok:
+		w.formerConfig = &known
+	}
+	w.keep(e, admission)
+}
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -128,7 +128,10 @@
 	malformed     malformedKeys
 	// storedConfigAt belongs to storedVersion.
 	storedConfigAt catalog.Position
-	kept           keptItems
+	// formerConfig is the last configuration that could be read while the newest one cannot, for
+	// entries that start meanwhile; nil otherwise.
+	formerConfig *platform.StoreItem
+	kept         keptItems
 	// toConfirm is the time for which the next view is confirmed.
 	toConfirm time.Duration
 	// recent holds the positions that were complete within the last two intervals,
@@ -279,11 +282,11 @@
 	}
 }
 
-// queryPeersIfNeeded queries other entries while the store is silent, and once after
-// the begin of an era.
+// queryPeersIfNeeded queries other entries while the store is silent, once after the begin of an
+// era, and while only they may have a configuration that can be read.
 func (w *stateWatcher) queryPeersIfNeeded() {
 	silent := w.age() > w.minWatchInterval()+peerQueryDelay
-	if !silent && !w.peerQueryPending || time.Since(w.lastPeerQuery) < peerQueryInterval {
+	if !silent && !w.peerQueryPending && !w.needsFormerConfig() || time.Since(w.lastPeerQuery) < peerQueryInterval {
 		return
 	}
 	w.lastPeerQuery = time.Now()
@@ -342,6 +345,9 @@
 			items = append(items, wireItem(e))
 		}
 	}
+	if w.formerConfig != nil {
+		items = append(items, wireItem(*w.formerConfig))
+	}
 	return items
 }
 
@@ -447,7 +453,10 @@
 	// era, so that other entries do not get every heartbeat of the targets. A removal
 	// is kept also if it is deferred: other entries must not miss it.
 	accepted := w.catalog.Position(e.Key) == e.Position()
-	if changed || accepted && (e.Removed || w.items[e.Key].Era < e.Era) {
+	switch keeps := changed || accepted && (e.Removed || w.items[e.Key].Era < e.Era); {
+	case keeps && platform.IsConfig(e.Key):
+		w.keepConfig(e, item, admission)
+	case keeps:
 		w.keep(e, admission)
 	}
 	// A draining target must get no new requests.
--- a/internal/catalog/describe.go
+++ b/internal/catalog/describe.go
@@ -88,12 +88,18 @@
 	add("priority", r.Priority)
 	add("attempts", r.MaxAttempts)
 	add("public", r.Public)
+	if r.Closed {
+		add("closed", true)
+	}
 	for _, s := range r.Split {
 		add("weight of pool "+s.Pool, s.Weight)
 	}
 }
 
 func (w *Workspace) describe(add func(name string, value any)) {
+	if w.Closed {
+		add("closed", true)
+	}
 	add("priority", w.Priority)
 	add("rate per second", w.Quota.RatePerSecond)
 	add("burst", w.Quota.Burst)
