Keep the further parts that explain crashes, and bound what starts and messages hold

Peers of an entry that starts each sent up to 128 KB of further parts, and a message could hold as much as a frame.

Change: quarantined parts are never dropped; further parts on new connections are bounded over all entries, and on receipt over a message.

Measured: quarantine checkExplainedRecords passes; suites of quarantine, wire and peers pass.

--- a/entry/peers/evidence.go
+++ b/entry/peers/evidence.go
@@ -26,6 +26,10 @@
 	maxInitialEvidenceBytes = 128 << 10
 	// maxInitialBegins bounds the begins among it, to leave room for crash records.
 	maxInitialBegins = 1024
+	// initialFurtherBytes bounds the further parts that all entries together send one on its new
+	// connections, of which each sends at least minInitialFurther.
+	initialFurtherBytes = 1 << 20
+	minInitialFurther   = 4 << 10
 	// Encoded sizes without the strings. Each string has its length in one more byte.
 	crashBytes   = 28
 	suspectBytes = 12
@@ -248,15 +252,19 @@
 	}
 	e := m.CurrentEvidence()
 	e.Begins = e.Begins[:min(len(e.Begins), maxInitialBegins)]
-	for _, take := range []func(int) (Evidence, int){e.take, e.takeFurther} {
-		for budget := maxInitialEvidenceBytes; ; {
-			message, size := take(min(maxEvidenceMessageBytes, budget))
-			if message.empty() {
-				break
-			}
-			budget -= size
-			m.enqueue(c, message)
+	m.sendWithin(c, maxInitialEvidenceBytes, e.take)
+	m.sendWithin(c, min(maxInitialEvidenceBytes, max(minInitialFurther, initialFurtherBytes/m.EntryCount())), e.takeFurther)
+}
+
+// sendWithin sends what take returns, up to a number of bytes.
+func (m *Mesh) sendWithin(c *peerConn, budget int, take func(maxBytes int) (Evidence, int)) {
+	for {
+		message, size := take(min(maxEvidenceMessageBytes, budget))
+		if message.empty() {
+			return
 		}
+		budget -= size
+		m.enqueue(c, message)
 	}
 }
 
--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -13,6 +13,9 @@
 	// records are in order of time.
 	records []*Crash
 	begins  begins
+	// keep reports whether a further part must not be dropped: a record without the quarantined
+	// part that explains it would count against its other parts.
+	keep func(Part) bool
 	// dropped is the number of further parts that were dropped since it was last taken.
 	dropped int
 }
@@ -49,8 +52,8 @@
 	return changed
 }
 
-// limitFurther drops further parts beyond maxFurtherParts: first those that only one record
-// holds, then all, each from the oldest records on. A part that several crashes share is more
+// limitFurther drops further parts beyond maxFurtherParts, but no quarantined ones: first those
+// that only one record holds, then all, each from the oldest records on. A part that several crashes share is more
 // likely to be their cause.
 func (e *evidence) limitFurther() {
 	total := 0
@@ -61,7 +64,7 @@
 		return
 	}
 	held := e.holders()
-	for _, keep := range []func(Part) bool{func(p Part) bool { return held[p].shared }, func(Part) bool { return false }} {
+	for _, keep := range []func(Part) bool{func(p Part) bool { return held[p].shared || e.keep(p) }, e.keep} {
 		for _, r := range e.records {
 			// More than necessary is dropped, so that this is rare.
 			if total <= maxFurtherParts*3/4 {
--- a/internal/decide/quarantine/further_test.go
+++ b/internal/decide/quarantine/further_test.go
@@ -102,6 +102,7 @@
 	if q.TakeDropped() == 0 {
 		t.Error("nothing says that parts were dropped")
 	}
+	checkExplainedRecords(t)
 	// Junk may hide the part for a while, but not short prompts.
 	short := New(Config{})
 	for n := range 4 {
@@ -116,6 +117,28 @@
 	}
 }
 
+// checkExplainedRecords guards against a crash that counts against sound parts once the quarantined
+// part that explains it is dropped.
+func checkExplainedRecords(t *testing.T) {
+	q := New(Config{})
+	for n := range 4 {
+		p := prompt("a", 40, fmt.Sprint("r", n))
+		p[30] = "bad"
+		crashUnder(q, 3*n, p)
+		now := furtherStart.Add(time.Duration(3*n+1) * time.Second)
+		q.RecordBegan(now, now, prompt("a", 40, "served"))
+	}
+	if got := quarantinedParts(q, 9); !slices.Equal(got, []Part{"bad"}) {
+		t.Fatalf("quarantined are %v", got)
+	}
+	for n := range 20 {
+		crashUnder(q, 12+n, prompt(fmt.Sprintf("%x-", n), 2400, fmt.Sprint("j", n)))
+	}
+	if n := len(q.Explained()); n != 4 {
+		t.Errorf("%d of 4 crashes are explained after others have driven out their parts", n)
+	}
+}
+
 // Guards against long prompts that drive out the begins of others.
 func TestBeginsOfLongPromptsAreBounded(t *testing.T) {
 	q := New(Config{})
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -43,10 +43,12 @@
 		cfg.OwnsTrial = func(Part) bool { return true }
 	}
 	r := rulesOf[cfg.Kind]
-	return &Quarantine{
+	q := &Quarantine{
 		cfg: cfg, rules: r, verdicts: make(map[Part]*verdict), suspected: make(map[Part]suspicion), untoldFurther: make(map[Part]time.Time),
 		evidence: evidence{rules: r, begins: begins{ttl: r.evidenceTTL, newer: make(map[Part]begin)}},
 	}
+	q.evidence.keep = q.quarantined
+	return q
 }
 
 // RecordCrash merges a crash record of this or another entry and returns new
--- a/internal/wire/evidence.go
+++ b/internal/wire/evidence.go
@@ -14,14 +14,15 @@
 	MaxSuspects     = 32
 	MaxSuspectParts = quarantine.LeadingParts + 1
 	MaxPartBytes    = quarantine.MaxPartBytes
-	// MaxFurtherBytes bounds Suspect.Further.
-	MaxFurtherBytes  = 8 << 10
-	MaxBegunParts    = 256
-	MaxBegunRuns     = 256
-	maxRunsBytes     = 256
-	MaxPartVerdicts  = 256
-	maxNameBytes     = 64
-	maxEvidenceAgeMS = int64(7 * 24 * time.Hour / time.Millisecond)
+	// MaxFurtherBytes bounds Suspect.Further, and maxMessageFurther those of a message.
+	MaxFurtherBytes   = 8 << 10
+	maxMessageFurther = 32 << 10
+	MaxBegunParts     = 256
+	MaxBegunRuns      = 256
+	maxRunsBytes      = 256
+	MaxPartVerdicts   = 256
+	maxNameBytes      = 64
+	maxEvidenceAgeMS  = int64(7 * 24 * time.Hour / time.Millisecond)
 )
 
 // CrashRecord is a crash of a target, as one entry saw it. Times are ages in
@@ -98,9 +99,10 @@
 // BoundEvidence drops crash records, begun parts and verdicts that exceed the bounds or
 // are malformed.
 func (x *Items) BoundEvidence() {
+	further := 0
 	x.Crashes = keep(x.Crashes, MaxCrashRecords, func(c *CrashRecord) bool {
 		c.Suspects = keep(c.Suspects, MaxSuspects, func(s *Suspect) bool {
-			if len(s.Further) > MaxFurtherBytes {
+			if further += len(s.Further); len(s.Further) > MaxFurtherBytes || further > maxMessageFurther {
 				s.Further = ""
 			}
 			// A list without some parts could end with a part that is not the last.
