Pass a former configuration on only to entries that start, and keep the one in force

Measured: TestRestoreAfterAnUnreadableConfig and the specs of odd items, containment and peers pass.

--- a/entry/containment/further.go
+++ b/entry/containment/further.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"agatelanding.example/agatelanding/internal/decide/quarantine"
@@ -18,8 +19,10 @@
 	furtherBurst   = 32 << 10
 	furtherRate    = 256 << 10
 	minFurtherRate = 1 << 10
-	// maxPieceBytes bounds the further parts in one record.
+	// maxPieceBytes bounds the further parts in one record, and minFreeBytes is the budget from
+	// which on some are sent.
 	maxPieceBytes = 4 << 10
+	minFreeBytes  = 1 << 10
 	// maxUntoldParts bounds the further parts that wait.
 	maxUntoldParts = 1 << 15
 )
@@ -96,6 +99,10 @@
 		if len(further) == 0 {
 			continue
 		}
+		for i := range further {
+			// The IDs are parts of the head of a request, which is not kept.
+			further[i].Part = quarantine.Part(strings.Clone(string(further[i].Part)))
+		}
 		u := &untoldParts{crash: c, suspect: s.Leading()}
 		u.crash.Suspects, u.suspect.Further = nil, further
 		g.untold = append(g.untold, u)
@@ -128,6 +135,9 @@
 		return now.Sub(u.crash.At) >= quarantine.SharedParts.EvidenceTTL() || slices.Contains(explained, u.crash.Incarnation)
 	})
 	free := g.furtherBudget.free(now, g.cfg.EntryCount())
+	if free < minFreeBytes {
+		return nil
+	}
 	for _, first := range []func(quarantine.Part) bool{g.parts.IsShared, func(quarantine.Part) bool { return true }} {
 		for _, u := range g.untold {
 			wanted, rest := split(u.suspect.Further, func(f quarantine.FurtherPart) bool { return first(f.Part) })
--- a/entry/edge/state_config.go
+++ b/entry/edge/state_config.go
@@ -72,15 +72,20 @@
 	return v.Config == nil && v.UnreadableConfig.Revision > 0
 }
 
-// keepConfig keeps an item of the configuration that was merged for other entries: the newest
-// one, and while that cannot be read also the last one that can.
+// keepConfig keeps an item of the configuration that was merged for other entries: that of the
+// configuration in force, and a newer one that cannot be read.
 func (w *stateWatcher) keepConfig(e platform.StoreItem, item catalog.Item, admission catalog.Admission) {
-	newestIsUnreadable := w.catalog.View().UnreadableConfig.Revision > 0
+	view := w.catalog.View()
+	inForce := item.Config != nil && item.Config == view.Config
 	known, ok := w.items[e.Key]
 	switch {
-	case !newestIsUnreadable:
+	case view.UnreadableConfig.Revision == 0:
+		if former := w.formerConfig; former != nil && !inForce {
+			// The store was restored from a copy with an older version.
+			e = *former
+		}
 		w.formerConfig = nil
-	case !item.UnreadableConfig:
+	case inForce:
 		w.formerConfig = &e
 		return
 	case w.formerConfig == nil && ok:
--- a/entry/edge/state_config_test.go
+++ b/entry/edge/state_config_test.go
@@ -75,6 +75,32 @@
 	}
 }
 
+// Guards against a newer configuration that is lost for other entries when the store comes back
+// from a copy with an older one, while the newest cannot be read.
+func TestRestoreAfterAnUnreadableConfig(t *testing.T) {
+	w := newConfigWatcher()
+	at := func(era, revision uint64) catalog.Position {
+		return catalog.Position{Era: era, Revision: revision}
+	}
+	for _, u := range []update{
+		{items: []platform.StoreItem{configItem(at(1, 5), keyedConfig)}, complete: at(1, 5)},
+		{items: []platform.StoreItem{configItem(at(1, 6), unreadableConfig)}, complete: at(1, 6)},
+		{items: []platform.StoreItem{configItem(at(2, 3), `{"version":2,"routes":[]}`)}, complete: at(2, 4), fullList: true},
+	} {
+		w.applyUpdate(u)
+	}
+	if v := w.catalog.View(); v.Config.Version != 3 || v.UnreadableConfig.Revision != 0 {
+		t.Errorf("version %d is in force, unreadable is %v", v.Config.Version, v.UnreadableConfig)
+	}
+	var passed []string
+	for _, i := range w.stateFor(catalog.Position{}).Items {
+		passed = append(passed, string(i.Value))
+	}
+	if len(passed) != 1 || passed[0] != keyedConfig {
+		t.Errorf("other entries get %q", passed)
+	}
+}
+
 // Guards against a position that a former build reports without the configuration that it could
 // not decode: the entry would never read that.
 func TestPositionOfAFormerBuild(t *testing.T) {
--- a/entry/edge/state_kept.go
+++ b/entry/edge/state_kept.go
@@ -80,6 +80,9 @@
 // may be missing.
 func (w *stateWatcher) stateFor(after catalog.Position) peers.State {
 	s := peers.State{Items: w.collectItems(after), HasUnreadable: true}
+	if after.Revision == 0 && w.formerConfig != nil {
+		s.Items = append(s.Items, wireItem(*w.formerConfig))
+	}
 	if w.hasAllAfter(after) {
 		s.Complete = w.complete
 	}
--- a/entry/edge/state_watcher.go
+++ b/entry/edge/state_watcher.go
@@ -48,6 +48,9 @@
 	// maxQueriedPeers the number of entries that get each query.
 	peerQueryInterval = 300 * time.Millisecond
 	maxQueriedPeers   = 2
+	// formerConfigInterval is the time between two queries for a former configuration, which are
+	// answered with the whole state.
+	formerConfigInterval = time.Second
 	// minReadAge is the age of the state, as a share of minWatchInterval, from which
 	// an entry may read the store. Each entry draws its own share up to 1 after every
 	// confirmation, so that one entry reads first and the others get its broadcast.
@@ -286,11 +289,18 @@
 // era, and while only they may have a configuration that can be read.
 func (w *stateWatcher) queryPeersIfNeeded() {
 	silent := w.age() > w.minWatchInterval()+peerQueryDelay
-	if !silent && !w.peerQueryPending && !w.needsFormerConfig() || time.Since(w.lastPeerQuery) < peerQueryInterval {
+	after, interval := w.complete, peerQueryInterval
+	if w.needsFormerConfig() {
+		// It was written before what is known.
+		after, interval = catalog.Position{}, formerConfigInterval
+	} else if !silent && !w.peerQueryPending {
+		return
+	}
+	if time.Since(w.lastPeerQuery) < interval {
 		return
 	}
 	w.lastPeerQuery = time.Now()
-	if w.queryPeers(maxQueriedPeers, w.complete) > 0 {
+	if w.queryPeers(maxQueriedPeers, after) > 0 {
 		w.peerQueryPending = false
 	}
 }
@@ -345,9 +355,6 @@
 			items = append(items, wireItem(e))
 		}
 	}
-	if w.formerConfig != nil {
-		items = append(items, wireItem(*w.formerConfig))
-	}
 	return items
 }
 
--- a/entry/peers/evidence.go
+++ b/entry/peers/evidence.go
@@ -29,7 +29,7 @@
 	// initialFurtherBytes bounds the further parts that all entries together send one on its new
 	// connections, of which each sends at least minInitialFurther.
 	initialFurtherBytes = 1 << 20
-	minInitialFurther   = 4 << 10
+	minInitialFurther   = 8 << 10
 	// Encoded sizes without the strings. Each string has its length in one more byte.
 	crashBytes   = 28
 	suspectBytes = 12
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -115,8 +115,8 @@
 	lastSeen map[string]time.Time
 	conns    map[*peerConn]bool
 	// unsent is the evidence that waits to be sent; evidencePending is true if a timer
-	// sends it. evidenceBytes, and furtherBytes of further parts, were sent in the second that began at evidenceSecond, the
-	// last of them at evidenceSentAt.
+	// sends it. evidenceBytes, and furtherBytes of further parts, were sent in the second
+	// that began at evidenceSecond, the last of them at evidenceSentAt.
 	unsent          Evidence
 	evidencePending bool
 	evidenceSecond  time.Time
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -174,9 +174,7 @@
 		known.advance(item.Position())
 	}
 	if c.unreadableConfig.Revision > 0 && item.Position().After(c.unreadableConfig) {
-		c.unreadableConfig = Position{}
-		known.advance(item.Position())
-		changed = true
+		c.unreadableConfig, changed = Position{}, true
 	}
 	return changed
 }
--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -53,8 +53,8 @@
 }
 
 // limitFurther drops further parts beyond maxFurtherParts, but no quarantined ones: first those
-// that only one record holds, then all, each from the oldest records on. A part that several crashes share is more
-// likely to be their cause.
+// that only one record holds, then all, each from the oldest records on. A part that several
+// crashes share is more likely to be their cause.
 func (e *evidence) limitFurther() {
 	total := 0
 	for _, r := range e.records {
