--- a/entry/edge/long_prompts_suite_test.go
+++ b/entry/edge/long_prompts_suite_test.go
@@ -25,18 +25,7 @@
 		sound := f.promptEvery(50*time.Millisecond, trouble, func(i int) []string { return shared(i, "5a5a") })
 		crashing := f.promptEvery(250*time.Millisecond, trouble, func(i int) []string { return shared(i, crashingPart) })()
 		list := sound()
-		crashes := f.crashes()
-		Expect(crashes).NotTo(BeEmpty())
-		known := crashes[min(len(crashes), 5)-1].Add(contact)
-		late := 0
-		for _, p := range crashing {
-			for _, run := range runsOf(p.id, f.engines) {
-				if run.Started.After(known) {
-					late++
-				}
-			}
-		}
-		Expect(late).To(BeNumerically("<=", 3), "runs of the part; %d crashes", len(crashes))
+		known := f.expectFewLateRuns(crashing)
 		for _, p := range list {
 			Expect(p.body).NotTo(ContainSubstring(quarantineCode))
 		}
--- a/entry/edge/quarantine_suite_test.go
+++ b/entry/edge/quarantine_suite_test.go
@@ -136,6 +136,24 @@
 	return float64(served) / to.Sub(from).Seconds()
 }
 
+// expectFewLateRuns checks that at most three requests of a list reached engines later than contact
+// after the fifth crash, or the last one if there are fewer, and returns that time.
+func (f *crashFleet) expectFewLateRuns(crashing []prompted) (known time.Time) {
+	crashes := f.crashes()
+	ExpectWithOffset(1, crashes).NotTo(BeEmpty())
+	known = crashes[min(len(crashes), 5)-1].Add(contact)
+	late := 0
+	for _, p := range crashing {
+		for _, run := range runsOf(p.id, f.engines) {
+			if run.Started.After(known) {
+				late++
+			}
+		}
+	}
+	ExpectWithOffset(1, late).To(BeNumerically("<=", 3), "runs of the part; %d crashes", len(crashes))
+	return known
+}
+
 var _ = Describe("A part of prompts under which engines crash", func() {
 	// Guards against entries that send requests with the part to engine after engine, and
 	// against a refusal of the requests that share other parts with them.
@@ -150,19 +168,7 @@
 			return []string{sharedPart, callerPart(i), crashingPart}
 		})()
 		list := sound()
-		crashes := f.crashes()
-		Expect(crashes).NotTo(BeEmpty())
-		known := crashes[min(len(crashes), 5)-1].Add(contact)
-
-		late := 0
-		for _, p := range crashing {
-			for _, run := range runsOf(p.id, f.engines) {
-				if run.Started.After(known) {
-					late++
-				}
-			}
-		}
-		Expect(late).To(BeNumerically("<=", 3), "runs of the part; %d crashes", len(crashes))
+		known := f.expectFewLateRuns(crashing)
 		for _, p := range crashing {
 			runs := runsOf(p.id, f.engines)
 			if slices.Contains([]int{408, 421, 429, 503}, p.status) {
