--- a/entry/peers/peers_suite_test.go
+++ b/entry/peers/peers_suite_test.go
@@ -126,6 +126,23 @@
 		Expect(a.queries.Load()).To(BeZero())
 	})
 
+	// Guards against a connection that ends at each query, because a configuration of the largest
+	// size does not fit into a message, and against a reply that counts as whole without it.
+	It("answer a query without an item that fits into no message, and say that the rest is not all", func() {
+		list := append(items(3, 100), wire.Item{Key: "op/config", Revision: 20, Value: make([]byte, 1<<20)})
+		a := startEntry(list)
+		b := startEntry(nil, a.mesh.Address)
+		Eventually(b.connected).Within(4 * time.Second).Should(Equal(2))
+		for range 3 {
+			b.mesh.QueryPeers(2, catalog.Position{})
+			time.Sleep(100 * time.Millisecond)
+		}
+		got, completeRevision := b.received()
+		Expect(got).To(HaveLen(9))
+		Expect(completeRevision).To(BeZero())
+		Expect(b.connected()).To(Equal(2))
+	})
+
 	It("answer a query with the changes after its revision, although they exceed one message", func() {
 		a := startEntry(items(8, 300<<10))
 		b := startEntry(nil, a.mesh.Address)
