Name crashes that a further part explains by that part for other entries

An entry that starts got the crash records without the further part that explains them, and no first events of their leading parts, which the others no longer suspect: three crashes counted against a sound part.

Change: a suspect with a quarantined further part is named to others by that part alone, also in records that were sent before the verdict.

--- a/entry/containment/containment.go
+++ b/entry/containment/containment.go
@@ -279,12 +279,29 @@
 // broadcast sends evidence to other entries, if there is any, and has target processes keep
 // it. The caller does not hold mu.
 func (g *Guard) broadcast(e peers.Evidence) {
+	e.Crashes = append(e.Crashes, g.explanations(e.Verdicts)...)
 	if len(e.Crashes)+len(e.Begins)+len(e.Verdicts)+len(e.Further)+len(e.FurtherBegins) > 0 {
 		g.keep(e)
 		g.cfg.Broadcast(e)
 	}
 }
 
+// explanations returns the crashes that new verdicts of this entry on further parts explain. Other
+// entries may hold them without these parts.
+func (g *Guard) explanations(verdicts []quarantine.Verdict) (list []quarantine.Crash) {
+	if len(verdicts) == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, v := range verdicts {
+		if v.Quarantined && v.Entry == g.cfg.Entry {
+			list = append(list, g.parts.ExplainedBy(v.Part)...)
+		}
+	}
+	return list
+}
+
 // adopt logs and counts verdicts that are new here, and ends the requests that they
 // concern.
 func (g *Guard) adopt(verdicts []quarantine.Verdict) {
--- a/entry/containment/containment_suite_test.go
+++ b/entry/containment/containment_suite_test.go
@@ -48,6 +48,8 @@
 	delivered atomic.Int64
 	dialErr   error
 	leaving   containment.LeavingTargets
+	// tap gets what is broadcast, if it is not nil.
+	tap func(peers.Evidence)
 	// further are the further parts of each record that was broadcast, as in a message.
 	further []string
 	// skipped is the time by which the clock of the Guards is ahead.
@@ -88,6 +90,9 @@
 func (m *mesh) broadcast(from int, e peers.Evidence) {
 	m.mu.Lock()
 	m.begins += len(e.Begins)
+	if m.tap != nil {
+		defer m.tap(e)
+	}
 	for _, c := range e.Further {
 		m.further = append(m.further, quarantine.FormatFurther(c.Suspects[0].Further))
 	}
--- a/entry/containment/crashes.go
+++ b/entry/containment/crashes.go
@@ -115,10 +115,11 @@
 	news := peers.Evidence{}
 	if b.prompted {
 		crash.Suspects = b.suspects
-		if _, known := g.seen[incarnation]; !known || len(b.suspects) > 0 {
-			news.Crashes = append(news.Crashes, leadingOnly(crash))
-		}
+		_, known := g.seen[incarnation]
 		news.Verdicts = g.recordCrash(now, crash, false)
+		if !known || len(b.suspects) > 0 {
+			news.Crashes = append(news.Crashes, g.parts.Exchanged(crash))
+		}
 		g.addUntold(crash)
 	}
 	for requests := range slices.Chunk(b.requests, wire.MaxSuspects) {
@@ -344,9 +345,12 @@
 		Begins: append(g.parts.Begins(), g.requests.Begins()...), FurtherBegins: g.parts.Runs(),
 		Verdicts: append(g.parts.Verdicts(), g.requests.Verdicts()...),
 	}
+	explained := g.parts.Explained()
 	for _, c := range g.parts.Crashes(now) {
-		e.Crashes = append(e.Crashes, leadingOnly(c))
-		e.Further = append(e.Further, inPieces(c)...)
+		e.Crashes = append(e.Crashes, g.parts.Exchanged(c))
+		if !slices.Contains(explained, c.Incarnation) {
+			e.Further = append(e.Further, inPieces(c)...)
+		}
 	}
 	for _, c := range g.requests.Crashes(now) {
 		for suspects := range slices.Chunk(c.Suspects, wire.MaxSuspects) {
--- a/entry/containment/further.go
+++ b/entry/containment/further.go
@@ -48,16 +48,6 @@
 	return furtherBurst - int(b.used)
 }
 
-// leadingOnly returns a record without the further parts of its suspects.
-func leadingOnly(c quarantine.Crash) quarantine.Crash {
-	suspects := make([]quarantine.Suspect, 0, len(c.Suspects))
-	for _, s := range c.Suspects {
-		suspects = append(suspects, s.Leading())
-	}
-	c.Suspects = suspects
-	return c
-}
-
 // pieceOf returns a record with some of the further parts of a suspect.
 func pieceOf(c quarantine.Crash, s quarantine.Suspect, further []quarantine.FurtherPart) quarantine.Crash {
 	s = s.Leading()
--- a/entry/containment/further_suite_test.go
+++ b/entry/containment/further_suite_test.go
@@ -116,6 +116,45 @@
 		Eventually(func() bool { return blocked(former.guards[0], "f0", "worse", "next") }).Should(BeTrue())
 	})
 
+	// Guards against sound parts that an entry quarantines which knows the crashes without the
+	// further part that explains them: one that starts, or one of the former build (soak 3047).
+	It("do not count against their sound parts at an entry that has not got the further ones", func() {
+		m := newMesh(2)
+		others := newMesh(2)
+		former, late := others.guards[0], others.guards[1]
+		others.cut(0)
+		m.mu.Lock()
+		m.tap = func(e peers.Evidence) {
+			others.skipped.Store(m.skipped.Load())
+			former.Receive(peers.Evidence{Crashes: e.Crashes, Begins: e.Begins, Verdicts: e.Verdicts})
+		}
+		m.mu.Unlock()
+		crash := func(i int) {
+			m.crashPrompts(i%2, i, longPrompt(300, 200, "bad", fmt.Sprint("own", i)))
+		}
+		for i := range 3 {
+			crash(i)
+			m.guards[i%2].Began(longPrompt(300, 200, "c1", fmt.Sprint("served", i)))
+		}
+		crash(3)
+		Eventually(blockedPrompt(m, longPrompt(300, 200, "bad", "next"))).Should(Equal([]bool{true, true}))
+		// Requests that were under way crash some more.
+		for i := range 3 {
+			crash(4 + i)
+		}
+		others.skipped.Store(m.skipped.Load() + int64(time.Second))
+		e := m.guards[0].Evidence()
+		late.Receive(peers.Evidence{Crashes: e.Crashes, Begins: e.Begins, Verdicts: e.Verdicts})
+		for _, g := range []*containment.Guard{late, former} {
+			Consistently(func() bool {
+				_, b := g.Blocked(longPrompt(300, 200, "c1", "next"))
+				return b
+			}, "700ms").Should(BeFalse())
+			_, b := g.Blocked(prompted("bad", "own"))
+			Expect(b).To(BeTrue())
+		}
+	})
+
 	// Guards against memory that grows with what clients send: long prompts of ever new parts, of
 	// which many are under way at each crash.
 	It("take a bounded memory", func() {
--- a/internal/decide/quarantine/further.go
+++ b/internal/decide/quarantine/further.go
@@ -46,6 +46,39 @@
 	return list
 }
 
+// Exchanged returns a record as other entries get it, without further parts. A suspect that holds a
+// quarantined one is named by that part alone: its first parts are sound, and an entry that lacks
+// the further parts, or takes none, would suspect them.
+func (q *Quarantine) Exchanged(c Crash) Crash {
+	suspects := make([]Suspect, 0, len(c.Suspects))
+	for _, s := range c.Suspects {
+		named := s.Leading()
+		for _, f := range furtherParts(s) {
+			if q.quarantined(f.Part) {
+				named.Parts = []Part{f.Part, named.Parts[len(named.Parts)-1]}
+				break
+			}
+		}
+		suspects = append(suspects, named)
+	}
+	c.Suspects = suspects
+	return c
+}
+
+// ExplainedBy returns the records that a quarantined further part explains, as other entries get
+// them.
+func (q *Quarantine) ExplainedBy(p Part) (list []Crash) {
+	for _, r := range q.evidence.records {
+		holds := func(s Suspect) bool {
+			return slices.ContainsFunc(s.Further, func(f FurtherPart) bool { return f.Part == p })
+		}
+		if q.quarantined(p) && slices.ContainsFunc(r.Suspects, holds) {
+			list = append(list, q.Exchanged(*r))
+		}
+	}
+	return list
+}
+
 // Leading returns the suspect without its further parts.
 func (s Suspect) Leading() Suspect {
 	return Suspect{Parts: boundedParts(s.Parts), SentAt: s.SentAt}
