--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -69,7 +69,7 @@
 // any.
 type Catalog struct {
 	records map[string]*record
-	// config is the configuration in force, written at configAt.
+	// config is the configuration in force, written at configAt. unreadableConfig is that of View.
 	config           *Config
 	configAt         Position
 	unreadableConfig Position
--- a/internal/decide/quarantine/further.go
+++ b/internal/decide/quarantine/further.go
@@ -87,6 +87,9 @@
 // AllFurther returns the further parts of the suspect, in order of position.
 func (s Suspect) AllFurther() []FurtherPart { return furtherParts(s) }
 
+// Begins of further parts are exchanged as positions in a suspect: prompts that share a thousand
+// parts would fill the messages with their IDs.
+
 // mergedRun is what another entry has said of begins of further parts: of those with positions
 // from first to last, at a time.
 type mergedRun struct {
