--- a/entry/containment/further_suite_test.go
+++ b/entry/containment/further_suite_test.go
@@ -117,7 +117,7 @@
 	})
 
 	// Guards against sound parts that an entry quarantines which knows the crashes without the
-	// further part that explains them: one that starts, or one of the former build (soak 3047).
+	// further part that explains them: one that starts, or one of the former build.
 	It("do not count against their sound parts at an entry that has not got the further ones", func() {
 		m := newMesh(2)
 		others := newMesh(2)
--- a/entry/edge/odd_config_suite_test.go
+++ b/entry/edge/odd_config_suite_test.go
@@ -78,7 +78,7 @@
 		}
 		Expect(f.runsWith("/lookup/old")).To(Equal(ran))
 	},
-		Entry("that is a name with a space", standin.Workspace("Kvoot Labs", 1, 0, "key-new"), 200),
+		Entry("that is a name with a space", standin.Workspace("Two Words", 1, 0, "key-new"), 200),
 		Entry("that is a name of another script", standin.Workspace("ქართლი", 1, 0, "key-new"), 200),
 		Entry("that is a long name with a quota", standin.Workspace(strings.Repeat("w", 300), 1, 1e6, "key-new"), 200),
 		Entry("that is a name which cannot be sent", standin.Workspace("a\nb", 1, 0, "key-new"), 503),
