--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -26,6 +26,7 @@
 type caseFunc func(d *deployment, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
+	"models":  playModels,
 	"restart": playRestart,
 }
 
