review: case 13, a stream goes on elsewhere while its silent engine works on it

Cause: internal/relay/replacement.go takes the close of the connection for the end of the work at an engine that fell silent. Not all engines drop a request when its connection closes.

--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]caseFunc{
 	"models":  playModels,
+	"silence": playSilence,
 	"restart": playRestart,
 }
 
