review: case 14, a crashing request reaches four more replicas after all processes were killed

Cause: what is known of crashes is lost with all processes; the relay then sends an idempotent request to the next replica at once after each crash, before the verdict of the third counts.

--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -26,9 +26,10 @@
 type caseFunc func(d *deployment, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"models":  playModels,
-	"silence": playSilence,
-	"restart": playRestart,
+	"models":   playModels,
+	"silence":  playSilence,
+	"restart":  playRestart,
+	"crashing": playCrashing,
 }
 
 // maxCaseTime ends a case that hangs.
