--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -57,6 +59,9 @@
 	// request whose prompt holds crashPart.
 	prefill   time.Duration
 	crashPart string
+	// The engine also crashes writtenTime after the first event of an answer to a request whose
+	// prompt holds writtenPart.
+	writtenPart string
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -72,8 +77,9 @@
 	// crashes counts the orders that asked for more than weightsMB or slots, and cut the streams
 	// that were running then.
 	crashes, cut int
-	// partCrashes counts the crashes for crashPart.
-	partCrashes int
+	// partCrashes counts the crashes for crashPart. partCrashTimes are those for writtenPart.
+	partCrashes    int
+	partCrashTimes []time.Time
 	// Until silentUntil the engine sends nothing. runs are those of all streams.
 	silentUntil time.Time
 	runs        []*streamRun
@@ -391,6 +397,20 @@
 		e.mu.Lock()
 		work.events = n
 		e.mu.Unlock()
+		if e.writtenPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), e.writtenPart+":") {
+			time.Sleep(writtenTime)
+			e.mu.Lock()
+			current := e.born == born && e.server != nil
+			if current {
+				e.partCrashTimes = append(e.partCrashTimes, time.Now())
+			}
+			e.mu.Unlock()
+			if current {
+				e.d.line("%s CRASHES: it has begun to answer %s", e.id, id)
+				go e.crash()
+			}
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command kit-3 runs the scripted cases of the third review: it starts the stand-ins of a case in
 // this process and the programs of the repository as processes of their own, all on loopback
 // addresses.
@@ -30,6 +32,7 @@
 	"silence":  playSilence,
 	"restart":  playRestart,
 	"crashing": playCrashing,
+	"begun":    playBegun,
 }
 
 // maxCaseTime ends a case that hangs.
--- a/review/kit-3/silence.go
+++ b/review/kit-3/silence.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
