--- a/review/kit-3/silence.go
+++ b/review/kit-3/silence.go
@@ -20,13 +20,13 @@
 	overlapTime = 400 * time.Millisecond
 )
 
-// playSilence sends streams that may be resumed to three engines. One of them goes on with a run
+// playSilence sends streams that may be resumed to eight engines. One of them goes on with a run
 // whose connection has closed. The trouble is that one of them falls silent for a moment, every few
 // seconds, and goes on.
 func playSilence(d *deployment, trouble bool) (bool, error) {
 	d.publish(oneModel, 15000, 600, 2, true)
 	var engines []*engine
-	for i := range 3 {
+	for i := range 8 {
 		zone := fmt.Sprintf("z%d", 1+i%2)
 		e, err := d.startEngine(i+1, zone, oneModel, "large", memoryMB, adapterSlots)
 		if err != nil {
@@ -66,7 +66,7 @@
 			defer mu.Unlock()
 			results[result]++
 		}()
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(80 * time.Millisecond)
 	}
 	wg.Wait()
 	// The engines may still work on streams that have gone on elsewhere.
